Frame: core types, ports, settings model, build, checks

Cause: nothing existed. Change: modules with the core value types (time, verdict, reasons, ids, events, names), the ports that decision modules use, the typed settings tree, the wire interfaces, CMake that refuses a decision module depending on an adapter, formatter, linter and package scripts. Conclusion: modules can now be written side by side against agreed headers.

--- /dev/null
+++ b/cmake/CuminrailModule.cmake
@@ -0,0 +1,48 @@
+# cuminrail_module(NAME KIND decision|adapter [DEPENDS modules…] [LIBRARIES targets…])
+#
+# A module is a folder under modules/ with one header of its own name. Sources ending in _test.cpp
+# stand beside the code and are built into one test program per module.
+# A decision module must not depend on an adapter module: configuring stops if one does, and
+# extras/check-layers.sh stops the includes that would go around this.
+function(cuminrail_module NAME)
+  cmake_parse_arguments(M "" "KIND" "DEPENDS;LIBRARIES" ${ARGN})
+  if(NOT M_KIND MATCHES "^(decision|adapter)$")
+    message(FATAL_ERROR "module ${NAME}: KIND must be decision or adapter, not '${M_KIND}'")
+  endif()
+  set_property(GLOBAL PROPERTY cuminrail_kind_${NAME} ${M_KIND})
+  if(M_KIND STREQUAL decision)
+    foreach(DEP ${M_DEPENDS})
+      get_property(DEP_KIND GLOBAL PROPERTY cuminrail_kind_${DEP})
+      if(NOT DEP_KIND STREQUAL decision)
+        message(FATAL_ERROR "decision module ${NAME} depends on ${DEP}, which is no decision module")
+      endif()
+    endforeach()
+  endif()
+
+  set(DIR ${CMAKE_CURRENT_SOURCE_DIR}/${NAME})
+  file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS ${DIR}/*.cpp)
+  set(TESTS ${SOURCES})
+  list(FILTER TESTS INCLUDE REGEX "_test\\.cpp$")
+  list(FILTER SOURCES EXCLUDE REGEX "_test\\.cpp$")
+
+  if(SOURCES)
+    add_library(cuminrail_${NAME} STATIC ${SOURCES})
+    set(SCOPE PUBLIC)
+    target_compile_options(cuminrail_${NAME} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  else()
+    add_library(cuminrail_${NAME} INTERFACE)
+    set(SCOPE INTERFACE)
+  endif()
+  target_include_directories(cuminrail_${NAME} ${SCOPE} ${CMAKE_SOURCE_DIR}/modules)
+  foreach(DEP ${M_DEPENDS})
+    target_link_libraries(cuminrail_${NAME} ${SCOPE} cuminrail_${DEP})
+  endforeach()
+  target_link_libraries(cuminrail_${NAME} ${SCOPE} nlohmann_json::nlohmann_json ${M_LIBRARIES})
+
+  if(TESTS)
+    add_executable(test_${NAME} ${TESTS} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
+    target_compile_options(test_${NAME} PRIVATE -Wall -Wextra -Wshadow -Werror)
+    target_link_libraries(test_${NAME} PRIVATE cuminrail_${NAME} Threads::Threads)
+    add_test(NAME ${NAME} COMMAND test_${NAME} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  endif()
+endfunction()
--- /dev/null
+++ b/modules/core/core.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/**
+    Small value types that every other module leans on.
+
+    Purpose: time in milliseconds, the verdict on whether a request may have run, reasons for
+    errors, identifiers, tables of names for enumerations, numbered events, random numbers.
+
+    Depends on: the C++ standard library.
+*/
+
+#include "core/errors/Reason.h"
+#include "core/events/Event.h"
+#include "core/events/EventCatalogue.h"
+#include "core/ids/Ids.h"
+#include "core/names/NameTable.h"
+#include "core/random/Random.h"
+#include "core/time/Clock.h"
+#include "core/time/Millis.h"
+#include "core/verdict/Verdict.h"
--- /dev/null
+++ b/modules/core/events/EventCatalogue.cpp
@@ -0,0 +1,34 @@
+#include "core/events/EventCatalogue.h"
+
+namespace cuminrail {
+
+const std::vector<const EventKind *> &eventCatalogue()
+{
+    using namespace events;
+    static const std::vector<const EventKind *> kinds = {
+        // 1xx process
+        &processStarted,
+        &processStopping,
+        &processStopped,
+        // 2xx request path
+        &requestRefused,
+        // 3xx upstreams
+        &upstreamEjected,
+        // 4xx platform store
+        &storeUnavailable,
+        &storeReturned,
+        // 5xx configuration and keys
+        &configurationInForce,
+        // 6xx membership
+        &peerSuspected,
+        // 7xx leases and orders
+        &leaseTaken,
+        // 8xx capacity
+        &roleChangeDecided,
+        // 9xx usage
+        &usageWindowSealed,
+    };
+    return kinds;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/core/events/EventCatalogue.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/events/Event.h"
+
+#include <vector>
+
+namespace cuminrail {
+
+/**
+    All events of the system, one constant each.
+
+    Numbers are never reused. Hundreds: 1 process, 2 request path, 3 upstreams, 4 platform store,
+    5 configuration and keys, 6 membership, 7 leases and orders, 8 capacity, 9 usage.
+*/
+namespace events {
+
+// 1xx process
+inline constexpr EventKind processStarted{101, EventLevel::Info, "process-started",
+                                          "The process is up; its addresses are in the fields."};
+inline constexpr EventKind processStopping{
+    102, EventLevel::Info, "process-stopping",
+    "A planned stop began: not ready any more, requests in progress go on."};
+inline constexpr EventKind processStopped{103, EventLevel::Info, "process-stopped",
+                                          "The planned stop is over; no request was cut."};
+
+// 2xx request path
+inline constexpr EventKind requestRefused{201, EventLevel::Info, "request-refused",
+                                          "A request got an error; code and verdict say why."};
+
+// 3xx upstreams
+inline constexpr EventKind upstreamEjected{
+    301, EventLevel::Warning, "upstream-ejected",
+    "An upstream gets no work for a while, because its real outcomes were bad."};
+
+// 4xx platform store
+inline constexpr EventKind storeUnavailable{
+    401, EventLevel::Warning, "store-unavailable",
+    "The platform's store does not answer; traffic goes on, orders and claims wait."};
+inline constexpr EventKind storeReturned{402, EventLevel::Info, "store-returned",
+                                         "The platform's store answers again."};
+
+// 5xx configuration and keys
+inline constexpr EventKind configurationInForce{
+    501, EventLevel::Info, "configuration-in-force",
+    "A newer version of a settings subtree is in force here."};
+
+// 6xx membership
+inline constexpr EventKind peerSuspected{601, EventLevel::Info, "peer-suspected",
+                                         "An instance shows no progress; others are asked."};
+
+// 7xx leases and orders
+inline constexpr EventKind leaseTaken{701, EventLevel::Info, "lease-taken",
+                                      "This instance holds a duty; the fence is in the fields."};
+
+// 8xx capacity
+inline constexpr EventKind roleChangeDecided{801, EventLevel::Info, "role-change-decided",
+                                             "An engine is to change role; the evidence is given."};
+
+// 9xx usage
+inline constexpr EventKind usageWindowSealed{901, EventLevel::Info, "usage-window-sealed",
+                                             "A usage window's figures are final."};
+
+} // namespace events
+
+/** Returns every event kind, by number. docs/EVENTS.md is checked against this list. */
+const std::vector<const EventKind *> &eventCatalogue();
+
+} // namespace cuminrail
