--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -12,6 +12,7 @@
 #include "core/errors/Reason.h"
 #include "core/events/Event.h"
 #include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
 #include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
 #include "core/random/Random.h"
