--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -12,6 +12,7 @@
         &processStopped,
         // 2xx request path
         &requestRefused,
+        &claimAnswerNotStored,
         // 3xx upstreams
         &upstreamEjected,
         // 4xx platform store
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -26,6 +26,10 @@
 // 2xx request path
 inline constexpr EventKind requestRefused{201, EventLevel::Info, "request-refused",
                                           "A request got an error; code and verdict say why."};
+inline constexpr EventKind claimAnswerNotStored{
+    202, EventLevel::Warning, "claim-answer-not-stored",
+    "An answer was too large, or too many waited for the store; repeats learn only that the "
+    "call ran."};
 
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
