--- a/modules/ports/engines/EngineControl.h
+++ b/modules/ports/engines/EngineControl.h
@@ -3,6 +3,7 @@
 #include "core/errors/Reason.h"
 #include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
+#include "core/time/Millis.h"
 
 #include <cstdint>
 #include <functional>
@@ -54,6 +55,12 @@
     FenceNumber fence = 0;
     EngineOrderKind kind = EngineOrderKind::ChangeRole;
     std::string target;
+    /**
+        The sender's authority ends at this instant of its own clock. The adapter looks at the
+        clock again when it writes the bytes and answers NotSent when it is too late, and closes
+        the connection at this instant.
+    */
+    Millis notAfter = Millis::never();
 };
 
 enum class OrderStatus : std::uint8_t {
--- a/modules/ports/fleet/FleetOrdering.h
+++ b/modules/ports/fleet/FleetOrdering.h
@@ -33,6 +33,8 @@
     FenceNumber fence = 0;
     /** The platform answers a repeated token as it answered the first time. */
     std::string clientToken;
+    /** As EngineOrder::notAfter; not part of the target. */
+    Millis notAfter = Millis::never();
 };
 
 /** What the platform has as its target and how many of them run. */
--- a/modules/ports/usage/UsageReceiver.h
+++ b/modules/ports/usage/UsageReceiver.h
@@ -14,6 +14,8 @@
     std::string windowId;
     std::string sealedFigures;
     FenceNumber fence = 0;
+    /** As EngineOrder::notAfter. */
+    Millis notAfter = Millis::never();
 };
 
 /** The platform's interface that takes usage reports. */
