Interfaces of routing and admission

The request path needs types to build against. Routing reads an immutable table by index and shares live counters made of atomics; admission is one state machine behind a short mutex. Additions to shared files: core/ids/Indexes.h; routing also depends on ports, for engine roles and cost classes. No behaviour yet.

--- /dev/null
+++ b/modules/admission/AdmissionController.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "admission/AdmissionTypes.h"
+#include "core/events/Event.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace cuminrail {
+
+/** Constants of the admission policy. docs/LIMITS.md says how they were chosen. */
+struct AdmissionOptions
+{
+    /** Prompt tokens in progress, as a share of what is read within the first-token target. */
+    double prefillWindow = 0.8;
+    /** A request is hopeless when its first token is predicted later than target × this. */
+    double patience = 1.0;
+    /** The same for standard and batch requests without a deadline. */
+    Millis standardPatience = Millis::seconds(10);
+    Millis batchPatience = Millis::minutes(5);
+    /** How long a request waits for its customer's limit before it is refused. */
+    Millis limitWait = Millis(500);
+    /** Output tokens weigh this much more than prompt tokens. */
+    double outputTokenCost = 4;
+    /** Batch work is charged this much more, so that it yields and still is not starved. */
+    double batchCost = 4;
+    /** Requests that may wait at one instance: bounds memory. */
+    std::size_t maxQueued = 4096;
+    /** How long a customer's limit may be saved up, as a burst. */
+    Millis burst = Millis::seconds(2);
+};
+
+/** One customer's limits at this instance, the part of the whole that it may use now. */
+struct LocalShare
+{
+    double requestsPerSecond = 0;
+    double concurrentRequests = 0;
+    double tokensPerSecond = 0;
+};
+
+/** What the admission controller knows of a customer, for `/state` and for budgets. */
+struct CustomerUse
+{
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    double requestsPerSecond = 0;
+    double tokensPerSecond = 0;
+};
+
+/**
+    Decides which request runs next at this instance: limits, fair shares, early refusal.
+
+    Requests wait here and not at the engines, because only here are they ordered fairly. What is
+    in progress at a pool is bounded by the instance's share of its capacity (setCapacity). Waiting
+    requests are served by start-time fair queueing over customers, by cost in tokens; within a
+    customer by priority, then deadline.
+
+    How it is guarded: not thread-safe. The adapter holds one mutex around each call; calls take
+    microseconds and never call out. At a thousand requests a second an instance spends under one
+    percent of a core inside.
+
+    A request's life: submit(); if queued, its ticket appears once in an AdmissionChanges; once
+    admitted firstToken() and finished(), or cancel() at any time instead. Every call that returns
+    AdmissionChanges must be acted upon at once: tickets in `refused` are over, tickets in
+    `admitted` hold capacity.
+*/
+class AdmissionController
+{
+public:
+    explicit AdmissionController(AdmissionOptions options = {});
+    ~AdmissionController();
+    AdmissionController(const AdmissionController &) = delete;
+    AdmissionController &operator=(const AdmissionController &) = delete;
+
+    /** Takes newer settings. Requests in progress keep their tickets. */
+    void configure(const AdmissionSettings &settings, Millis now);
+
+    /** Sets this instance's share of a pool's capacity. */
+    void setCapacity(PoolIndex pool, const AdmissionCapacity &capacity);
+
+    /**
+        Sets the part of a customer's limits that this instance may use now.
+
+        Kinds of limit that the customer does not have are not looked at. Until it is called the
+        whole limit counts. @see BudgetLedger
+    */
+    void setLocalShare(CustomerIndex customer, const LocalShare &share, Millis now);
+
+    /** A request arrived. */
+    AdmissionDecision submit(const AdmissionRequest &request, Millis now);
+
+    /** The first token of an admitted request arrived: its prompt is read. */
+    AdmissionChanges firstToken(AdmissionTicket ticket, Millis now);
+
+    /** An admitted request is over. @param outputTokens what it really produced. */
+    AdmissionChanges finished(AdmissionTicket ticket, std::uint32_t outputTokens, Millis now);
+
+    /** The caller of a waiting or admitted request left, and nothing ran for it. */
+    AdmissionChanges cancel(AdmissionTicket ticket, Millis now);
+
+    /** Time passed: refuses what is hopeless, admits what limits held back. Every 10 ms or so. */
+    AdmissionChanges tick(Millis now);
+
+    std::size_t queued() const;
+    std::size_t running() const;
+    CustomerUse customerUse(CustomerIndex customer) const;
+
+    /** Moves credit of a customer's buckets, when a budget is lent. Returns what was there. */
+    LocalShare takeCredit(CustomerIndex customer, const LocalShare &wanted, Millis now);
+    AdmissionChanges addCredit(CustomerIndex customer, const LocalShare &credit, Millis now);
+
+    /** Returns the bytes held for customers and requests, for the capacity page. */
+    std::size_t memoryBytes() const;
+
+private:
+    class State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/admission/admission.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/**
+    Which requests run, in which order, and which are refused.
+
+    Purpose: limits of customers over all instances (budgets lent between them), fair queueing by
+    cost, deadlines, early refusal. docs/LIMITS.md has the design and the operators' view.
+
+    Depends on: core, settings, nlohmann-json (messages between instances).
+*/
+
+#include "admission/AdmissionController.h"
+#include "admission/AdmissionTypes.h"
+#include "admission/limits/AdmissionSettingsBuilder.h"
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -14,6 +14,7 @@
 #include "core/events/EventCatalogue.h"
 #include "core/guards/Guards.h"
 #include "core/ids/Ids.h"
+#include "core/ids/Indexes.h"
 #include "core/names/NameTable.h"
 #include "core/random/Random.h"
 #include "core/time/Clock.h"
--- /dev/null
+++ b/modules/routing/routing.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/**
+    Which upstream runs a request.
+
+    Purpose: an immutable table of who serves what (published to request threads by
+    read-copy-update), live counters and cache hints made of atomics, the decision itself, ejection
+    of upstreams whose requests fail, and the set of upstreams that leave. docs/ROUTING.md has the
+    design and the operators' view.
+
+    Depends on: core, ports, settings.
+*/
+
+#include "routing/Router.h"
+#include "routing/decision/RoutingChoice.h"
+#include "routing/ejection/OutlierEjector.h"
+#include "routing/leaving/LeavingSet.h"
+#include "routing/live/LiveLoads.h"
+#include "routing/prefix/PrefixChain.h"
+#include "routing/prefix/PrefixHints.h"
+#include "routing/table/LiveFacts.h"
+#include "routing/table/RoutingTable.h"
+#include "routing/table/StableIndexes.h"
