--- a/modules/core/guards/Guards.h
+++ b/modules/core/guards/Guards.h
@@ -25,15 +25,21 @@
     LeaseCountedFromSend,
     /** A version of settings never goes back. */
     VersionOnlyForward,
+    /** An answer is passed on only if it carries the identity of the request. */
+    AnswerIdentityChecked,
+    /** A connection with bytes that nobody asked for is not used again. */
+    DoubtfulConnectionDropped,
     Count,
 };
 
-inline constexpr NameTable<Guard, 5> guardNames{{{
+inline constexpr NameTable<Guard, 7> guardNames{{{
     {Guard::KeyCheckedEachRequest, "key-checked-each-request"},
     {Guard::VerdictBeforeRetry, "verdict-before-retry"},
     {Guard::ClaimBeforeDispatch, "claim-before-dispatch"},
     {Guard::LeaseCountedFromSend, "lease-counted-from-send"},
     {Guard::VersionOnlyForward, "version-only-forward"},
+    {Guard::AnswerIdentityChecked, "answer-identity-checked"},
+    {Guard::DoubtfulConnectionDropped, "doubtful-connection-dropped"},
 }}};
 
 namespace detail {
--- /dev/null
+++ b/modules/net/http/HttpParser.cpp
@@ -0,0 +1,206 @@
+#include "net/http/HttpParser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace cuminrail {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::beast::error_code;
+using BeastString = boost::beast::string_view;
+
+/** What HttpParser needs of either direction's Beast parser. */
+class HttpParser::Impl
+{
+public:
+    virtual ~Impl() = default;
+    virtual std::size_t put(std::string_view bytes, ErrorCode &error) = 0;
+    virtual bool isHeadDone() const = 0;
+    virtual bool isDone() const = 0;
+    virtual bool isKeepAlive() const = 0;
+    virtual bool isEndedByClose() const = 0;
+    virtual void skipBody() = 0;
+    virtual void parseBodyEagerly() = 0;
+    virtual std::optional<std::uint64_t> contentLength() const = 0;
+
+    HttpHead head;
+    HttpParser::BodyHook onBody;
+    std::optional<HttpProblem> problem;
+    bool isHeadJudged = false;
+};
+
+template<bool IsRequest>
+class HttpParser::BeastImpl final : public HttpParser::Impl, private http::basic_parser<IsRequest>
+{
+public:
+    explicit BeastImpl(const HttpLimits &limits)
+    {
+        this->header_limit(limits.headBytes);
+        this->body_limit(limits.bodyBytes);
+    }
+
+    std::size_t put(std::string_view bytes, ErrorCode &error) override
+    {
+        return Parser::put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    }
+    bool isHeadDone() const override { return this->is_header_done(); }
+    bool isDone() const override { return this->is_done(); }
+    bool isKeepAlive() const override { return this->keep_alive(); }
+    bool isEndedByClose() const override { return this->need_eof() && !this->is_done(); }
+    void skipBody() override { this->skip(true); }
+    void parseBodyEagerly() override { this->eager(true); }
+    std::optional<std::uint64_t> contentLength() const override
+    {
+        const auto length = this->content_length();
+        return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    }
+
+private:
+    using Parser = http::basic_parser<IsRequest>;
+
+    // NOLINTBEGIN(readability-identifier-naming): the names are Beast's.
+    void on_request_impl(http::verb, BeastString method, BeastString target, int version,
+                         ErrorCode &) override
+    {
+        head.method.assign(method.data(), method.size());
+        head.target.assign(target.data(), target.size());
+        head.version = version;
+    }
+    void on_response_impl(int status, BeastString, int version, ErrorCode &) override
+    {
+        head.status = status;
+        head.version = version;
+    }
+    void on_field_impl(http::field, BeastString name, BeastString value, ErrorCode &) override
+    {
+        head.headers.push_back(
+            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    }
+    void on_header_impl(ErrorCode &) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override { }
+    std::size_t on_body_impl(BeastString body, ErrorCode &) override
+    {
+        onBody({body.data(), body.size()});
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, BeastString, ErrorCode &) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, BeastString body, ErrorCode &) override
+    {
+        onBody({body.data(), body.size()});
+        return body.size();
+    }
+    void on_finish_impl(ErrorCode &) override { }
+    // NOLINTEND(readability-identifier-naming)
+};
+
+namespace {
+
+HttpProblemKind problemKind(const ErrorCode &error)
+{
+    if (error == http::error::header_limit)
+        return HttpProblemKind::HeadTooLarge;
+    if (error == http::error::body_limit)
+        return HttpProblemKind::BodyTooLarge;
+    if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding)
+        return HttpProblemKind::AmbiguousLength;
+    return HttpProblemKind::Malformed;
+}
+
+/** Finds what two readers of the same head could disagree on. */
+std::optional<HttpProblem> lengthProblem(const HttpHead &head)
+{
+    const std::size_t lengths = head.count("Content-Length");
+    const std::size_t codings = head.count("Transfer-Encoding");
+    if (lengths > 1 || codings > 1 || lengths + codings > 1)
+        return HttpProblem{HttpProblemKind::AmbiguousLength,
+                           {"Content-Length", "more than one statement of the body's length"}};
+    if (lengths == 1 && head.find("Content-Length")->find(',') != std::string::npos)
+        return HttpProblem{HttpProblemKind::AmbiguousLength,
+                           {"Content-Length", "a list instead of one number"}};
+    if (codings == 1 && !sameHeaderName(*head.find("Transfer-Encoding"), "chunked"))
+        return HttpProblem{HttpProblemKind::AmbiguousLength,
+                           {"Transfer-Encoding", "only \"chunked\" is understood"}};
+    if (codings == 1 && head.version < 11)
+        return HttpProblem{HttpProblemKind::AmbiguousLength,
+                           {"Transfer-Encoding", "not part of HTTP/1.0"}};
+    return std::nullopt;
+}
+
+} // namespace
+
+HttpParser::HttpParser(Kind kind, const HttpLimits &limits, BodyHook onBody)
+{
+    if (kind == Kind::Request)
+        impl_ = std::make_unique<BeastImpl<true>>(limits);
+    else
+        impl_ = std::make_unique<BeastImpl<false>>(limits);
+    impl_->onBody = std::move(onBody);
+}
+
+HttpParser::~HttpParser() = default;
+
+std::size_t HttpParser::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !isDone() && !impl_->problem) {
+        ErrorCode error;
+        used += impl_->put(bytes.substr(used), error);
+        if (error == http::error::need_more)
+            break;
+        if (error) {
+            impl_->problem = HttpProblem{problemKind(error), {"message", error.message()}};
+            break;
+        }
+        if (isHeadDone() && !impl_->isHeadJudged) {
+            impl_->isHeadJudged = true;
+            impl_->problem = lengthProblem(impl_->head);
+            if (!impl_->problem && impl_->isEndedByClose())
+                impl_->problem =
+                    HttpProblem{HttpProblemKind::Unframed, {"message", "its end is not marked"}};
+            impl_->parseBodyEagerly();
+            break;
+        }
+    }
+    return used;
+}
+
+void HttpParser::expectNoBody()
+{
+    impl_->skipBody();
+}
+
+bool HttpParser::isHeadDone() const
+{
+    return impl_->isHeadDone();
+}
+
+bool HttpParser::isDone() const
+{
+    return impl_->isDone();
+}
+
+bool HttpParser::isKeepAlive() const
+{
+    return impl_->isKeepAlive();
+}
+
+std::optional<std::uint64_t> HttpParser::contentLength() const
+{
+    return impl_->contentLength();
+}
+
+const std::optional<HttpProblem> &HttpParser::problem() const
+{
+    return impl_->problem;
+}
+
+HttpHead &HttpParser::head()
+{
+    return impl_->head;
+}
+
+const HttpHead &HttpParser::head() const
+{
+    return impl_->head;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -0,0 +1,117 @@
+#include "net/upstream/UpstreamPool.h"
+
+#include "net/upstream/UpstreamConnection.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+UpstreamCall::UpstreamCall(std::shared_ptr<detail::UpstreamConnection> connection,
+                           std::uint64_t attempt)
+    : connection_(std::move(connection)), attempt_(attempt)
+{ }
+
+bool UpstreamCall::isActive() const
+{
+    return connection_ != nullptr && connection_->attempt() == attempt_;
+}
+
+void UpstreamCall::pause()
+{
+    if (isActive())
+        connection_->pause();
+}
+
+void UpstreamCall::resume()
+{
+    if (isActive())
+        connection_->resume();
+}
+
+void UpstreamCall::cancel()
+{
+    if (isActive())
+        connection_->cancel();
+}
+
+Verdict UpstreamCall::verdictSoFar() const
+{
+    return isActive() ? connection_->verdictSoFar() : Verdict::MayHaveRun;
+}
+
+UpstreamPool::UpstreamPool(boost::asio::io_context &io, DeadlineList &deadlines,
+                           UpstreamPoolLimits limits)
+    : io_(io), deadlines_(deadlines), limits_(limits)
+{ }
+
+UpstreamPool::~UpstreamPool()
+{
+    const auto open = open_;
+    for (const Connection &connection : open)
+        connection->cancel();
+}
+
+UpstreamCall UpstreamPool::start(UpstreamRequest request, UpstreamHooks hooks)
+{
+    Connection connection;
+    if (!request.needsFreshConnection)
+        connection = takeIdle(request.address);
+    if (connection == nullptr) {
+        connection = std::make_shared<detail::UpstreamConnection>(*this, request.address);
+        open_.insert(connection);
+    }
+    connection->begin(std::move(request), std::move(hooks));
+    return {connection, connection->attempt()};
+}
+
+UpstreamPool::Connection UpstreamPool::takeIdle(const std::string &address)
+{
+    for (;;) {
+        const auto found = idle_.find(address);
+        if (found == idle_.end() || found->second.empty())
+            return nullptr;
+        // The last one back is the least likely to have been forgotten by something on the way.
+        const Connection connection = found->second.back();
+        found->second.pop_back();
+        if (!connection->isStale())
+            return connection;
+        connection->close();
+    }
+}
+
+void UpstreamPool::keepIdle(const Connection &connection)
+{
+    auto &idle = idle_[connection->address()];
+    idle.push_back(connection);
+    if (idle.size() > limits_.idlePerAddress) {
+        const Connection oldest = idle.front();
+        oldest->close();
+    }
+}
+
+void UpstreamPool::forget(const Connection &connection)
+{
+    const auto found = idle_.find(connection->address());
+    if (found != idle_.end()) {
+        auto &idle = found->second;
+        idle.erase(std::remove(idle.begin(), idle.end(), connection), idle.end());
+        if (idle.empty())
+            idle_.erase(found);
+    }
+    open_.erase(connection);
+}
+
+std::size_t UpstreamPool::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, connections] : idle_)
+        count += connections.size();
+    return count;
+}
+
+bool UpstreamPool::isCutAt(SendPoint point, const UpstreamRequest &request) const
+{
+    return faultHook_ && faultHook_(point, request);
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/runtime/runtime.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/**
+    What a process needs of its machine: a clock, threads, snapshots read without locks, a log.
+
+    Purpose: the boot-time clock behind core's Clock, deadlines on an event loop, event-loop
+    threads, read-copy-update cells over liburcu, and the event log over easylogging++.
+
+    Depends on: core, ports, Boost.Asio, liburcu, easylogging++.
+*/
+
+#include "runtime/log/EventLog.h"
+#include "runtime/rcu/RcuCell.h"
+#include "runtime/threads/IoThread.h"
+#include "runtime/time/BootClock.h"
+#include "runtime/time/DeadlineList.h"
