--- a/modules/settings/settings.h
+++ b/modules/settings/settings.h
@@ -11,4 +11,10 @@
     Depends on: core, nlohmann-json.
 */
 
+#include "settings/diff/SettingsDiff.h"
+#include "settings/fields/FieldTables.h"
 #include "settings/model/Settings.h"
+#include "settings/read/SettingsDirectory.h"
+#include "settings/read/SettingsReader.h"
+#include "settings/read/StrictJson.h"
+#include "settings/write/SettingsWriter.h"
