Routing: table, live loads, prefix hints, ejection, the decision

Each request compares a few sampled upstreams and the probable holders of its prefix by predicted time, from own outstanding work and aged reports. Leaving is sticky for an incarnation; ejection judges by real outcomes and is bounded; reclaimable upstreams get only repeatable work with slack within the team's share. 19 test cases.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -14,6 +14,7 @@
         &requestRefused,
         // 3xx upstreams
         &upstreamEjected,
+        &routingDecision,
         // 4xx platform store
         &storeUnavailable,
         &storeReturned,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -31,6 +31,9 @@
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
     "An upstream gets no work for a while, because its real outcomes were bad."};
+inline constexpr EventKind routingDecision{
+    302, EventLevel::Info, "routing-decision",
+    "A sample of the routing decisions: where a request went, and why."};
 
 // 4xx platform store
 inline constexpr EventKind storeUnavailable{
--- a/modules/core/guards/Guards.h
+++ b/modules/core/guards/Guards.h
@@ -25,15 +25,36 @@
     LeaseCountedFromSend,
     /** A version of settings never goes back. */
     VersionOnlyForward,
+    /** An upstream that was reported leaving gets no new work in that incarnation. */
+    LeavingIsSticky,
+    /** Prefix hashes start from the customer, so that customers share no cache. */
+    CustomerInCacheIdentity,
+    /** Only a bounded share of a pool is ejected at once. */
+    EjectionBounded,
+    /** Only repeatable work with slack, within the team's share, runs on reclaimable upstreams. */
+    ReclaimableOnlyForRedoable,
+    /** An idle customer's fair-queueing tags do not lag behind the virtual time. */
+    NoIdleCredit,
+    /** A lender takes a budget away from itself before it lends it. */
+    LendSubtractsFirst,
+    /** A borrower counts a loan's term from when it asked. */
+    LoanCountedFromRequest,
     Count,
 };
 
-inline constexpr NameTable<Guard, 5> guardNames{{{
+inline constexpr NameTable<Guard, 12> guardNames{{{
     {Guard::KeyCheckedEachRequest, "key-checked-each-request"},
     {Guard::VerdictBeforeRetry, "verdict-before-retry"},
     {Guard::ClaimBeforeDispatch, "claim-before-dispatch"},
     {Guard::LeaseCountedFromSend, "lease-counted-from-send"},
     {Guard::VersionOnlyForward, "version-only-forward"},
+    {Guard::LeavingIsSticky, "leaving-is-sticky"},
+    {Guard::CustomerInCacheIdentity, "customer-in-cache-identity"},
+    {Guard::EjectionBounded, "ejection-bounded"},
+    {Guard::ReclaimableOnlyForRedoable, "reclaimable-only-for-redoable"},
+    {Guard::NoIdleCredit, "no-idle-credit"},
+    {Guard::LendSubtractsFirst, "lend-subtracts-first"},
+    {Guard::LoanCountedFromRequest, "loan-counted-from-request"},
 }}};
 
 namespace detail {
--- a/modules/routing/Router.h
+++ b/modules/routing/Router.h
@@ -27,9 +27,11 @@
     double decodeHeadroom = 0.6;
     /** Size of the KV cache of one token, and speed between engines. */
     double kvBytesPerToken = 131072;
-    double kvBytesPerSecond = 2.5e9;
-    /** Repeatable work goes to reclaimable upstreams with at least this much slack... */
+    double kvBytesPerSecond = 1e10;
+    /** Work with a deadline goes to reclaimable upstreams with at least this much slack. */
     Millis reclaimableSlack = Millis::seconds(20);
+    /** How much longer the wait may be at a reclaimable upstream before a regular one is taken. */
+    Millis reclaimableBonus = Millis::seconds(1);
 };
 
 /** What a request in progress holds of the live counters. Kept by the caller until finished(). */
@@ -39,6 +41,10 @@
     UpstreamIndex prefill = noIndex;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
+    /** Prompt tokens that were to be read there before this request's own. */
+    std::int64_t queuedAhead = 0;
+    /** What the engine is said to read alone; bounds what is learnt. */
+    double nominalPrefillRate = 0;
     Millis startedAt;
     bool sawFirstToken = false;
 };
--- /dev/null
+++ b/modules/routing/Router_test.cpp
@@ -0,0 +1,466 @@
+#include "routing/routing.h"
+
+#include "core/core.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr Millis start = Millis::seconds(1000);
+
+/** A small fleet: engines in three failure domains, one model, two customers of one team. */
+struct Fleet
+{
+    explicit Fleet(int engines)
+    {
+        settings.fleet.domains = {{FailureDomainId("a"), RegionId("r"), 1},
+                                  {FailureDomainId("b"), RegionId("r"), 1},
+                                  {FailureDomainId("c"), RegionId("r"), 1}};
+        ModelSettings model;
+        model.id = ModelId("m");
+        model.version = "1";
+        settings.fleet.models = {model};
+        for (int i = 0; i < engines; ++i) {
+            EngineSettings engine;
+            engine.id = UpstreamId("e" + std::to_string(i));
+            engine.address = "10.0.0." + std::to_string(i) + ":8000";
+            engine.domain = settings.fleet.domains[static_cast<std::size_t>(i) % 3].id;
+            engine.models = {model.id};
+            settings.fleet.engines.push_back(engine);
+        }
+        TeamSettings team;
+        team.id = TeamId("t");
+        team.reclaimableShare = 0.5;
+        for (const char *name : {"one", "two"}) {
+            CustomerSettings customer;
+            customer.id = CustomerId(name);
+            customer.team = team.id;
+            team.customers.push_back(customer);
+        }
+        settings.teams = {team};
+        build();
+    }
+
+    void build() { table = buildRoutingTable(settings, facts, indexes); }
+
+    RoutingRequest request(std::uint32_t promptTokens = 400)
+    {
+        RoutingRequest made;
+        made.pool = *table.findModel("m");
+        made.customer = *table.findCustomer(CustomerId("one"));
+        made.domain = 0;
+        made.promptTokens = promptTokens;
+        made.expectedOutputTokens = 100;
+        return made;
+    }
+
+    RoutingChoice choose(const RoutingRequest &request, Millis now = start)
+    {
+        auto choice = router.choose(request, table, now, random);
+        REQUIRE(choice.has_value());
+        return *choice;
+    }
+
+    std::map<UpstreamIndex, int> spread(const RoutingRequest &request, int count,
+                                        Millis now = start)
+    {
+        std::map<UpstreamIndex, int> chosen;
+        for (int i = 0; i < count; ++i) {
+            const RoutingChoice choice = choose(request, now);
+            ++chosen[choice.upstream];
+            router.started(request, choice, table, now);
+        }
+        return chosen;
+    }
+
+    Settings settings;
+    LiveFacts facts;
+    StableIndexes indexes;
+    RoutingTable table;
+    LiveLoads loads{64, 8};
+    PrefixHints hints{1024};
+    Router router{loads, hints};
+    RandomHook random = seededRandom(7);
+};
+
+std::string textOf(std::size_t bytes, char letter)
+{
+    return std::string(bytes, letter);
+}
+
+} // namespace
+
+TEST_CASE("own outstanding work spreads requests although the reports never change")
+{
+    // The engines published their load a second ago, and one of them was idle then. Were the
+    // report alone believed, everything would pile up there and callers would see first tokens
+    // late while other engines idle.
+    Fleet fleet(9);
+    for (UpstreamIndex i = 0; i < 9; ++i)
+        fleet.loads.report(i, {i == 4 ? 0U : 8U, 0, 0}, Millis(1000), start);
+    const auto chosen = fleet.spread(fleet.request(), 90);
+    CHECK(chosen.size() == 9);
+    for (const auto &[upstream, count] : chosen)
+        CHECK(count < 25);
+}
+
+TEST_CASE("many instances with the same stale report do not all choose the same engine")
+{
+    // Six instances read the same old report. With a plain minimum each of them would send its
+    // next requests to the one engine that looked idle.
+    std::map<UpstreamIndex, int> chosen;
+    for (std::uint64_t instance = 0; instance < 6; ++instance) {
+        Fleet fleet(20);
+        fleet.random = seededRandom(100 + instance);
+        for (UpstreamIndex i = 0; i < 20; ++i)
+            fleet.loads.report(i, {i == 3 ? 0U : 4U, 0, 0}, Millis(800), start);
+        for (const auto &[upstream, count] : fleet.spread(fleet.request(), 20))
+            chosen[upstream] += count;
+    }
+    CHECK(chosen[3] < 30);
+    CHECK(chosen.size() >= 15);
+}
+
+TEST_CASE("a prompt goes where its prefix is, until that engine is much busier than others")
+{
+    Fleet fleet(9);
+    const std::string prompt = textOf(8000, 'p');
+    const PrefixChain chain =
+        prefixChain(fleet.table.cacheSeedOf(*fleet.table.findCustomer(CustomerId("one"))), prompt);
+    RoutingRequest request = fleet.request(2000);
+    request.prefixes = &chain;
+    const RoutingChoice first = fleet.choose(request);
+    RoutingTicket ticket = fleet.router.started(request, first, fleet.table, start);
+    fleet.router.firstToken(ticket, start + Millis(250));
+    fleet.router.finished(ticket, UpstreamOutcome::Success, start + Millis(900));
+
+    const RoutingChoice second = fleet.choose(request, start + Millis::seconds(1));
+    CHECK(second.upstream == first.upstream);
+    CHECK(second.reason == RoutingReason::PrefixHeld);
+    CHECK(second.cachedTokens > 1500);
+
+    fleet.loads.upstream(first.upstream).requests += 30;
+    CHECK(fleet.choose(request, start + Millis::seconds(1)).upstream != first.upstream);
+}
+
+TEST_CASE("equal prompts of two customers share no prefix hash")
+{
+    // Two rival chambers send the same public law text. If the second one's first token came
+    // fast because of the first one's cache, it would learn what the rival works on.
+    Fleet fleet(3);
+    const std::string prompt = textOf(4096, 'x');
+    const PrefixChain one = prefixChain(customerSeed("one"), prompt);
+    const PrefixChain two = prefixChain(customerSeed("two"), prompt);
+    REQUIRE(one.size() == two.size());
+    for (std::size_t i = 0; i < one.size(); ++i)
+        CHECK(one[i].hash != two[i].hash);
+}
+
+TEST_CASE("an engine that leaves gets nothing new, also when a lagging list has it back")
+{
+    // The platform announces that an engine leaves; a list read later is an older copy and has
+    // it as live. New work sent there would be cut when the engine goes.
+    Fleet fleet(3);
+    fleet.facts.engines[UpstreamId("e1")] = {5, EngineRole::Mixed, {}, {}};
+    CHECK(fleet.facts.leaving.mark({UpstreamId("e1"), 5}));
+    CHECK_FALSE(fleet.facts.leaving.mark({UpstreamId("e1"), 5}));
+    CHECK_FALSE(fleet.facts.leaving.mark({UpstreamId("e1"), 4}));
+    fleet.build();
+    const UpstreamIndex leaving = fleet.indexes.upstreams.find(UpstreamId("e1"));
+    CHECK(fleet.spread(fleet.request(), 60).count(leaving) == 0);
+
+    SUBCASE("its next life gets work again")
+    {
+        fleet.facts.engines[UpstreamId("e1")].incarnation = 6;
+        fleet.build();
+        CHECK(fleet.spread(fleet.request(), 60).count(leaving) == 1);
+    }
+}
+
+TEST_CASE("what may run on reclaimable engines")
+{
+    struct Row
+    {
+        const char *what;
+        bool repeatable;
+        Priority priority;
+        Millis slack;
+        double share;
+        bool allowed;
+    };
+    const Row rows[] = {
+        {"batch", true, Priority::Batch, Millis::never(), 0.5, true},
+        {"batch with a near deadline", true, Priority::Batch, Millis::seconds(5), 0.5, false},
+        {"standard with slack", true, Priority::Standard, Millis::minutes(5), 0.5, true},
+        {"standard without a deadline", true, Priority::Standard, Millis::never(), 0.5, false},
+        {"interactive", true, Priority::Interactive, Millis::minutes(5), 0.5, false},
+        {"not repeatable", false, Priority::Batch, Millis::never(), 0.5, false},
+        {"no share", true, Priority::Batch, Millis::never(), 0, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Fleet fleet(4);
+        fleet.settings.fleet.engines[2].costClass = "reclaimable";
+        fleet.settings.teams[0].reclaimableShare = row.share;
+        fleet.build();
+        TeamWork &work = fleet.loads.team(0);
+        work.allTokens = 1000000;
+        RoutingRequest request = fleet.request();
+        request.repeatable = row.repeatable;
+        request.priority = row.priority;
+        request.slack = row.slack;
+        CHECK((fleet.spread(request, 40).count(2) == 1) == row.allowed);
+    }
+}
+
+TEST_CASE("a team's work on reclaimable engines stays within its share")
+{
+    Fleet fleet(4);
+    for (std::size_t i : {0U, 1U})
+        fleet.settings.fleet.engines[i].costClass = "reclaimable";
+    fleet.build();
+    RoutingRequest request = fleet.request();
+    request.priority = Priority::Batch;
+    const auto chosen = fleet.spread(request, 200);
+    int reclaimable = 0;
+    for (const auto &[upstream, count] : chosen)
+        reclaimable += upstream < 2 ? count : 0;
+    CHECK(reclaimable <= 100);
+    CHECK(reclaimable >= 80);
+}
+
+TEST_CASE("an engine whose requests fail is ejected, whatever its health check says")
+{
+    // The engine's health page is fine, but each request ends in an error after a moment. Callers
+    // would see a steady share of failures.
+    Fleet fleet(6);
+    std::vector<Event> seen;
+    OutlierEjector ejector({}, [&](const Event &event) { seen.push_back(event); });
+    RoutingRequest request = fleet.request();
+    for (int i = 0; i < 200; ++i) {
+        const RoutingChoice choice = fleet.choose(request);
+        RoutingTicket ticket = fleet.router.started(request, choice, fleet.table, start);
+        fleet.router.finished(
+            ticket, choice.upstream == 3 ? UpstreamOutcome::Failure : UpstreamOutcome::Success,
+            start);
+    }
+    ejector.evaluate(fleet.table, fleet.loads, start);
+    REQUIRE(seen.size() == 1);
+    CHECK(seen[0].fields[0].second == "e3");
+    CHECK(fleet.spread(request, 60).count(3) == 0);
+    CHECK(fleet.spread(request, 60, start + Millis::seconds(6)).count(3) == 1);
+}
+
+TEST_CASE("when everything fails only a bounded share is ejected")
+{
+    // A bad model version or this instance's own network makes requests fail everywhere. Ejecting
+    // all engines would turn many errors into nothing but errors.
+    Fleet fleet(9);
+    OutlierEjector ejector({}, ignoreEvents());
+    for (int round = 0; round < 5; ++round) {
+        for (UpstreamIndex i = 0; i < 9; ++i)
+            fleet.loads.upstream(i).consecutiveFailures = 10;
+        ejector.evaluate(fleet.table, fleet.loads, start + Millis(round));
+    }
+    int ejected = 0;
+    for (UpstreamIndex i = 0; i < 9; ++i)
+        ejected += fleet.loads.upstream(i).ejectedUntil > start.count() + 10 ? 1 : 0;
+    CHECK(ejected == 3);
+}
+
+TEST_CASE("with all members ejected, requests still go somewhere")
+{
+    Fleet fleet(3);
+    for (UpstreamIndex i = 0; i < 3; ++i)
+        fleet.loads.upstream(i).ejectedUntil = (start + Millis::minutes(1)).count();
+    CHECK(fleet.choose(fleet.request()).reason == RoutingReason::Panic);
+}
+
+TEST_CASE("a retry avoids where it failed, unless there is nothing else")
+{
+    Fleet fleet(2);
+    RoutingRequest request = fleet.request();
+    request.tried[0] = 0;
+    for (int i = 0; i < 20; ++i)
+        CHECK(fleet.choose(request).upstream == 1);
+    request.tried[1] = 1;
+    CHECK(fleet.choose(request).reason == RoutingReason::Panic);
+}
+
+TEST_CASE("reading and writing at different engines, where it pays")
+{
+    Fleet fleet(6);
+    for (std::size_t i = 0; i < 6; ++i)
+        fleet.settings.fleet.engines[i].role = i < 2 ? "prefill" : "decode";
+    fleet.build();
+    RoutingRequest request = fleet.request(6000);
+    request.kvTransfer = true;
+
+    SUBCASE("decode engines are busy: the prompt is read at a prefill engine")
+    {
+        for (UpstreamIndex i = 2; i < 6; ++i)
+            fleet.loads.upstream(i).requests = 28;
+        const RoutingChoice choice = fleet.choose(request);
+        CHECK(choice.reason == RoutingReason::Disaggregated);
+        CHECK(choice.prefill < 2);
+        CHECK(choice.upstream >= 2);
+    }
+    SUBCASE("prefill engines are behind and decode engines have headroom: read there")
+    {
+        for (UpstreamIndex i = 0; i < 2; ++i)
+            fleet.loads.upstream(i).promptTokens = 60000;
+        CHECK(fleet.choose(request).reason == RoutingReason::PrefillOnDecode);
+    }
+    SUBCASE("the caller cannot move a cache: one engine does both")
+    {
+        request.kvTransfer = false;
+        const RoutingChoice choice = fleet.choose(request);
+        CHECK(choice.prefill == noIndex);
+        CHECK(choice.upstream >= 2);
+    }
+}
+
+TEST_CASE("counters return to zero after each kind of end")
+{
+    Fleet fleet(6);
+    for (std::size_t i = 0; i < 6; ++i)
+        fleet.settings.fleet.engines[i].role = i < 3 ? "prefill" : "decode";
+    fleet.build();
+    RoutingRequest request = fleet.request(5000);
+    request.kvTransfer = true;
+    for (int i = 0; i < 60; ++i) {
+        const RoutingChoice choice = fleet.choose(request);
+        RoutingTicket ticket = fleet.router.started(request, choice, fleet.table, start);
+        if (i % 3 != 0)
+            fleet.router.firstToken(ticket, start + Millis(100));
+        fleet.router.finished(ticket,
+                              i % 2 == 0 ? UpstreamOutcome::Neutral : UpstreamOutcome::Failure,
+                              start + Millis(200));
+    }
+    for (UpstreamIndex i = 0; i < 6; ++i) {
+        CHECK(fleet.loads.upstream(i).requests == 0);
+        CHECK(fleet.loads.upstream(i).promptTokens == 0);
+        CHECK(fleet.loads.upstream(i).outputTokens == 0);
+    }
+}
+
+TEST_CASE("a gap in an engine's cache events makes its hints worthless")
+{
+    // Events between two received ones were lost, and may have been evictions. Kept hints would
+    // send a customer's prompts to an engine that reads them all anew.
+    CacheEventCursor cursor;
+    CHECK(cursor.accept(7));
+    CHECK(cursor.accept(8));
+    CHECK_FALSE(cursor.accept(11));
+
+    PrefixHints hints(256);
+    const PrefixChain chain = prefixChain(customerSeed("one"), textOf(2048, 'q'));
+    hints.remember(chain, 3, start);
+    CHECK(hints.find(chain, start).count == 1);
+    hints.forgetUpstream(3);
+    CHECK(hints.find(chain, start).count == 0);
+
+    hints.stored(chain.back().hash, 5, start);
+    CHECK(hints.find(chain, start).holders[0].upstream == 5);
+    hints.evicted(chain.back().hash, 5);
+    CHECK(hints.find(chain, start).count == 0);
+}
+
+TEST_CASE("hints lose confidence and then go")
+{
+    PrefixHints hints(256);
+    const PrefixChain chain = prefixChain(customerSeed("one"), textOf(2048, 'q'));
+    hints.remember(chain, 3, start);
+    const double fresh = hints.find(chain, start).holders[0].confidence;
+    const double aged = hints.find(chain, start + Millis::minutes(5)).holders[0].confidence;
+    CHECK(aged < fresh / 2);
+    CHECK(hints.find(chain, start + Millis::minutes(11)).count == 0);
+}
+
+TEST_CASE("services: the longest prefix counts, and what may be repeated")
+{
+    Fleet fleet(1);
+    ServiceSettings lodging;
+    lodging.name = "lodging";
+    lodging.prefix = "/services/lodging/";
+    lodging.calls = {{"POST", "bundles", false, true}, {"POST", "drafts/", true, false}};
+    lodging.upstreams = {{UpstreamId("s0"), "10.0.1.0:80", FailureDomainId("a")}};
+    fleet.settings.fleet.services = {lodging};
+    fleet.build();
+
+    struct Row
+    {
+        const char *method;
+        const char *path;
+        bool repeatable;
+        bool keyRequired;
+    };
+    const Row rows[] = {
+        {"POST", "/services/lodging/bundles", false, true},
+        {"POST", "/services/lodging/bundles?x=1", false, true},
+        {"POST", "/services/lodging/drafts/7", true, false},
+        {"POST", "/services/lodging/other", false, false},
+        {"GET", "/services/lodging/bundles", true, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.path);
+        const auto route = fleet.table.findService(row.method, row.path);
+        REQUIRE(route.has_value());
+        CHECK(route->repeatable == row.repeatable);
+        CHECK(route->idempotencyKeyRequired == row.keyRequired);
+    }
+    CHECK_FALSE(fleet.table.findService("GET", "/elsewhere").has_value());
+    RoutingRequest request;
+    request.pool = fleet.table.findService("POST", "/services/lodging/bundles")->pool;
+    CHECK(fleet.table.upstream(fleet.choose(request).upstream).id == UpstreamId("s0"));
+}
+
+TEST_CASE("a new version serves alone once half of the engines have it")
+{
+    // Only one engine has loaded the new version yet. Were it alone to count, all requests would
+    // go to it and fail there.
+    Fleet fleet(4);
+    const auto serving = [&](int updated) {
+        for (int i = 0; i < 4; ++i) {
+            const std::string version = i < updated ? "m@1" : "m@0";
+            fleet.facts.engines[UpstreamId("e" + std::to_string(i))] = {
+                1, EngineRole::Mixed, {version}, {}};
+        }
+        fleet.build();
+        return fleet.table.pool(*fleet.table.findModel("m")).mixed.all.size();
+    };
+    CHECK(serving(0) == 4);
+    CHECK(serving(1) == 4);
+    CHECK(serving(2) == 2);
+    CHECK(serving(4) == 4);
+}
+
+TEST_CASE("engines without the adapter, or in no role, get nothing")
+{
+    Fleet fleet(6);
+    fleet.settings.fleet.models[0].adapters = {"law"};
+    fleet.facts.engines[UpstreamId("e4")] = {1, EngineRole::Mixed, {}, {"law"}};
+    fleet.facts.engines[UpstreamId("e5")] = {1, EngineRole::None, {}, {"law"}};
+    fleet.build();
+    RoutingRequest request = fleet.request();
+    request.adapter = *fleet.table.findAdapter("law");
+    const auto chosen = fleet.spread(request, 30);
+    CHECK(chosen.size() == 1);
+    CHECK(chosen.count(4) == 1);
+}
+
+TEST_CASE("an explained choice names engine and reason, and nothing of the prompt")
+{
+    Fleet fleet(3);
+    const RoutingRequest request = fleet.request();
+    const Event event = explainChoice(request, fleet.choose(request), fleet.table);
+    CHECK(event.kind->number == 302);
+    CHECK(event.fields[0].second == "m");
+    CHECK(event.fields[3].second == "least-predicted-time");
+}
--- /dev/null
+++ b/modules/routing/table/RoutingTable.cpp
@@ -0,0 +1,147 @@
+#include "routing/table/RoutingTable.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+namespace {
+
+template<typename Map, typename Name>
+std::optional<typename Map::mapped_type> findNamed(const Map &map, const Name &name)
+{
+    const auto entry = map.find(name);
+    if (entry == map.end())
+        return std::nullopt;
+    return entry->second;
+}
+
+bool startsWith(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+bool callMatches(const ServiceCallSettings &call, std::string_view method, std::string_view path)
+{
+    if (call.method != method)
+        return false;
+    if (!call.path.empty() && call.path.back() == '/')
+        return startsWith(path, call.path);
+    return path == call.path;
+}
+
+bool isSafeMethod(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+} // namespace
+
+void PoolMembers::add(UpstreamIndex upstream, DomainIndex domain)
+{
+    all.push_back(upstream);
+    if (byDomain.size() <= domain)
+        byDomain.resize(domain + 1);
+    byDomain[domain].push_back(upstream);
+}
+
+UpstreamIndex RoutingPool::home(std::uint64_t prefixHash) const
+{
+    if (ring.empty())
+        return noIndex;
+    const auto point = std::lower_bound(ring.begin(), ring.end(),
+                                        std::pair<std::uint64_t, UpstreamIndex>(prefixHash, 0));
+    return point == ring.end() ? ring.front().second : point->second;
+}
+
+std::optional<PoolIndex> RoutingTable::findModel(std::string_view model) const
+{
+    return findNamed(modelPools_, model);
+}
+
+std::optional<AdapterIndex> RoutingTable::findAdapter(std::string_view adapter) const
+{
+    return findNamed(adapters_, adapter);
+}
+
+std::optional<CustomerIndex> RoutingTable::findCustomer(const CustomerId &customer) const
+{
+    return findNamed(customerIndexes_, customer);
+}
+
+std::optional<ServiceRoute> RoutingTable::findService(std::string_view method,
+                                                      std::string_view path) const
+{
+    const Service *best = nullptr;
+    for (const Service &service : services_) {
+        const bool longer = best == nullptr || service.prefix.size() > best->prefix.size();
+        if (longer && startsWith(path, service.prefix))
+            best = &service;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+
+    ServiceRoute route;
+    route.pool = best->pool;
+    route.timeout = best->timeout;
+    route.pathBelow = path.substr(best->prefix.size());
+    route.repeatable = isSafeMethod(method);
+    const std::string_view bare = route.pathBelow.substr(0, route.pathBelow.find('?'));
+    const ServiceCallSettings *rule = nullptr;
+    for (const ServiceCallSettings &call : best->calls) {
+        const bool longer = rule == nullptr || call.path.size() > rule->path.size();
+        if (longer && callMatches(call, method, bare))
+            rule = &call;
+    }
+    if (rule != nullptr) {
+        route.repeatable = rule->repeatable;
+        route.idempotencyKeyRequired = rule->idempotencyKeyRequired;
+    }
+    return route;
+}
+
+bool RoutingTable::isAllowed(CustomerIndex customer, PoolIndex pool) const
+{
+    if (customer >= customers_.size() || !customers_[customer].present)
+        return false;
+    const auto &allowed = customers_[customer].pools;
+    if (allowed.empty() || pools_[pool].isService)
+        return true;
+    return std::binary_search(allowed.begin(), allowed.end(), pool);
+}
+
+PoolCapacity RoutingTable::capacity(PoolIndex pool) const
+{
+    PoolCapacity sum;
+    const RoutingPool &members = pools_[pool];
+    if (members.isService)
+        return sum;
+    for (UpstreamIndex index : members.mixed.all) {
+        sum.slots += upstreams_[index].slots;
+        sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
+        sum.decodeTokensPerSecond += upstreams_[index].decodeTokensPerSecond;
+    }
+    for (UpstreamIndex index : members.prefill.all)
+        sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
+    for (UpstreamIndex index : members.decode.all) {
+        sum.slots += upstreams_[index].slots;
+        sum.decodeTokensPerSecond += upstreams_[index].decodeTokensPerSecond;
+    }
+    // Decode engines read prompts only within their headroom, but must do so when nobody else does.
+    if (members.prefill.empty() && members.mixed.empty()) {
+        for (UpstreamIndex index : members.decode.all)
+            sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
+    }
+    return sum;
+}
+
+std::vector<ModelId> RoutingTable::modelsOf(CustomerIndex customer) const
+{
+    std::vector<ModelId> allowed;
+    for (const auto &[model, pool] : models_) {
+        if (isAllowed(customer, pool))
+            allowed.push_back(model);
+    }
+    return allowed;
+}
+
+} // namespace cuminrail
--- a/modules/routing/table/RoutingTable.h
+++ b/modules/routing/table/RoutingTable.h
@@ -38,17 +38,26 @@
     bool takesNewWork = false;
 };
 
+/** Upstreams of one kind within a pool. */
+struct PoolMembers
+{
+    std::vector<UpstreamIndex> all;
+    /** The same ones by DomainIndex; shorter than the number of domains where none is there. */
+    std::vector<std::vector<UpstreamIndex>> byDomain;
+
+    bool empty() const { return all.empty(); }
+    void add(UpstreamIndex upstream, DomainIndex domain);
+};
+
 /** The upstreams that serve one model or one plain service, new work alone. */
 struct RoutingPool
 {
     std::string name;
     bool isService = false;
     /** Beside mixed engines, also plain services. */
-    std::vector<UpstreamIndex> mixed;
-    std::vector<UpstreamIndex> prefill;
-    std::vector<UpstreamIndex> decode;
-    /** Upstreams of every kind above, grouped by failure domain. */
-    std::map<DomainIndex, std::vector<UpstreamIndex>> byDomain;
+    PoolMembers mixed;
+    PoolMembers prefill;
+    PoolMembers decode;
     /** Consistent hashing over engines that read prompts: sorted points and their engines. */
     std::vector<std::pair<std::uint64_t, UpstreamIndex>> ring;
     Millis firstTokenTarget{750};
--- /dev/null
+++ b/modules/routing/table/RoutingTableBuilder.cpp
@@ -0,0 +1,257 @@
+#include "routing/prefix/PrefixChain.h"
+#include "routing/table/RoutingTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cuminrail {
+
+namespace {
+
+/** Points of each engine on the ring: enough that homes differ by a quarter at most. */
+constexpr int ringPointsPerEngine = 32;
+
+std::string_view withoutVersion(std::string_view model)
+{
+    return model.substr(0, model.find('@'));
+}
+
+/** How an engine stands to a model. */
+enum class Holding : std::uint8_t { No, OtherVersion, DeclaredVersion };
+
+Holding holdingOf(const EngineSettings &engine, const EngineFacts *facts,
+                  const ModelSettings &model)
+{
+    if (facts == nullptr || facts->models.empty()) {
+        const bool listed =
+            std::find(engine.models.begin(), engine.models.end(), model.id) != engine.models.end();
+        return listed ? Holding::DeclaredVersion : Holding::No;
+    }
+    const std::string declared = model.id.text() + "@" + model.version;
+    Holding best = Holding::No;
+    for (const std::string &loaded : facts->models) {
+        if (loaded == declared || loaded == model.id.text())
+            return Holding::DeclaredVersion;
+        if (withoutVersion(loaded) == model.id.text())
+            best = Holding::OtherVersion;
+    }
+    return best;
+}
+
+} // namespace
+
+/** Fills in a RoutingTable step by step. */
+class RoutingTableBuilder
+{
+public:
+    RoutingTableBuilder(const Settings &settings, const LiveFacts &facts, StableIndexes &indexes)
+        : settings_(settings), facts_(facts), indexes_(indexes)
+    { }
+
+    RoutingTable build()
+    {
+        addEngines();
+        addServiceUpstreams();
+        for (const ModelSettings &model : settings_.fleet.models)
+            addModel(model);
+        for (const ServiceSettings &service : settings_.fleet.services)
+            addService(service);
+        addTeams();
+        for (std::size_t i = 0; i < indexes_.domains.size(); ++i)
+            table_.domainNames_.push_back(
+                indexes_.domains.name(static_cast<std::uint32_t>(i)).text());
+        return std::move(table_);
+    }
+
+private:
+    const EngineFacts *factsOf(const UpstreamId &engine) const
+    {
+        const auto entry = facts_.engines.find(engine);
+        return entry == facts_.engines.end() ? nullptr : &entry->second;
+    }
+
+    RoutedUpstream &upstreamAt(const UpstreamId &id)
+    {
+        const UpstreamIndex index = indexes_.upstreams.indexOf(id);
+        if (table_.upstreams_.size() <= index)
+            table_.upstreams_.resize(index + 1);
+        return table_.upstreams_[index];
+    }
+
+    RoutingPool &poolAt(PoolIndex index)
+    {
+        if (table_.pools_.size() <= index)
+            table_.pools_.resize(index + 1);
+        return table_.pools_[index];
+    }
+
+    void addEngines()
+    {
+        for (const EngineSettings &engine : settings_.fleet.engines) {
+            const EngineFacts *facts = factsOf(engine.id);
+            RoutedUpstream &routed = upstreamAt(engine.id);
+            routed.id = engine.id;
+            routed.address = engine.address;
+            routed.domain = indexes_.domains.indexOf(engine.domain);
+            routed.role = facts != nullptr
+                ? facts->role
+                : engineRoleNames.value(engine.role).value_or(EngineRole::Mixed);
+            routed.costClass = costClassNames.value(engine.costClass).value_or(CostClass::Regular);
+            routed.incarnation = facts != nullptr ? facts->incarnation : 0;
+            routed.slots = engine.concurrentRequests;
+            routed.prefillTokensPerSecond = engine.prefillTokensPerSecond;
+            routed.decodeTokensPerSecond = engine.decodeTokensPerSecond;
+            routed.takesNewWork = routed.role != EngineRole::None
+                && !facts_.leaving.contains(engine.id, routed.incarnation);
+            if (facts != nullptr)
+                addAdapters(routed, facts->adapters);
+        }
+    }
+
+    void addAdapters(RoutedUpstream &routed, const std::vector<std::string> &adapters)
+    {
+        for (const std::string &adapter : adapters)
+            routed.adapters.push_back(indexes_.adapters.indexOf(adapter));
+    }
+
+    void addServiceUpstreams()
+    {
+        for (const ServiceSettings &service : settings_.fleet.services) {
+            for (const ServiceUpstreamSettings &upstream : service.upstreams) {
+                const EngineFacts *facts = factsOf(upstream.id);
+                RoutedUpstream &routed = upstreamAt(upstream.id);
+                routed.id = upstream.id;
+                routed.address = upstream.address;
+                routed.domain = indexes_.domains.indexOf(upstream.domain);
+                routed.incarnation = facts != nullptr ? facts->incarnation : 0;
+                routed.takesNewWork = !facts_.leaving.contains(upstream.id, routed.incarnation);
+            }
+        }
+    }
+
+    void addModel(const ModelSettings &model)
+    {
+        const PoolIndex index = indexes_.pools.indexOf(modelPoolName(model.id));
+        RoutingPool &pool = poolAt(index);
+        pool.name = model.id.text();
+        pool.firstTokenTarget = model.firstTokenTarget;
+        pool.tokenTarget = model.tokenTarget;
+        for (const std::string &adapter : model.adapters)
+            table_.adapters_.emplace(adapter, indexes_.adapters.indexOf(adapter));
+        table_.modelPools_.emplace(model.id.text(), index);
+        table_.models_.emplace_back(model.id, index);
+
+        const Holding needed = neededHolding(model);
+        for (const EngineSettings &engine : settings_.fleet.engines) {
+            const Holding holding = holdingOf(engine, factsOf(engine.id), model);
+            if (holding != Holding::No && holding >= needed)
+                addMember(pool, indexes_.upstreams.indexOf(engine.id));
+        }
+        buildRing(pool);
+    }
+
+    /**
+        During a change of version both versions serve until half of the engines have the new one.
+
+        Were the declared version alone to count, the first engine that loaded it would get the
+        whole model's traffic and fail under it, to be followed by the second.
+    */
+    Holding neededHolding(const ModelSettings &model) const
+    {
+        std::size_t declared = 0;
+        std::size_t other = 0;
+        for (const EngineSettings &engine : settings_.fleet.engines) {
+            const Holding holding = holdingOf(engine, factsOf(engine.id), model);
+            declared += holding == Holding::DeclaredVersion ? 1 : 0;
+            other += holding == Holding::OtherVersion ? 1 : 0;
+        }
+        return declared >= other ? Holding::DeclaredVersion : Holding::OtherVersion;
+    }
+
+    void addMember(RoutingPool &pool, UpstreamIndex index)
+    {
+        const RoutedUpstream &upstream = table_.upstreams_[index];
+        if (!upstream.takesNewWork)
+            return;
+        switch (upstream.role) {
+        case EngineRole::Mixed:
+            pool.mixed.add(index, upstream.domain);
+            break;
+        case EngineRole::Prefill:
+            pool.prefill.add(index, upstream.domain);
+            break;
+        case EngineRole::Decode:
+            pool.decode.add(index, upstream.domain);
+            break;
+        case EngineRole::None:
+            break;
+        }
+    }
+
+    /** Points depend on the engine's name alone, so that all instances agree on every home. */
+    void buildRing(RoutingPool &pool)
+    {
+        std::vector<UpstreamIndex> readers = pool.mixed.all;
+        readers.insert(readers.end(), pool.prefill.all.begin(), pool.prefill.all.end());
+        if (readers.empty())
+            readers = pool.decode.all;
+        for (UpstreamIndex index : readers) {
+            const std::uint64_t seed = customerSeed(table_.upstreams_[index].id.text());
+            for (int point = 0; point < ringPointsPerEngine; ++point)
+                pool.ring.emplace_back(mixHash(seed, static_cast<std::uint64_t>(point) + 1), index);
+        }
+        std::sort(pool.ring.begin(), pool.ring.end());
+    }
+
+    void addService(const ServiceSettings &service)
+    {
+        const PoolIndex index = indexes_.pools.indexOf(servicePoolName(service.name));
+        RoutingPool &pool = poolAt(index);
+        pool.name = service.name;
+        pool.isService = true;
+        for (const ServiceUpstreamSettings &upstream : service.upstreams)
+            addMember(pool, indexes_.upstreams.indexOf(upstream.id));
+        table_.services_.push_back({service.prefix, index, service.timeout, service.calls});
+    }
+
+    void addTeams()
+    {
+        for (const TeamSettings &team : settings_.teams) {
+            const TeamIndex teamIndex = indexes_.teams.indexOf(team.id);
+            if (table_.reclaimableShares_.size() <= teamIndex)
+                table_.reclaimableShares_.resize(teamIndex + 1);
+            table_.reclaimableShares_[teamIndex] = team.reclaimableShare;
+            for (const CustomerSettings &customer : team.customers)
+                addCustomer(customer, teamIndex);
+        }
+    }
+
+    void addCustomer(const CustomerSettings &customer, TeamIndex team)
+    {
+        const CustomerIndex index = indexes_.customers.indexOf(customer.id);
+        if (table_.customers_.size() <= index)
+            table_.customers_.resize(index + 1);
+        RoutingTable::Customer &row = table_.customers_[index];
+        row.present = true;
+        row.team = team;
+        row.seed = customerSeed(customer.id.text());
+        row.priority = customer.priority;
+        for (const ModelId &model : customer.models)
+            row.pools.push_back(indexes_.pools.indexOf(modelPoolName(model)));
+        std::sort(row.pools.begin(), row.pools.end());
+        table_.customerIndexes_.emplace(customer.id, index);
+    }
+
+    const Settings &settings_;
+    const LiveFacts &facts_;
+    StableIndexes &indexes_;
+    RoutingTable table_;
+};
+
+RoutingTable buildRoutingTable(const Settings &settings, const LiveFacts &facts,
+                               StableIndexes &indexes)
+{
+    return RoutingTableBuilder(settings, facts, indexes).build();
+}
+
+} // namespace cuminrail
