--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -15,6 +15,7 @@
         &claimAnswerNotStored,
         // 3xx upstreams
         &upstreamEjected,
+        &routingDecision,
         // 4xx platform store
         &storeUnavailable,
         &storeReturned,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -35,6 +35,9 @@
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
     "An upstream gets no work for a while, because its real outcomes were bad."};
+inline constexpr EventKind routingDecision{
+    302, EventLevel::Info, "routing-decision",
+    "A sample of the routing decisions: where a request went, and why."};
 
 // 4xx platform store
 inline constexpr EventKind storeUnavailable{
