--- a/modules/ports/engines/EngineControl.h
+++ b/modules/ports/engines/EngineControl.h
@@ -4,6 +4,7 @@
 #include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
+#include "core/time/Millis.h"
 
 #include <cstdint>
 #include <functional>
@@ -100,6 +101,11 @@
     /** The order being carried out, or empty. */
     std::string currentOrderId;
     FenceNumber highestFence = 0;
+    /** Requests that run and that wait there, from all instances. */
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /** How long before this answer the engine sampled its load; it lags. */
+    Millis loadAge;
 };
 
 /** Orders to engines and their state. */
