Admission: limits, fair queueing by cost, early refusal

Start-time fair queueing over customers with correction after the end; a request is refused as soon as its target or deadline cannot be met, and a waiting one as soon as it is hopeless. An instance's share of a pool grows by a part of what load reports leave free.

--- a/modules/admission/AdmissionController.h
+++ b/modules/admission/AdmissionController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/AdmissionTypes.h"
+#include "admission/limits/CustomerLimiter.h"
 #include "core/events/Event.h"
 
 #include <cstddef>
@@ -9,43 +10,47 @@
 
 namespace cuminrail {
 
+namespace detail {
+class AdmissionState;
+}
+
 /** Constants of the admission policy. docs/LIMITS.md says how they were chosen. */
 struct AdmissionOptions
 {
     /** Prompt tokens in progress, as a share of what is read within the first-token target. */
-    double prefillWindow = 0.8;
-    /** A request is hopeless when its first token is predicted later than target × this. */
-    double patience = 1.0;
-    /** The same for standard and batch requests without a deadline. */
-    Millis standardPatience = Millis::seconds(10);
+    double prefillWindow = 0.6;
+    /** An interactive request is hopeless past this multiple of the first-token target... */
+    double interactivePatience = 0.9;
+    /** ... and a standard one past this multiple. */
+    double standardPatience = 4;
+    /** A batch request without a deadline waits this long. */
     Millis batchPatience = Millis::minutes(5);
+    /** Where a prompt alone takes long to read, its target is this multiple of that time. */
+    double readingPatience = 2;
+    /** Share of the token target that an answer's tokens take, for deadlines. */
+    double tokenTimeShare = 0.6;
     /** How long a request waits for its customer's limit before it is refused. */
     Millis limitWait = Millis(500);
     /** Output tokens weigh this much more than prompt tokens. */
     double outputTokenCost = 4;
     /** Batch work is charged this much more, so that it yields and still is not starved. */
-    double batchCost = 4;
+    double batchCost = 8;
     /** Requests that may wait at one instance: bounds memory. */
     std::size_t maxQueued = 4096;
     /** How long a customer's limit may be saved up, as a burst. */
     Millis burst = Millis::seconds(2);
 };
 
-/** One customer's limits at this instance, the part of the whole that it may use now. */
-struct LocalShare
-{
-    double requestsPerSecond = 0;
-    double concurrentRequests = 0;
-    double tokensPerSecond = 0;
-};
-
 /** What the admission controller knows of a customer, for `/state` and for budgets. */
 struct CustomerUse
 {
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    /** What the customer asked for lately, admitted or not. */
     double requestsPerSecond = 0;
     double tokensPerSecond = 0;
+    /** True when its limits held a request back or refused one since the last look. */
+    bool shortOfBudget = false;
 };
 
 /**
@@ -76,9 +81,12 @@
     /** Takes newer settings. Requests in progress keep their tickets. */
     void configure(const AdmissionSettings &settings, Millis now);
 
-    /** Sets this instance's share of a pool's capacity. */
+    /** Sets this instance's share of a pool's capacity. @see instanceCapacity */
     void setCapacity(PoolIndex pool, const AdmissionCapacity &capacity);
 
+    /** Returns what this instance has in progress at a pool. */
+    PoolUse use(PoolIndex pool) const;
+
     /**
         Sets the part of a customer's limits that this instance may use now.
 
@@ -104,7 +112,7 @@
 
     std::size_t queued() const;
     std::size_t running() const;
-    CustomerUse customerUse(CustomerIndex customer) const;
+    CustomerUse customerUse(CustomerIndex customer, Millis now);
 
     /** Moves credit of a customer's buckets, when a budget is lent. Returns what was there. */
     LocalShare takeCredit(CustomerIndex customer, const LocalShare &wanted, Millis now);
@@ -114,8 +122,7 @@
     std::size_t memoryBytes() const;
 
 private:
-    class State;
-    std::unique_ptr<State> state_;
+    std::unique_ptr<detail::AdmissionState> state_;
 };
 
 } // namespace cuminrail
--- a/modules/admission/AdmissionTypes.h
+++ b/modules/admission/AdmissionTypes.h
@@ -112,6 +112,34 @@
     /** Speed at which prompts are read; 0 for no limit. */
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
+    /** Speed at which one engine reads one prompt; 0 when unknown. */
+    double enginePrefillTokensPerSecond = 0;
 };
 
+/** How much of a pool is in use, by load reports and own counters. */
+struct PoolUse
+{
+    double requests = 0;
+    /** Prompt tokens that wait to be read. */
+    double promptTokens = 0;
+};
+
+/**
+    Returns how much of a pool this instance may have in progress.
+
+    An equal share for each instance, and beyond it a part of what the reports say is free, so that
+    no capacity idles when the balancer spreads callers unevenly. All instances may take a part of
+    the same free capacity until the next report: at most twice what was free, for one report's
+    age; the excess waits at the engines.
+
+    @param whole      what the pool carries
+    @param used       what all instances use of it
+    @param own        what this instance uses of it
+    @param instances  live instances, at least 1
+    @param window     how long a prompt may wait to be read
+*/
+AdmissionCapacity instanceCapacity(const AdmissionCapacity &whole, const PoolUse &used,
+                                   const PoolUse &own, double instances,
+                                   Millis window = Millis(450));
+
 } // namespace cuminrail
