Leases on duties: taken, renewed, handed over, taken over

Cause: orders, fleet targets and usage reports need one holder at a time, without a coordination service. Change: LeaseKeeper over DutyLease.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -23,10 +23,18 @@
         &peerSuspected,
         // 7xx leases and orders
         &leaseTaken,
+        &leaseLost,
+        &orderRecorded,
+        &orderSettled,
+        &orderInDoubt,
         // 8xx capacity
         &roleChangeDecided,
+        &fleetTargetDeclared,
+        &fleetTargetInDoubt,
         // 9xx usage
         &usageWindowSealed,
+        &usageWindowReported,
+        &usageWindowRefused,
     };
     return kinds;
 }
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -52,14 +52,40 @@
 inline constexpr EventKind leaseTaken{701, EventLevel::Info, "lease-taken",
                                       "This instance holds a duty; the fence is in the fields."};
 
+inline constexpr EventKind leaseLost{
+    702, EventLevel::Info, "lease-lost",
+    "This instance no longer holds a duty: lapsed, replaced or given back."};
+inline constexpr EventKind orderRecorded{703, EventLevel::Info, "order-recorded",
+                                         "An order to an engine was recorded and is to be sent."};
+inline constexpr EventKind orderSettled{
+    704, EventLevel::Info, "order-settled",
+    "The engine's state showed what became of an order: done or without effect."};
+inline constexpr EventKind orderInDoubt{
+    705, EventLevel::Warning, "order-in-doubt",
+    "An order's result is unknown; nothing else goes to the engine until it is settled."};
+
 // 8xx capacity
 inline constexpr EventKind roleChangeDecided{801, EventLevel::Info, "role-change-decided",
                                              "An engine is to change role; the evidence is given."};
 
+inline constexpr EventKind fleetTargetDeclared{
+    802, EventLevel::Info, "fleet-target-declared",
+    "The platform was told how many upstreams a failure domain is to have."};
+inline constexpr EventKind fleetTargetInDoubt{
+    803, EventLevel::Warning, "fleet-target-in-doubt",
+    "The platform did not answer a declared target; it is read back before another one."};
+
 // 9xx usage
 inline constexpr EventKind usageWindowSealed{901, EventLevel::Info, "usage-window-sealed",
                                              "A usage window's figures are final."};
 
+inline constexpr EventKind usageWindowReported{
+    902, EventLevel::Info, "usage-window-reported",
+    "The platform took a usage window's sealed figures."};
+inline constexpr EventKind usageWindowRefused{
+    903, EventLevel::Error, "usage-window-refused",
+    "The platform refused a usage window; the sealed figures stay as they are."};
+
 } // namespace events
 
 /** Returns every event kind, by number. docs/EVENTS.md is checked against this list. */
--- /dev/null
+++ b/modules/lease/keeper/LeaseKeeper.cpp
@@ -0,0 +1,190 @@
+#include "lease/keeper/LeaseKeeper.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cuminrail {
+
+namespace {
+constexpr Millis refreshEvery{1000};
+} // namespace
+
+LeaseKeeper::LeaseKeeper(InstanceLife self, const LeaseTiming &timing, Hooks hooks)
+    : self_(std::move(self)), timing_(timing), hooks_(std::move(hooks))
+{
+    const Millis now = hooks_.clock.now();
+    const auto width = static_cast<std::uint64_t>(timing_.listEvery.count());
+    nextList_ = now + Millis(static_cast<std::int64_t>(hooks_.random() % width));
+    nextShed_ = now + timing_.rebalanceEvery;
+}
+
+void LeaseKeeper::tick()
+{
+    const Millis now = hooks_.clock.now();
+    if (now >= nextRefresh_)
+        refresh(now);
+    listIfDue(now);
+    shedIfDue(now);
+    const bool hasRoom = heldCount(now) < bound_;
+    for (auto &[duty, lease] : leases_) {
+        if (lease->tick(candidacy(duty, hasRoom, now)))
+            nextTake_ = now + timing_.takeEvery;
+    }
+    for (auto &lease : leaving_)
+        lease->tick(Candidacy{false, 0, false, false});
+}
+
+void LeaseKeeper::refresh(Millis now)
+{
+    nextRefresh_ = now + refreshEvery;
+    adjustDuties();
+    std::vector<InstanceId> live = hooks_.liveMembers();
+    if (std::find(live.begin(), live.end(), self_.instance) == live.end())
+        live.push_back(self_.instance);
+    bound_ = DutySpread::bound(leases_.size(), live.size());
+    places_.clear();
+    for (const auto &[duty, lease] : leases_) {
+        const auto place = DutySpread::rank(duty, self_.instance, live, timing_.candidates);
+        if (place)
+            places_[duty] = *place;
+    }
+}
+
+void LeaseKeeper::adjustDuties()
+{
+    const std::vector<std::string> wanted = hooks_.duties();
+    const std::set<std::string> wantedSet(wanted.begin(), wanted.end());
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (wantedSet.count(it->first) != 0) {
+            ++it;
+            continue;
+        }
+        it->second->release();
+        leaving_.push_back(std::move(it->second));
+        it = leases_.erase(it);
+    }
+    leaving_.erase(std::remove_if(leaving_.begin(), leaving_.end(),
+                                  [](const auto &lease) { return lease->isQuiet(); }),
+                   leaving_.end());
+    for (const std::string &duty : wantedSet) {
+        if (leases_.count(duty) != 0)
+            continue;
+        DutyLease::Hooks hooks{hooks_.store, hooks_.clock, hooks_.random, hooks_.events, {}, {}};
+        hooks.onTaken = [this, duty](const Authority &authority) {
+            if (hooks_.onTaken)
+                hooks_.onTaken(duty, authority);
+        };
+        hooks.onLost = [this, duty] {
+            if (hooks_.onLost)
+                hooks_.onLost(duty);
+        };
+        leases_[duty] = std::make_unique<DutyLease>(duty, self_, timing_, std::move(hooks));
+    }
+}
+
+Candidacy LeaseKeeper::candidacy(const std::string &duty, bool hasRoom, Millis now) const
+{
+    Candidacy candidacy;
+    const auto place = places_.find(duty);
+    candidacy.isCandidate = place != places_.end();
+    candidacy.place = candidacy.isCandidate ? place->second : timing_.candidates;
+    candidacy.hasRoom = hasRoom;
+    const auto restraint = restrainedUntil_.find(duty);
+    const bool isRestrained = restraint != restrainedUntil_.end() && now < restraint->second;
+    candidacy.mayTake = !stopping_ && !isRestrained && now >= nextTake_;
+    return candidacy;
+}
+
+void LeaseKeeper::listIfDue(Millis now)
+{
+    if (listing_ || stopping_ || now < nextList_)
+        return;
+    listing_ = true;
+    nextList_ = now + timing_.listEvery;
+    hooks_.store.list("leases/", [this](const StoreReply &reply) { listed(reply); });
+}
+
+void LeaseKeeper::listed(const StoreReply &reply)
+{
+    listing_ = false;
+    if (reply.status != StoreStatus::Ok)
+        return;
+    for (const StoreObject &object : reply.objects) {
+        const auto lease = leases_.find(object.path.substr(DutyLease::path("").size()));
+        if (lease != leases_.end())
+            lease->second->observe(object);
+    }
+}
+
+void LeaseKeeper::shedIfDue(Millis now)
+{
+    if (stopping_ || now < nextShed_)
+        return;
+    nextShed_ = now + timing_.rebalanceEvery;
+    const std::vector<std::string> mine = held(now);
+    if (mine.size() <= bound_)
+        return;
+    // Gives away what others are better placed for, so that it does not come straight back.
+    std::string worst = mine.front();
+    std::size_t worstPlace = 0;
+    for (const std::string &duty : mine) {
+        const auto place = places_.find(duty);
+        const std::size_t value = place == places_.end() ? timing_.candidates : place->second;
+        if (value > worstPlace) {
+            worst = duty;
+            worstPlace = value;
+        }
+    }
+    restrainedUntil_[worst] = now + timing_.restraint;
+    leases_.at(worst)->release();
+}
+
+std::optional<Authority> LeaseKeeper::authority(const std::string &duty, Millis now) const
+{
+    const auto lease = leases_.find(duty);
+    if (lease == leases_.end())
+        return std::nullopt;
+    return lease->second->authority(now);
+}
+
+std::vector<std::string> LeaseKeeper::held(Millis now) const
+{
+    std::vector<std::string> duties;
+    for (const auto &[duty, lease] : leases_) {
+        if (lease->authority(now))
+            duties.push_back(duty);
+    }
+    return duties;
+}
+
+std::size_t LeaseKeeper::heldCount(Millis now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(leases_.begin(), leases_.end(), [now](const auto &entry) {
+            return entry.second->authority(now).has_value();
+        }));
+}
+
+void LeaseKeeper::stop()
+{
+    stopping_ = true;
+    for (auto &[duty, lease] : leases_)
+        lease->release();
+}
+
+bool LeaseKeeper::isStopped() const
+{
+    return stopping_ && std::all_of(leases_.begin(), leases_.end(), [](const auto &entry) {
+               return entry.second->isQuiet();
+           });
+}
+
+std::vector<LeaseKeeper::View> LeaseKeeper::view(Millis now) const
+{
+    std::vector<View> views;
+    for (const auto &[duty, lease] : leases_)
+        views.push_back(View{duty, lease->lastSeen(), lease->authority(now)});
+    return views;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/lease/lease.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/**
+    Leases on duties: which instance may act for a failure domain or a team, and until when.
+
+    Purpose: every duty is one object "leases/<duty>" in the platform's store with a fence number
+    that rises with each holder. Instances spread the duties among themselves, renew them, take
+    over those of a crashed instance and hand theirs over when they stop. See docs/LEASES.md.
+
+    Runs on an instance's control thread alone.
+
+    Depends on: core, ports, nlohmann-json.
+*/
+
+#include "lease/keeper/DutyLease.h"
+#include "lease/keeper/LeaseKeeper.h"
+#include "lease/keeper/LeaseTiming.h"
+#include "lease/record/LeaseRecord.h"
+#include "lease/spread/DutySpread.h"
