Stand-ins' test waits for the record to end

Change: endedRecords() looks again until each exchange has ended; the checks are the same. Conclusion: it was the test's race, not the stand-in's record.

--- a/modules/standin/server/StandinHost.h
+++ b/modules/standin/server/StandinHost.h
@@ -3,6 +3,7 @@
 #include "standin/server/Recorder.h"
 #include "standin/server/StandinServer.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -67,6 +68,23 @@
         });
     }
 
+    /**
+        Returns a copy of what arrived so far, once each of it has ended.
+
+        A caller can hold its answer before the stand-in has noted that the answer was sent; a test
+        that reads the records in between sees an exchange that is still open, and fails now and
+        then. Gives up after many looks, so that an exchange that never ends shows as Open.
+    */
+    std::vector<Record> endedRecords()
+    {
+        constexpr int looks = 100000;
+        std::vector<Record> all = records();
+        const auto isOpen = [](const Record &record) { return record.ending == Ending::Open; };
+        for (int look = 0; look < looks && std::any_of(all.begin(), all.end(), isOpen); ++look)
+            all = records();
+        return all;
+    }
+
     /** Puts faults in force; the text is the body of PUT /standin/faults. Returns false if bad. */
     bool setFaults(const std::string &text)
     {
--- a/modules/standin/server/StandinServer_test.cpp
+++ b/modules/standin/server/StandinServer_test.cpp
@@ -41,7 +41,7 @@
         StandinHost<StandinService> service(ServiceOptions{});
         REQUIRE(service.setFaults(faultsOf(row.rule)));
         const auto answer = callOnce(service.port(), {"POST", "/orders", "one", {}, 200});
-        const auto records = service.records();
+        const auto records = service.endedRecords();
         REQUIRE(records.size() == 1);
         CHECK(answer.status == row.status);
         CHECK(answer.isWhole == row.isWhole);
