--- a/modules/standin/engine/EngineRuns.cpp
+++ b/modules/standin/engine/EngineRuns.cpp
@@ -76,7 +76,7 @@
 
 std::shared_ptr<EngineRun> EngineRuns::start(CompletionRequest request)
 {
-    const auto run = std::make_shared<EngineRun>();
+    auto run = std::make_shared<EngineRun>();
     const auto tokens = answerTokens(request.prompt, request.maxTokens);
     for (const std::string &token : tokens)
         run->text += token;
--- a/modules/standin/engine/StandinEngine.cpp
+++ b/modules/standin/engine/StandinEngine.cpp
@@ -158,10 +158,10 @@
         return;
     }
     const auto first = run->events.begin();
-    std::vector<std::string> events(first + std::ptrdiff_t(next),
-                                    first + std::ptrdiff_t(run->available));
+    const std::vector<std::string> events(first + std::ptrdiff_t(next),
+                                          first + std::ptrdiff_t(run->available));
     const std::size_t end = run->available;
-    exchange->sendEvents(std::move(events), [this, exchange, run, end](bool sent) {
+    exchange->sendEvents(events, [this, exchange, run, end](bool sent) {
         if (sent)
             follow(exchange, run, end);
     });
--- a/modules/standin/engine/StandinEngine_test.cpp
+++ b/modules/standin/engine/StandinEngine_test.cpp
@@ -89,13 +89,14 @@
 
 TEST_CASE("a crash in mid-change brings back the old, the new or no role")
 {
-    for (const auto &[name, expected] :
-         {std::pair{"old", "mixed"}, std::pair{"new", "prefill"}, std::pair{"none", "none"}}) {
-        CAPTURE(name);
+    const std::pair<std::string, std::string> cases[] = {
+        {"old", "mixed"}, {"new", "prefill"}, {"none", "none"}};
+    for (const auto &row : cases) {
+        CAPTURE(row.first);
         EngineOptions options;
         options.roleChangeMs = 2;
         StandinHost<StandinEngine> engine(options);
-        const Json crash = {{"when", "mid-change"}, {"role", name}};
+        const Json crash = {{"when", "mid-change"}, {"role", row.first}};
         callOnce(engine.port(), {"POST", "/standin/crash", crash.dump(), {}});
         CHECK(callOnce(engine.port(), order("one", 5, "prefill")).status == 202);
         Json state = stateOf(engine.port());
@@ -104,7 +105,7 @@
             if (answer.isWhole)
                 state = Json::parse(answer.body);
         }
-        CHECK(state["role"] == expected);
+        CHECK(state["role"] == row.second);
         CHECK(state["last_order_id"] == "");
         CHECK(state["current_order_id"] == "");
     }
--- a/modules/standin/server/Exchange.cpp
+++ b/modules/standin/server/Exchange.cpp
@@ -182,7 +182,7 @@
     unsentHead_ = toWire(response.base());
 }
 
-void Exchange::sendEvents(std::vector<std::string> events, std::function<void(bool)> done)
+void Exchange::sendEvents(const std::vector<std::string> &events, std::function<void(bool)> done)
 {
     if (isOver_) {
         done(false);
--- a/modules/standin/server/Exchange.h
+++ b/modules/standin/server/Exchange.h
@@ -58,7 +58,7 @@
     /** Begins a chunked answer of server-sent events. */
     void beginEvents(const Headers &headers);
     /** Sends events, each one whole; @p done gets false when the connection is gone. */
-    void sendEvents(std::vector<std::string> events, std::function<void(bool)> done);
+    void sendEvents(const std::vector<std::string> &events, std::function<void(bool)> done);
     void endEvents();
 
     /** Called once when the caller closes the connection before the answer is whole. */
