--- a/modules/settings/settings.h
+++ b/modules/settings/settings.h
@@ -13,6 +13,7 @@
 
 #include "settings/diff/SettingsDiff.h"
 #include "settings/fields/FieldTables.h"
+#include "settings/head/SettingsHead.h"
 #include "settings/model/Settings.h"
 #include "settings/read/SettingsDirectory.h"
 #include "settings/read/SettingsReader.h"
--- a/modules/standin/engine/StandinEngine.cpp
+++ b/modules/standin/engine/StandinEngine.cpp
@@ -214,7 +214,7 @@
                       {"current_order_id", state.currentOrderId},
                       {"highest_fence", state.highestFence},
                       {"load", load},
-                      {"sampled_at_ms", loadAtMs_}});
+                      {"load_age_ms", server_.nowMs() - loadAtMs_}});
 }
 
 void StandinEngine::handleOrder(const Ptr &exchange)
