--- a/modules/admission/admission.h
+++ b/modules/admission/admission.h
@@ -11,4 +11,6 @@
 
 #include "admission/AdmissionController.h"
 #include "admission/AdmissionTypes.h"
+#include "admission/budget/BudgetLedger.h"
+#include "admission/budget/BudgetMessages.h"
 #include "admission/limits/AdmissionSettingsBuilder.h"
