--- /dev/null
+++ b/modules/orders/track/EngineOrderTrack.cpp
@@ -0,0 +1,282 @@
+#include "orders/track/EngineOrderTrack.h"
+
+#include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
+
+namespace cuminrail {
+
+EngineOrderTrack::EngineOrderTrack(OrderedEngine engine, const OrderTiming &timing, Hooks hooks)
+    : engine_(std::move(engine)), timing_(timing), hooks_(std::move(hooks))
+{ }
+
+template<typename Reply>
+std::function<void(const Reply &)>
+EngineOrderTrack::current(void (EngineOrderTrack::*method)(const Reply &))
+{
+    return [this, method, epoch = epoch_](const Reply &reply) {
+        if (epoch != epoch_)
+            return;
+        busy_ = false;
+        (this->*method)(reply);
+    };
+}
+
+void EngineOrderTrack::begin()
+{
+    ++epoch_;
+    busy_ = false;
+    stage_ = Stage::Reading;
+    takenAt_ = hooks_.clock.now();
+    nextAt_ = takenAt_;
+    unsentOrderId_.clear();
+}
+
+void EngineOrderTrack::end()
+{
+    ++epoch_;
+    busy_ = false;
+    stage_ = Stage::Off;
+}
+
+std::optional<OrderRecord> EngineOrderTrack::outstanding() const
+{
+    const bool hasOrder = stage_ == Stage::Recording || stage_ == Stage::Sending
+        || stage_ == Stage::InDoubt || stage_ == Stage::RecordingResult;
+    if (!hasOrder)
+        return std::nullopt;
+    return record_;
+}
+
+bool EngineOrderTrack::hasAuthority() const
+{
+    const auto authority = hooks_.authority();
+    return authority && authority->notAfter - hooks_.clock.now() >= timing_.sendMargin;
+}
+
+bool EngineOrderTrack::tick(bool mayRead)
+{
+    if (stage_ == Stage::Off || stage_ == Stage::Idle || busy_ || hooks_.clock.now() < nextAt_)
+        return false;
+    if (stage_ == Stage::Reading && mayRead) {
+        read();
+        return true;
+    }
+    if (stage_ == Stage::InDoubt)
+        readState();
+    return false;
+}
+
+void EngineOrderTrack::wait(Millis span)
+{
+    const auto width = static_cast<std::uint64_t>(span.count() / 2 + 1);
+    nextAt_ =
+        hooks_.clock.now() + span / 2 + Millis(static_cast<std::int64_t>(hooks_.random() % width));
+}
+
+bool EngineOrderTrack::request(EngineOrderKind kind, const std::string &target, Reason *lastReason)
+{
+    if (stage_ != Stage::Idle)
+        return fail(lastReason, engine_.id.text(), "another order is not settled");
+    const auto authority = hooks_.authority();
+    if (!authority || !hasAuthority())
+        return fail(lastReason, engine_.id.text(), "this instance is not in charge");
+    record_.order.engine = engine_.id;
+    record_.order.orderId = engine_.id.text() + "-" + std::to_string(authority->fence) + "-"
+        + std::to_string(hooks_.random());
+    record_.order.fence = authority->fence;
+    record_.order.kind = kind;
+    record_.order.target = target;
+    record_.phase = OrderPhase::Intended;
+    inherited_ = false;
+    unsentOrderId_ = record_.order.orderId;
+    // A holder that dies between sending and recording would leave an order that its successor
+    // knows nothing of: the successor sends a different one and the engine has both.
+    if (!guardEnabled(Guard::RecordBeforeSend)) {
+        send();
+        return true;
+    }
+    write(Stage::Recording);
+    return true;
+}
+
+void EngineOrderTrack::write(Stage stage)
+{
+    stage_ = stage;
+    busy_ = true;
+    record_.writer = hooks_.instance;
+    StorePut put;
+    put.path = OrderRecord::path(engine_.id);
+    put.value = record_.toText();
+    put.expected = version_;
+    const auto method =
+        stage == Stage::Recording ? &EngineOrderTrack::recorded : &EngineOrderTrack::resultRecorded;
+    hooks_.store.put(put, current<StoreReply>(method));
+}
+
+void EngineOrderTrack::recorded(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::Ok) {
+        version_ = reply.version;
+        hooks_.events(Event{&events::orderRecorded,
+                            {{"engine", engine_.id.text()},
+                             {"order", record_.order.orderId},
+                             {"target", record_.order.target}}});
+        send();
+        return;
+    }
+    // Whether the record stands is read, not guessed; nothing has been sent.
+    stage_ = Stage::Reading;
+    wait(timing_.retryEvery);
+}
+
+void EngineOrderTrack::read()
+{
+    busy_ = true;
+    hooks_.store.get(OrderRecord::path(engine_.id),
+                     current<StoreReply>(&EngineOrderTrack::readDone));
+}
+
+void EngineOrderTrack::readDone(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::NotFound) {
+        version_ = 0;
+        stage_ = Stage::Idle;
+        return;
+    }
+    if (reply.status != StoreStatus::Ok || reply.objects.empty()) {
+        wait(timing_.retryEvery);
+        return;
+    }
+    const StoreObject &object = reply.objects.front();
+    const auto record = OrderRecord::fromText(engine_.id, object.value, nullptr);
+    // A record that cannot be read may hide an order; nothing goes out until an operator looked.
+    if (!record) {
+        wait(timing_.retryEvery * 10);
+        return;
+    }
+    version_ = object.version;
+    takeUp(*record);
+}
+
+void EngineOrderTrack::takeUp(const OrderRecord &record)
+{
+    // A former holder's order may be under way. A different one now would meet it in the engine,
+    // which then does both or the older one last.
+    const bool isOpen = !record.isSettled() && guardEnabled(Guard::SettleBeforeNext);
+    if (!isOpen) {
+        stage_ = Stage::Idle;
+        return;
+    }
+    const bool isOwnUnsent = record.order.orderId == unsentOrderId_;
+    const auto authority = hooks_.authority();
+    record_ = record;
+    if (isOwnUnsent) {
+        send();
+        return;
+    }
+    inherited_ = true;
+    hooks_.events(Event{&events::orderInDoubt,
+                        {{"engine", engine_.id.text()}, {"order", record_.order.orderId}}});
+    stage_ = Stage::InDoubt;
+    nextAt_ = hooks_.clock.now();
+    // An engine that checks fences is given the same order again under the new fence: from then
+    // on it refuses the former holder, and a repeat of the same order does no harm.
+    if (engine_.checksFence && authority && record_.order.fence < authority->fence) {
+        record_.order.fence = authority->fence;
+        write(Stage::Recording);
+    }
+}
+
+void EngineOrderTrack::send()
+{
+    unsentOrderId_.clear();
+    const auto authority = hooks_.authority();
+    // The store's answer may have taken long; the lease that allowed this order may be over.
+    if (guardEnabled(Guard::AuthorityCheckedBeforeSend) && !hasAuthority()) {
+        stage_ = Stage::Reading;
+        wait(timing_.retryEvery);
+        return;
+    }
+    stage_ = Stage::Sending;
+    busy_ = true;
+    sentAt_ = hooks_.clock.now();
+    EngineOrder order = record_.order;
+    order.notAfter = authority ? authority->notAfter : hooks_.clock.now() + timing_.sendMargin;
+    hooks_.engines.send(order, current<OrderReply>(&EngineOrderTrack::sent));
+}
+
+void EngineOrderTrack::sent(const OrderReply &reply)
+{
+    const bool hadNoEffect =
+        reply.status == OrderStatus::Refused || reply.status == OrderStatus::NotSent;
+    // A refusal speaks of this send alone. What a former holder sent may have been received.
+    if (hadNoEffect && !inherited_) {
+        settle(OrderPhase::NoEffect);
+        return;
+    }
+    if (reply.status == OrderStatus::Unknown)
+        hooks_.events(Event{&events::orderInDoubt,
+                            {{"engine", engine_.id.text()}, {"order", record_.order.orderId}}});
+    stage_ = Stage::InDoubt;
+    wait(timing_.settleEvery);
+}
+
+void EngineOrderTrack::readState()
+{
+    busy_ = true;
+    hooks_.engines.readState(engine_.id,
+                             current<std::optional<EngineState>>(&EngineOrderTrack::stateRead));
+}
+
+void EngineOrderTrack::stateRead(const std::optional<EngineState> &state)
+{
+    wait(timing_.settleEvery);
+    if (!state || state->currentOrderId == record_.order.orderId)
+        return;
+    if (state->lastOrderId == record_.order.orderId) {
+        settle(OrderPhase::Done);
+        return;
+    }
+    // Not known there: it has not arrived yet, or never will, or a crash lost it.
+    if (mayStillArrive(*state))
+        return;
+    settle(stateSatisfies(*state, record_.order) ? OrderPhase::Done : OrderPhase::NoEffect);
+}
+
+bool EngineOrderTrack::mayStillArrive(const EngineState &state) const
+{
+    if (!guardEnabled(Guard::WaitForSendsInFlight))
+        return false;
+    const Millis now = hooks_.clock.now();
+    const bool ownMayArrive = now < sentAt_ + timing_.maxInFlight && sentAt_ >= takenAt_;
+    // The former holder's authority had ended when this one began, so its last send left before.
+    const bool formerMayArrive = inherited_ && now < takenAt_ + timing_.maxInFlight;
+    const bool isFenced =
+        engine_.checksFence && inherited_ && state.highestFence >= record_.order.fence;
+    return ownMayArrive || (formerMayArrive && !isFenced);
+}
+
+void EngineOrderTrack::settle(OrderPhase phase)
+{
+    record_.phase = phase;
+    write(Stage::RecordingResult);
+}
+
+void EngineOrderTrack::resultRecorded(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok) {
+        stage_ = Stage::Reading;
+        wait(timing_.retryEvery);
+        return;
+    }
+    version_ = reply.version;
+    stage_ = Stage::Idle;
+    hooks_.events(Event{&events::orderSettled,
+                        {{"engine", engine_.id.text()},
+                         {"order", record_.order.orderId},
+                         {"result", std::string(orderPhaseNames.name(record_.phase))}}});
+    if (hooks_.onSettled)
+        hooks_.onSettled(record_);
+}
+
+} // namespace cuminrail
--- a/modules/ports/testing/FakeNetwork.cpp
+++ b/modules/ports/testing/FakeNetwork.cpp
@@ -38,9 +38,7 @@
         scheduler_.after(oneWay, [this, exchange] { finish(exchange, exchange->call.refused); });
         return;
     }
-    whenRunning(from, [this, exchange, fate] {
-        scheduler_.after(fate.delay, [this, exchange] { leave(exchange); });
-    });
+    whenRunning(from, [this, exchange, fate] { leave(exchange, fate.delay); });
 }
 
 MessageFate FakeNetwork::announce(const Exchange &exchange, MessageLeg leg)
@@ -64,13 +62,13 @@
         || silenced_.count({process, exchange.call.endpoint}) != 0;
 }
 
-void FakeNetwork::leave(const std::shared_ptr<Exchange> &exchange)
+void FakeNetwork::leave(const std::shared_ptr<Exchange> &exchange, Millis delay)
 {
     if (exchange->call.mayLeave && !exchange->call.mayLeave()) {
         scheduler_.after(Millis(0), [this, exchange] { finish(exchange, exchange->call.refused); });
         return;
     }
-    scheduler_.after(oneWay, [this, exchange] { arrive(exchange); });
+    scheduler_.after(oneWay + delay, [this, exchange] { arrive(exchange); });
 }
 
 void FakeNetwork::arrive(const std::shared_ptr<Exchange> &exchange)
--- a/modules/ports/testing/FakeNetwork.h
+++ b/modules/ports/testing/FakeNetwork.h
@@ -47,6 +47,7 @@
 struct MessageFate
 {
     bool lost = false;
+    /** Time spent on the way, after the bytes have left. */
     Millis delay;
 };
 
@@ -113,7 +114,7 @@
 
     MessageFate announce(const Exchange &exchange, MessageLeg leg);
     bool isLost(const Exchange &exchange) const;
-    void leave(const std::shared_ptr<Exchange> &exchange);
+    void leave(const std::shared_ptr<Exchange> &exchange, Millis delay);
     void arrive(const std::shared_ptr<Exchange> &exchange);
     void answer(const std::shared_ptr<Exchange> &exchange, const FakeCall::Deliver &deliver);
     void finish(const std::shared_ptr<Exchange> &exchange, const FakeCall::Deliver &deliver);
