--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -10,6 +10,8 @@
         &processStarted,
         &processStopping,
         &processStopped,
+        &certificateReloaded,
+        &certificateNotReloaded,
         // 2xx request path
         &requestRefused,
         &claimAnswerNotStored,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -21,7 +21,14 @@
     102, EventLevel::Info, "process-stopping",
     "A planned stop began: not ready any more, requests in progress go on."};
 inline constexpr EventKind processStopped{103, EventLevel::Info, "process-stopped",
-                                          "The planned stop is over; no request was cut."};
+                                          "The planned stop is over; cut counts the requests that "
+                                          "the limit ended."};
+inline constexpr EventKind certificateReloaded{
+    104, EventLevel::Info, "certificate-reloaded",
+    "New certificate files are in use for connections from now on."};
+inline constexpr EventKind certificateNotReloaded{
+    105, EventLevel::Warning, "certificate-not-reloaded",
+    "Changed certificate files cannot be used; the former ones stay in use."};
 
 // 2xx request path
 inline constexpr EventKind requestRefused{201, EventLevel::Info, "request-refused",
--- /dev/null
+++ b/modules/instance/Instance.cpp
@@ -0,0 +1,183 @@
+#include "instance/Instance.h"
+
+#include "core/events/EventCatalogue.h"
+
+#include <atomic>
+#include <random>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr Millis stopHookLimit = Millis::seconds(10);
+constexpr Millis requestWatchInterval{50};
+constexpr Millis tlsCheckInterval = Millis::seconds(2);
+
+std::uint64_t freshSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) ^ device();
+}
+
+} // namespace
+
+Instance::Instance(InstanceConfig config, EventSink events)
+    : context_(std::move(config)), control_(context_, admission_),
+      admin_(control_, workers_, [this] { drain(); })
+{
+    context_.events = std::move(events);
+    const InstanceConfig &settled = context_.config;
+    if (!settled.tlsCertificate.empty()) {
+        tls_ = std::make_unique<TlsFiles>(settled.tlsCertificate, settled.tlsKey);
+        control_.addTick(tlsCheckInterval, [this](Millis) { reloadTls(); });
+    }
+    const auto connections = std::make_shared<ConnectionCount>(0);
+    for (std::uint32_t i = 0; i < settled.threads; ++i)
+        workers_.push_back(
+            std::make_unique<RequestWorker>(context_, admission_, connections, freshSeed()));
+}
+
+Instance::~Instance()
+{
+    shutDown();
+}
+
+void Instance::shutDown()
+{
+    for (const auto &worker : workers_)
+        worker->stop();
+    control_.thread().stop();
+    control_.thread().join();
+}
+
+bool Instance::start(Reason *lastReason)
+{
+    const InstanceConfig &config = context_.config;
+    if (tls_ && !tls_->load(lastReason))
+        return false;
+    ListenAddress address = config.listen;
+    for (const auto &worker : workers_) {
+        if (!worker->listen(address, tls_.get(), lastReason))
+            return false;
+        address.port = worker->port();
+    }
+    if (!admin_.listen(config.adminListen, lastReason))
+        return false;
+    control_.start();
+    for (const auto &worker : workers_)
+        worker->start();
+    context_.events(
+        Event{&events::processStarted,
+              {{"listen", address.toString()},
+               {"admin", config.adminListen.address + ":" + std::to_string(admin_.port())},
+               {"failure_domain", config.failureDomain.text()}}});
+    return true;
+}
+
+std::uint16_t Instance::port() const
+{
+    return workers_.front()->port();
+}
+
+void Instance::publish(const Settings &settings)
+{
+    control_.thread().run([&] { control_.publish(settings); });
+}
+
+void Instance::reloadTls()
+{
+    Reason reason;
+    if (tls_->reloadIfChanged(&reason))
+        context_.events(Event{&events::certificateReloaded, {}});
+    else if (!reason.what.empty())
+        context_.events(Event{&events::certificateNotReloaded, {{"reason", reason.toString()}}});
+}
+
+void Instance::drain()
+{
+    control_.thread().post([this] { beginDrain(); });
+}
+
+void Instance::beginDrain()
+{
+    if (context_.isStopping.exchange(true))
+        return;
+    context_.events(Event{&events::processStopping, {}});
+    drainEnd_ =
+        control_.thread().deadlines().now() + context_.config.drainLag + context_.config.drainLimit;
+    // The balancer takes a while to see that this instance is not ready, and sends until then.
+    // What it sends must be served, or the planned stop has refused requests.
+    drainStep_ =
+        std::make_unique<Deadline>(control_.thread().deadlines(), [this] { stopListening(); });
+    drainStep_->setAfter(context_.config.drainLag);
+}
+
+void Instance::stopListening()
+{
+    for (const auto &worker : workers_) {
+        worker->post([&server = worker->server()] {
+            server.closeAfterAnswers();
+            server.stopListening();
+        });
+    }
+    drainStep_ =
+        std::make_unique<Deadline>(control_.thread().deadlines(), [this] { watchRequests(); });
+    drainStep_->setAfter(requestWatchInterval);
+}
+
+void Instance::watchRequests()
+{
+    struct Tally
+    {
+        std::atomic<std::size_t> pending{0};
+        std::atomic<std::size_t> busy{0};
+    };
+    const auto tally = std::make_shared<Tally>();
+    tally->pending = workers_.size();
+    for (const auto &worker : workers_) {
+        worker->post([this, tally, &each = *worker] {
+            tally->busy += each.server().busyConnections() + each.counters().inProgress.load();
+            if (--tally->pending == 0)
+                control_.thread().post([this, tally] { requestsCounted(tally->busy); });
+        });
+    }
+}
+
+void Instance::requestsCounted(std::size_t busy)
+{
+    if (busy > 0 && control_.thread().deadlines().now() < drainEnd_) {
+        drainStep_->setAfter(requestWatchInterval);
+        return;
+    }
+    cutAtStop_ = busy;
+    endDrain();
+}
+
+void Instance::endDrain()
+{
+    for (const auto &worker : workers_)
+        worker->post([&server = worker->server()] { server.closeIdle(); });
+    control_.runStopHooks(stopHookLimit, [this] { stopped(); });
+}
+
+void Instance::stopped()
+{
+    context_.events(Event{&events::processStopped, {{"cut", std::to_string(cutAtStop_)}}});
+    const std::lock_guard<std::mutex> lock(mutex_);
+    isStopped_ = true;
+    changed_.notify_all();
+}
+
+void Instance::wait()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [this] { return isStopped_; });
+}
+
+bool Instance::isStopped() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return isStopped_;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/admin/AdminServer.cpp
@@ -0,0 +1,91 @@
+#include "instance/admin/AdminServer.h"
+
+#include "instance/admin/MetricsPage.h"
+#include "instance/admin/StatePage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cuminrail {
+
+namespace {
+
+HttpAnswer jsonAnswer(int status, const nlohmann::json &value)
+{
+    return {status, {{"Content-Type", "application/json"}}, value.dump() + "\n"};
+}
+
+HttpAnswer problem(int status, const std::string &message)
+{
+    return jsonAnswer(status, {{"error", {{"message", message}}}});
+}
+
+} // namespace
+
+AdminServer::AdminServer(ControlPlane &control,
+                         std::vector<std::unique_ptr<RequestWorker>> &workers,
+                         std::function<void()> drain)
+    : control_(control), workers_(workers), drain_(std::move(drain)),
+      server_(
+          control.thread().io(), control.thread().deadlines(), HttpServerLimits{},
+          HttpServerHooks{
+              nullptr,
+              [this](const std::shared_ptr<HttpExchange> &exchange) {
+                  exchange->respond(answer(exchange->head()));
+              },
+              [](int status, const Reason &reason) { return problem(status, reason.toString()); },
+          },
+          std::make_shared<ConnectionCount>(0))
+{ }
+
+bool AdminServer::listen(const ListenAddress &address, Reason *lastReason)
+{
+    return server_.listen(address.address, address.port, false, lastReason);
+}
+
+HttpAnswer AdminServer::answer(const HttpHead &head)
+{
+    const std::string_view path = head.path();
+    if (path == "/drain") {
+        if (head.method != "POST")
+            return problem(405, "only POST is allowed here");
+        drain_();
+        return jsonAnswer(202, {{"draining", true}});
+    }
+    if (head.method != "GET" && head.method != "HEAD")
+        return problem(405, "only GET is allowed here");
+    if (path == "/healthz")
+        return jsonAnswer(200, {{"healthy", true}});
+    if (path == "/readyz")
+        return readiness();
+    if (path == "/metrics")
+        return metrics();
+    if (path == "/state")
+        return state();
+    return problem(404, "there is nothing at this path");
+}
+
+HttpAnswer AdminServer::readiness() const
+{
+    const auto missing = control_.missingForReadiness();
+    return jsonAnswer(missing.empty() ? 200 : 503,
+                      {{"ready", missing.empty()}, {"missing", missing}});
+}
+
+HttpAnswer AdminServer::metrics() const
+{
+    std::vector<const RequestCounters *> counters;
+    for (const auto &worker : workers_)
+        counters.push_back(&worker->counters());
+    return {200,
+            {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}},
+            metricsPage(counters, control_.context().config)};
+}
+
+HttpAnswer AdminServer::state() const
+{
+    nlohmann::json page = statePage(control_.context(), workers_);
+    page.update(control_.describe());
+    return jsonAnswer(200, page);
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/admin/AdminServer.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "instance/control/ControlPlane.h"
+#include "instance/request/RequestWorker.h"
+#include "net/server/HttpServer.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace cuminrail {
+
+/** The operators' address: /healthz, /readyz, /metrics, /state, /drain. On the control thread. */
+class AdminServer
+{
+public:
+    AdminServer(ControlPlane &control, std::vector<std::unique_ptr<RequestWorker>> &workers,
+                std::function<void()> drain);
+    AdminServer(const AdminServer &) = delete;
+    AdminServer &operator=(const AdminServer &) = delete;
+
+    bool listen(const ListenAddress &address, Reason *lastReason);
+    std::uint16_t port() const { return server_.port(); }
+
+private:
+    HttpAnswer answer(const HttpHead &head);
+    HttpAnswer readiness() const;
+    HttpAnswer metrics() const;
+    HttpAnswer state() const;
+
+    ControlPlane &control_;
+    std::vector<std::unique_ptr<RequestWorker>> &workers_;
+    std::function<void()> drain_;
+    HttpServer server_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/control/ControlPlane.cpp
@@ -0,0 +1,161 @@
+#include "instance/control/ControlPlane.h"
+
+#include "admission/limits/AdmissionSettingsBuilder.h"
+#include "core/events/EventCatalogue.h"
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr Millis admissionTick{10};
+
+} // namespace
+
+ControlPlane::ControlPlane(ServingContext &context, AdmissionDesk &admission)
+    : context_(context), admission_(admission), thread_(context.config.deadlineTick),
+      builder_(context.config.failureDomain)
+{
+    addTick(admissionTick, [this](Millis now) { admission_.tick(now); });
+    addReadiness("settings", [this] { return hasSettings_; });
+    addReadiness("not-stopping", [this] { return !context_.isStopping.load(); });
+    addReadiness("current-keys", [this] { return !context_.isStale.load(); });
+}
+
+void ControlPlane::addTick(Millis every, std::function<void(Millis now)> hook)
+{
+    auto tick = std::make_shared<Tick>();
+    tick->every = every;
+    tick->hook = std::move(hook);
+    tick->timer = std::make_unique<boost::asio::steady_timer>(thread_.io());
+    ticks_.push_back(std::move(tick));
+}
+
+void ControlPlane::addReadiness(std::string name, std::function<bool()> holds)
+{
+    readiness_.push_back({std::move(name), std::move(holds)});
+}
+
+void ControlPlane::addState(std::string name, std::function<nlohmann::json()> describe)
+{
+    states_.push_back({std::move(name), std::move(describe)});
+}
+
+void ControlPlane::start()
+{
+    thread_.start();
+    thread_.post([this] {
+        for (const auto &hook : startHooks_)
+            hook();
+        for (const auto &tick : ticks_)
+            arm(tick);
+    });
+}
+
+void ControlPlane::arm(const std::shared_ptr<Tick> &tick)
+{
+    tick->timer->expires_after(std::chrono::milliseconds(tick->every.count()));
+    tick->timer->async_wait([this, tick](const boost::system::error_code &error) {
+        if (error)
+            return;
+        tick->hook(thread_.deadlines().now());
+        arm(tick);
+    });
+}
+
+void ControlPlane::runStopHooks(Millis atMost, std::function<void()> done)
+{
+    onStopHooksDone_ = std::move(done);
+    stopDeadline_ = std::make_unique<Deadline>(thread_.deadlines(), [this] { stopHooksDone(); });
+    stopDeadline_->setAfter(atMost);
+    runStopHook(0);
+}
+
+void ControlPlane::runStopHook(std::size_t index)
+{
+    if (index == stopHooks_.size())
+        return stopHooksDone();
+    stopHooks_[index]([this, index] {
+        boost::asio::post(thread_.io(), [this, index] { runStopHook(index + 1); });
+    });
+}
+
+void ControlPlane::stopHooksDone()
+{
+    if (!onStopHooksDone_)
+        return;
+    const auto done = std::move(onStopHooksDone_);
+    onStopHooksDone_ = nullptr;
+    stopDeadline_->clear();
+    done();
+}
+
+void ControlPlane::publish(Settings settings)
+{
+    builder_.setSettings(std::move(settings));
+    hasSettings_ = true;
+    republish();
+}
+
+void ControlPlane::publishFacts(LiveFacts facts)
+{
+    builder_.setFacts(std::move(facts));
+    if (hasSettings_)
+        republish();
+}
+
+void ControlPlane::publishWithdrawn(std::set<KeyHash> keys)
+{
+    builder_.setWithdrawnAhead(std::move(keys));
+    if (hasSettings_)
+        republish();
+}
+
+void ControlPlane::republish()
+{
+    auto snapshot = builder_.build();
+    // Admission first: a request that is routed by the new table must find its customer there.
+    configureAdmission(*snapshot);
+    context_.snapshot.publish(std::move(snapshot));
+}
+
+void ControlPlane::configureAdmission(const ServingSnapshot &snapshot)
+{
+    StableIndexes &indexes = builder_.indexes();
+    const AdmissionSettings settings =
+        buildAdmissionSettings(builder_.settings(), indexes.customers, indexes.pools);
+    const Millis now = thread_.deadlines().now();
+    admission_.withController([&](AdmissionController &controller) {
+        controller.configure(settings, now);
+        for (PoolIndex pool = 0; pool < snapshot.routing.poolCount(); ++pool) {
+            const PoolCapacity capacity = snapshot.routing.capacity(pool);
+            controller.setCapacity(pool,
+                                   AdmissionCapacity{capacity.slots,
+                                                     capacity.prefillTokensPerSecond,
+                                                     capacity.decodeTokensPerSecond});
+        }
+    });
+}
+
+std::vector<std::string> ControlPlane::missingForReadiness() const
+{
+    std::vector<std::string> missing;
+    for (const Readiness &readiness : readiness_) {
+        if (!readiness.holds())
+            missing.push_back(readiness.name);
+    }
+    return missing;
+}
+
+nlohmann::json ControlPlane::describe() const
+{
+    nlohmann::json all = nlohmann::json::object();
+    for (const State &state : states_)
+        all[state.name] = state.describe();
+    return all;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/request/RequestWorker.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/random/Random.h"
+#include "instance/request/ErrorAnswer.h"
+#include "instance/serving/AdmissionDesk.h"
+#include "instance/serving/RequestCounters.h"
+#include "instance/serving/ServingContext.h"
+#include "net/server/HttpServer.h"
+#include "net/upstream/UpstreamPool.h"
+#include "runtime/threads/IoThread.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace cuminrail {
+
+class RequestFlow;
+
+/**
+    One request thread: its event loop, its server on the shared port, its upstream connections.
+
+    A request stays on the thread that read it.
+*/
+class RequestWorker
+{
+public:
+    RequestWorker(ServingContext &context, AdmissionDesk &admission,
+                  std::shared_ptr<ConnectionCount> connections, std::uint64_t seed);
+    ~RequestWorker();
+    RequestWorker(const RequestWorker &) = delete;
+    RequestWorker &operator=(const RequestWorker &) = delete;
+
+    /** Listens, before start(). */
+    bool listen(const ListenAddress &address, const TlsFiles *tls, Reason *lastReason);
+    std::uint16_t port() const { return server_.port(); }
+    void start() { thread_.start(); }
+    /** Ends the thread; what is still in progress is cut. */
+    void stop();
+
+    /** Safe from any thread. */
+    void post(std::function<void()> function) { thread_.post(std::move(function)); }
+    /** Runs a function on the worker's thread and waits for it. */
+    void run(const std::function<void()> &function) { thread_.run(function); }
+
+    // On the worker's thread alone:
+    HttpServer &server() { return server_; }
+    UpstreamPool &pool() { return pool_; }
+    DeadlineList &deadlines() { return thread_.deadlines(); }
+    const RandomHook &random() const { return random_; }
+    std::string nextRequestId();
+    /** Keeps a request's flow alive until it is over. */
+    void keep(const std::shared_ptr<RequestFlow> &flow) { flows_.insert(flow); }
+    void release(const std::shared_ptr<RequestFlow> &flow) { flows_.erase(flow); }
+    /** Logs one routing decision in many. */
+    void sampleDecision(const RoutingRequest &request, const RoutingChoice &choice,
+                        const RoutingTable &table);
+    void reportRefusal(const std::string &requestId, const CustomerId &customer,
+                       const Refusal &refusal);
+
+    ServingContext &context() { return context_; }
+    AdmissionDesk &admission() { return admission_; }
+    RequestCounters &counters() { return counters_; }
+
+private:
+    HttpServerHooks serverHooks();
+    std::optional<HttpAnswer> judgeHead(const HttpHead &head);
+    HttpAnswer problemAnswer(int status, const Reason &reason);
+    HttpAnswer refused(const Refusal &refusal);
+
+    ServingContext &context_;
+    AdmissionDesk &admission_;
+    RequestCounters counters_;
+    IoThread thread_;
+    RandomHook random_;
+    std::string idPrefix_;
+    std::uint64_t lastId_ = 0;
+    std::uint64_t decisions_ = 0;
+    UpstreamPool pool_;
+    HttpServer server_;
+    std::unordered_set<std::shared_ptr<RequestFlow>> flows_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/request/SseReader.cpp
@@ -0,0 +1,90 @@
+#include "instance/request/SseReader.h"
+
+#include <charconv>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view eventEndCrLf = "\r\n\r\n";
+
+/** Returns the length of the first whole event, or 0. */
+std::size_t firstEventLength(std::string_view bytes)
+{
+    const auto plain = bytes.find(eventEnd);
+    const auto crLf = bytes.find(eventEndCrLf);
+    if (plain == std::string_view::npos && crLf == std::string_view::npos)
+        return 0;
+    if (plain < crLf)
+        return plain + eventEnd.size();
+    return crLf + eventEndCrLf.size();
+}
+
+std::optional<std::string_view> valueOf(std::string_view line, std::string_view name)
+{
+    if (line.size() <= name.size() || line.substr(0, name.size()) != name
+        || line[name.size()] != ':')
+        return std::nullopt;
+    std::string_view value = line.substr(name.size() + 1);
+    if (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    return value;
+}
+
+} // namespace
+
+SseReader::SseReader(std::function<void(const SseEvent &)> onEvent) : onEvent_(std::move(onEvent))
+{ }
+
+bool SseReader::feed(std::string_view bytes)
+{
+    if (partial_.empty()) {
+        const std::size_t used = takeEvents(bytes);
+        partial_.assign(bytes.substr(used));
+    } else {
+        partial_.append(bytes);
+        const std::string whole = std::move(partial_);
+        partial_.clear();
+        const std::size_t used = takeEvents(whole);
+        partial_.assign(whole, used, std::string::npos);
+    }
+    return partial_.size() <= maxEventBytes;
+}
+
+std::size_t SseReader::takeEvents(std::string_view bytes)
+{
+    std::size_t used = 0;
+    for (;;) {
+        const std::size_t length = firstEventLength(bytes.substr(used));
+        if (length == 0)
+            return used;
+        takeEvent(bytes.substr(used, length));
+        used += length;
+    }
+}
+
+void SseReader::takeEvent(std::string_view bytes)
+{
+    SseEvent event;
+    event.bytes = bytes;
+    std::size_t begin = 0;
+    while (begin < bytes.size()) {
+        const auto end = bytes.find('\n', begin);
+        std::string_view line = bytes.substr(begin, end - begin);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        if (const auto data = valueOf(line, "data"))
+            event.data = *data;
+        if (const auto id = valueOf(line, "id")) {
+            std::uint64_t number = 0;
+            const auto parsed = std::from_chars(id->data(), id->data() + id->size(), number);
+            if (parsed.ptr == id->data() + id->size() && !id->empty())
+                event.number = number;
+        }
+        begin = end + 1;
+    }
+    onEvent_(event);
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/serving/SnapshotBuilder.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "instance/serving/ServingSnapshot.h"
+#include "routing/table/LiveFacts.h"
+#include "routing/table/StableIndexes.h"
+
+#include <memory>
+#include <set>
+
+namespace cuminrail {
+
+/**
+    Puts together the next snapshot from what the control thread knows. Control thread.
+
+    Each setter takes one kind of knowledge; build() makes the snapshot of all of them.
+*/
+class SnapshotBuilder
+{
+public:
+    explicit SnapshotBuilder(FailureDomainId ownDomain);
+
+    void setSettings(Settings settings) { settings_ = std::move(settings); }
+    void setFacts(LiveFacts facts) { facts_ = std::move(facts); }
+    /** Keys that other instances reported withdrawn ahead of the settings. */
+    void setWithdrawnAhead(std::set<KeyHash> keys) { withdrawnAhead_ = std::move(keys); }
+
+    std::unique_ptr<const ServingSnapshot> build();
+
+    const Settings &settings() const { return settings_; }
+    StableIndexes &indexes() { return indexes_; }
+
+private:
+    FailureDomainId ownDomain_;
+    Settings settings_;
+    LiveFacts facts_;
+    std::set<KeyHash> withdrawnAhead_;
+    StableIndexes indexes_;
+    std::uint64_t generation_ = 0;
+};
+
+} // namespace cuminrail
--- a/modules/net/server/HttpExchange.h
+++ b/modules/net/server/HttpExchange.h
@@ -22,7 +22,9 @@
     One request on a server connection and the way to answer it. Belongs to one thread.
 
     Answer with respond(), or with beginStream(), write()… and finish() or abort(). Hooks set here
-    are dropped when the answer is over.
+    are dropped when the answer is over. Once it is over everything here does nothing any more,
+    also when the connection has gone on to its next request: an answer that is ready too late
+    must not end up in that request's answer.
 */
 class HttpExchange
 {
@@ -39,6 +41,8 @@
     virtual void finish() = 0;
     /** Ends a stream so that the caller cannot take what it got for the whole: by a reset. */
     virtual void abort() = 0;
+    /** Sends last words, then closes without the end mark that a whole stream has. */
+    virtual void finishCut(std::string_view lastWords) = 0;
 
     /** Returns true while the caller reads too slowly; write no more until onWritable. */
     virtual bool isCongested() const = 0;
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -24,11 +24,7 @@
 
 HttpServer::~HttpServer()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    const auto open = connections_;
-    for (const auto &connection : open)
-        connection->close();
+    closeAll();
 }
 
 bool HttpServer::listen(const std::string &address, std::uint16_t port, bool isShared,
@@ -100,6 +96,15 @@
     acceptor_.close(error);
 }
 
+void HttpServer::closeAll()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    const auto open = connections_;
+    for (const auto &connection : open)
+        connection->close();
+}
+
 void HttpServer::closeIdle()
 {
     const auto open = connections_;
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -82,6 +82,9 @@
     /** Closes connections on which no request is in progress. */
     void closeIdle();
 
+    /** Ends all connections at once. */
+    void closeAll();
+
     /** Returns how many connections are open here, and how many of them serve a request. */
     std::size_t openConnections() const { return connections_.size(); }
     std::size_t busyConnections() const;
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "net/server/ServerConnection.h"
 
+#include "net/server/ServerExchange.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -58,8 +60,6 @@
     stream_->handshake([self = shared_from_this(), answer](const boost::system::error_code &error) {
         if (error)
             return self->close();
-        self->parser_ = std::make_unique<HttpParser>(HttpParser::Kind::Request, HttpLimits{},
-                                                     [](std::string_view) {});
         self->refuseAndClose(answer);
     });
 }
@@ -67,7 +67,10 @@
 void ServerConnection::beginRequest()
 {
     state_ = State::Idle;
+    ++requestNumber_;
     isHeadAccepted_ = false;
+    isHeadMethod_ = false;
+    version_ = 11;
     bodyReceived_ = 0;
     body_.clear();
     parser_ = std::make_unique<HttpParser>(
@@ -156,6 +159,8 @@
 {
     const HttpHead &head = parser_->head();
     keepsOpen_ = parser_->isKeepAlive();
+    isHeadMethod_ = head.method == "HEAD";
+    version_ = head.version;
     const bool isTargetPlain = !head.target.empty() && head.target[0] == '/';
     const std::size_t hosts = head.count("Host");
     if (!isTargetPlain || hosts > 1 || (head.version == 11 && hosts == 0))
@@ -187,7 +192,8 @@
     if (input_.size() < readAhead)
         readMore();
     if (state_ == State::Answering)
-        server_.hooks_.onRequest(shared_from_this());
+        server_.hooks_.onRequest(std::make_shared<ServerExchange>(
+            shared_from_this(), std::move(parser_->head()), std::move(body_)));
 }
 
 void ServerConnection::problemAnswer(const HttpProblem &problem)
@@ -226,7 +232,7 @@
     }
     if (!keepsOpen_)
         queue_ += "Connection: close\r\n";
-    else if (parser_->head().version < 11)
+    else if (version_ < 11)
         queue_ += "Connection: keep-alive\r\n";
 }
 
@@ -242,7 +248,7 @@
         queue_ += "\r\n";
     }
     queue_ += "\r\n";
-    if (!isBodiless && parser_->head().method != "HEAD")
+    if (!isBodiless && !isHeadMethod_)
         queue_ += answer.body;
     isChunked_ = false;
     finish();
@@ -252,7 +258,7 @@
 {
     if (state_ != State::Answering)
         return;
-    isChunked_ = parser_->head().version >= 11;
+    isChunked_ = version_ >= 11;
     // HTTP/1.0 has no chunks: there the connection's end ends the stream.
     keepsOpen_ = keepsOpen_ && isChunked_;
     appendHead(status, headers);
@@ -301,6 +307,16 @@
     close();
 }
 
+void ServerConnection::finishCut(std::string_view lastWords)
+{
+    if (state_ != State::Answering)
+        return;
+    write(lastWords);
+    isChunked_ = false;
+    keepsOpen_ = false;
+    finish();
+}
+
 bool ServerConnection::isCongested() const
 {
     return queue_.size() + output_.size() - written_ > server_.limits_.congestionBytes;
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -12,12 +12,11 @@
     While a request is in progress it goes on reading, within a small bound, because the end of
     the connection is how a caller's leaving shows.
 */
-class ServerConnection final : public HttpExchange,
-                               public std::enable_shared_from_this<ServerConnection>
+class ServerConnection final : public std::enable_shared_from_this<ServerConnection>
 {
 public:
     ServerConnection(HttpServer &server, std::unique_ptr<ByteStream> stream);
-    ~ServerConnection() override;
+    ~ServerConnection();
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -28,16 +27,19 @@
     /** Answers a connection over the limit, and closes it. */
     void refuse(const HttpAnswer &answer);
 
-    const HttpHead &head() const override { return parser_->head(); }
-    std::string &body() override { return body_; }
-    void respond(const HttpAnswer &answer) override;
-    void beginStream(int status, const std::vector<HttpHeader> &headers) override;
-    void write(std::string_view data) override;
-    void finish() override;
-    void abort() override;
-    bool isCongested() const override;
-    void onWritable(std::function<void()> hook) override { onWritable_ = std::move(hook); }
-    void onCallerLeft(std::function<void()> hook) override { onCallerLeft_ = std::move(hook); }
+    // What the exchange of the request in progress asks for.
+    void respond(const HttpAnswer &answer);
+    void beginStream(int status, const std::vector<HttpHeader> &headers);
+    void write(std::string_view data);
+    void finish();
+    void abort();
+    void finishCut(std::string_view lastWords);
+    bool isCongested() const;
+    void onWritable(std::function<void()> hook) { onWritable_ = std::move(hook); }
+    void onCallerLeft(std::function<void()> hook) { onCallerLeft_ = std::move(hook); }
+
+    /** Returns the number of the current request on this connection. */
+    std::uint64_t requestNumber() const { return requestNumber_; }
 
 private:
     enum class State : std::uint8_t { Idle, Reading, Answering, Flushing, Lingering, Closed };
@@ -62,7 +64,10 @@
     HttpServer &server_;
     std::unique_ptr<ByteStream> stream_;
     State state_ = State::Idle;
+    std::uint64_t requestNumber_ = 0;
     std::unique_ptr<HttpParser> parser_;
+    bool isHeadMethod_ = false;
+    int version_ = 11;
     /** What one read may fill; moved to input_ at once, as parsing may go on during a read. */
     std::array<char, 16 * 1024> chunk_;
     std::string input_;
--- /dev/null
+++ b/modules/net/server/ServerExchange.cpp
@@ -0,0 +1,72 @@
+#include "net/server/ServerExchange.h"
+
+#include "core/guards/Guards.h"
+
+namespace cuminrail::detail {
+
+ServerExchange::ServerExchange(std::shared_ptr<ServerConnection> connection, HttpHead head,
+                               std::string body)
+    : connection_(std::move(connection)), requestNumber_(connection_->requestNumber()),
+      head_(std::move(head)), body_(std::move(body))
+{ }
+
+bool ServerExchange::isCurrent() const
+{
+    return connection_->requestNumber() == requestNumber_
+        || !guardEnabled(Guard::AnswerBoundToRequest);
+}
+
+void ServerExchange::respond(const HttpAnswer &answer)
+{
+    if (isCurrent())
+        connection_->respond(answer);
+}
+
+void ServerExchange::beginStream(int status, const std::vector<HttpHeader> &headers)
+{
+    if (isCurrent())
+        connection_->beginStream(status, headers);
+}
+
+void ServerExchange::write(std::string_view data)
+{
+    if (isCurrent())
+        connection_->write(data);
+}
+
+void ServerExchange::finish()
+{
+    if (isCurrent())
+        connection_->finish();
+}
+
+void ServerExchange::abort()
+{
+    if (isCurrent())
+        connection_->abort();
+}
+
+void ServerExchange::finishCut(std::string_view lastWords)
+{
+    if (isCurrent())
+        connection_->finishCut(lastWords);
+}
+
+bool ServerExchange::isCongested() const
+{
+    return isCurrent() && connection_->isCongested();
+}
+
+void ServerExchange::onWritable(std::function<void()> hook)
+{
+    if (isCurrent())
+        connection_->onWritable(std::move(hook));
+}
+
+void ServerExchange::onCallerLeft(std::function<void()> hook)
+{
+    if (isCurrent())
+        connection_->onCallerLeft(std::move(hook));
+}
+
+} // namespace cuminrail::detail
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -45,6 +45,11 @@
 { }
 
 UpstreamPool::~UpstreamPool()
+{
+    closeAll();
+}
+
+void UpstreamPool::closeAll()
 {
     const auto open = open_;
     for (const Connection &connection : open)
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -70,6 +70,9 @@
 
     void setFaultHook(SendFaultHook hook) { faultHook_ = std::move(hook); }
 
+    /** Ends all connections and attempts at once, without a report. */
+    void closeAll();
+
     /** Returns how many connections wait to be used again. */
     std::size_t idleConnections() const;
     std::size_t openConnections() const { return open_.size(); }
--- a/modules/runtime/threads/IoThread.cpp
+++ b/modules/runtime/threads/IoThread.cpp
@@ -39,6 +39,12 @@
         thread_.join();
 }
 
+void IoThread::runLeftovers()
+{
+    io_.restart();
+    io_.poll();
+}
+
 void IoThread::post(std::function<void()> function)
 {
     boost::asio::post(io_, std::move(function));
--- a/modules/runtime/threads/IoThread.h
+++ b/modules/runtime/threads/IoThread.h
@@ -26,6 +26,8 @@
     /** Ends the loop after the handler that is running. */
     void stop();
     void join();
+    /** After join(): runs what is left, so that nothing outlives what its handlers refer to. */
+    void runLeftovers();
 
     /** Runs a function on the loop, later. Safe from any thread. */
     void post(std::function<void()> function);
