--- a/modules/routing/Router_test.cpp
+++ b/modules/routing/Router_test.cpp
@@ -389,7 +389,9 @@
     ServiceSettings lodging;
     lodging.name = "lodging";
     lodging.prefix = "/services/lodging/";
-    lodging.calls = {{"POST", "bundles", false, true}, {"POST", "drafts/", true, false}};
+    lodging.calls = {{"POST", "/bundles", false, true},
+                     {"POST", "/drafts/", true, false},
+                     {"PUT", "/", false, true}};
     lodging.upstreams = {{UpstreamId("s0"), "10.0.1.0:80", FailureDomainId("a")}};
     fleet.settings.fleet.services = {lodging};
     fleet.build();
@@ -407,6 +409,7 @@
         {"POST", "/services/lodging/drafts/7", true, false},
         {"POST", "/services/lodging/other", false, false},
         {"GET", "/services/lodging/bundles", true, false},
+        {"PUT", "/services/lodging/anything/at/all", false, true},
     };
     for (const Row &row : rows) {
         CAPTURE(row.path);
--- a/modules/routing/table/RoutingTable.cpp
+++ b/modules/routing/table/RoutingTable.cpp
@@ -24,9 +24,13 @@
 {
     if (call.method != method)
         return false;
-    if (!call.path.empty() && call.path.back() == '/')
-        return startsWith(path, call.path);
-    return path == call.path;
+    // Settings write the path below the prefix with a slash before it, which the prefix ends in
+    // already. Compared as written no rule would match, and a lodging would need no key.
+    std::string_view rule = call.path;
+    if (!rule.empty() && rule.front() == '/')
+        rule.remove_prefix(1);
+    const bool isPrefix = !call.path.empty() && call.path.back() == '/';
+    return isPrefix ? startsWith(path, rule) : path == rule;
 }
 
 bool isSafeMethod(std::string_view method)
