--- a/cmake/CuminrailModule.cmake
+++ b/cmake/CuminrailModule.cmake
@@ -1,11 +1,12 @@
-# cuminrail_module(NAME KIND decision|adapter [DEPENDS modules…] [LIBRARIES targets…])
+# cuminrail_module(NAME KIND decision|adapter [DEPENDS modules…] [LIBRARIES targets…]
+#                  [TEST_DEPENDS modules…])
 #
 # A module is a folder under modules/ with one header of its own name. Sources ending in _test.cpp
 # stand beside the code and are built into one test program per module.
 # A decision module must not depend on an adapter module: configuring stops if one does, and
 # extras/check-layers.sh stops the includes that would go around this.
 function(cuminrail_module NAME)
-  cmake_parse_arguments(M "" "KIND" "DEPENDS;LIBRARIES" ${ARGN})
+  cmake_parse_arguments(M "" "KIND" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
   if(NOT M_KIND MATCHES "^(decision|adapter)$")
     message(FATAL_ERROR "module ${NAME}: KIND must be decision or adapter, not '${M_KIND}'")
   endif()
@@ -43,6 +44,9 @@
     add_executable(test_${NAME} ${TESTS} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
     target_compile_options(test_${NAME} PRIVATE -Wall -Wextra -Wshadow -Werror)
     target_link_libraries(test_${NAME} PRIVATE cuminrail_${NAME} Threads::Threads)
+    foreach(DEP ${M_TEST_DEPENDS})
+      target_link_libraries(test_${NAME} PRIVATE cuminrail_${DEP})
+    endforeach()
     add_test(NAME ${NAME} COMMAND test_${NAME} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
   endif()
 endfunction()
--- a/modules/ports/ports.h
+++ b/modules/ports/ports.h
@@ -15,3 +15,4 @@
 #include "ports/peers/PeerTransport.h"
 #include "ports/store/ObjectStore.h"
 #include "ports/usage/UsageReceiver.h"
+#include "ports/weights/WeightStore.h"
