--- /dev/null
+++ b/modules/engineview/EngineView_test.cpp
@@ -0,0 +1,169 @@
+#include "engineview/engineview.h"
+#include "engineview/measure/ViewCluster.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace cuminrail;
+
+namespace {
+
+ViewCluster::Size sizeOf(std::size_t instances, std::size_t engines, std::uint64_t loss = 0)
+{
+    ViewCluster::Size size;
+    size.instances = instances;
+    size.engines = engines;
+    size.lossPercent = loss;
+    return size;
+}
+
+constexpr Millis twoPeriods = Millis::seconds(9);
+
+} // namespace
+
+TEST_CASE("every instance learns of every engine, each polled by one")
+{
+    ViewCluster cluster(sizeOf(24, 60));
+    std::size_t polled = 0;
+    for (std::size_t instance = 0; instance < 24; ++instance)
+        polled += cluster.view(instance).polledCount();
+    CHECK(polled == 60);
+    cluster.runFor(Millis::seconds(30));
+    for (std::size_t engine = 0; engine < 60; ++engine)
+        CHECK(cluster.informed(engine) == 24);
+}
+
+// An engine changes role and some instances still send it prompts that it refuses: callers see
+// errors until the last instance has heard.
+TEST_CASE("a new role is known everywhere within two polling periods and a little")
+{
+    ViewCluster cluster(sizeOf(24, 60, 5));
+    cluster.runFor(Millis::seconds(30));
+    cluster.engineState(7).role = EngineRole::Decode;
+    CHECK(cluster.informed(7) == 0);
+    cluster.runFor(twoPeriods);
+    CHECK(cluster.informed(7) == 24);
+}
+
+// The instance that polls an engine dies. Nobody would hear of the engine's load any more, and
+// all would route by a report that grows old.
+TEST_CASE("a dead poller's engines are polled by others")
+{
+    ViewCluster cluster(sizeOf(12, 40));
+    cluster.runFor(Millis::seconds(20));
+    std::size_t busiest = 0;
+    for (std::size_t instance = 0; instance < 12; ++instance) {
+        if (cluster.view(instance).polledCount() > cluster.view(busiest).polledCount())
+            busiest = instance;
+    }
+    REQUIRE(cluster.view(busiest).polledCount() > 0);
+    cluster.kill(busiest);
+    cluster.runFor(Millis::seconds(20));
+    CHECK(cluster.oldestReport() < twoPeriods);
+}
+
+// A frame that was on its way for long brings an engine's old role after the new one is known.
+TEST_CASE("an older sample or older facts never replace newer ones")
+{
+    ReportTable table;
+    const UpstreamId engine("e1");
+    table.setEngines({engine});
+    EngineState prefill;
+    prefill.engine = engine;
+    prefill.role = EngineRole::Prefill;
+    EngineState decode = prefill;
+    decode.role = EngineRole::Decode;
+    const auto report = [&](const EngineState &state, std::int64_t at) {
+        return EngineReport{engineKey(engine), factsHash(state), 0, 0, Millis(at)};
+    };
+    REQUIRE(table.merge(report(decode, 2000)));
+    REQUIRE(table.learn(decode));
+    CHECK_FALSE(table.merge(report(prefill, 1000)));
+    CHECK_FALSE(table.learn(prefill));
+    CHECK(table.facts(engineKey(engine))->role == EngineRole::Decode);
+
+    REQUIRE(table.merge(report(prefill, 3000)));
+    CHECK(table.unknownFacts() == std::vector<EngineKey>{engineKey(engine)});
+    REQUIRE(table.learn(prefill));
+    CHECK(table.unknownFacts().empty());
+}
+
+TEST_CASE("reports of engines that settings do not know are ignored")
+{
+    ReportTable table;
+    table.setEngines({UpstreamId("e1")});
+    CHECK_FALSE(table.merge({engineKey(UpstreamId("e2")), 1, 0, 0, Millis(1)}));
+    CHECK(table.reports().empty());
+}
+
+TEST_CASE("messages read back, ages travelling as spans")
+{
+    const Millis sent{100000};
+    const Millis received{5000000};
+    ReportMessage message;
+    message.reports.push_back({7, 8, 9, 10, sent - Millis(1230)});
+    const auto read = decodeReportMessage(encodeReportMessage(message, sent), received);
+    REQUIRE(read.has_value());
+    REQUIRE(read->reports.size() == 1);
+    CHECK(read->reports[0].engine == 7);
+    CHECK(read->reports[0].facts == 8);
+    CHECK(read->reports[0].running == 9);
+    CHECK(read->reports[0].waiting == 10);
+    CHECK(read->reports[0].sampledAt == received - Millis(1230));
+
+    ReportMessage facts;
+    facts.kind = ReportMessageKind::Facts;
+    EngineState state;
+    state.engine = UpstreamId("e1");
+    state.incarnation = 3;
+    state.role = EngineRole::Prefill;
+    state.models = {"m@1", "n@2"};
+    state.adapters = {"a"};
+    facts.facts.push_back(state);
+    const auto readFacts = decodeReportMessage(encodeReportMessage(facts, sent), received);
+    REQUIRE(readFacts.has_value());
+    REQUIRE(readFacts->facts.size() == 1);
+    CHECK(factsHash(readFacts->facts[0]) == factsHash(state));
+}
+
+// A frame is cut short or altered on its way, or a program with the shared secret sends nonsense.
+// The control thread must neither fall over nor believe it.
+TEST_CASE("a frame cut short or altered is refused or harmless")
+{
+    ReportMessage message;
+    message.reports.push_back({7, 8, 9, 10, Millis(0)});
+    const std::string good = encodeReportMessage(message, Millis(0));
+    for (std::size_t length = 0; length < good.size(); ++length)
+        CHECK_FALSE(decodeReportMessage(good.substr(0, length), Millis(0)).has_value());
+
+    ReportTable table;
+    table.setEngines({UpstreamId("e1")});
+    for (std::size_t place = 0; place < good.size(); ++place) {
+        std::string altered = good;
+        altered[place] = static_cast<char>(altered[place] ^ 0x5a);
+        const auto read = decodeReportMessage(altered, Millis(0));
+        for (const EngineReport &report : read ? read->reports : std::vector<EngineReport>())
+            table.merge(report);
+    }
+    CHECK(table.reports().empty());
+}
+
+TEST_CASE("engines are polled by members of their own failure domain while there are any")
+{
+    std::vector<MemberRecord> members(4);
+    for (std::size_t place = 0; place < members.size(); ++place) {
+        members[place].id = InstanceId("i" + std::to_string(place));
+        members[place].domain = FailureDomainId(place < 2 ? "near" : "far");
+    }
+    for (int engine = 0; engine < 50; ++engine) {
+        const UpstreamId id("e" + std::to_string(engine));
+        const InstanceId poller = pollerOf(id, FailureDomainId("near"), members);
+        CHECK((poller == members[0].id || poller == members[1].id));
+        std::reverse(members.begin(), members.end());
+        CHECK(pollerOf(id, FailureDomainId("near"), members) == poller);
+        std::reverse(members.begin(), members.end());
+        CHECK_FALSE(pollerOf(id, FailureDomainId("gone"), members).isEmpty());
+    }
+    CHECK(pollerOf(UpstreamId("e"), FailureDomainId("near"), {}).isEmpty());
+}
--- /dev/null
+++ b/modules/instance/services/ClaimService.cpp
@@ -0,0 +1,61 @@
+#include "instance/services/ClaimService.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr Millis tickPeriod{50};
+
+ClaimKeeper::Config configOf(const ControlPlane &control, Incarnation incarnation)
+{
+    ClaimKeeper::Config config;
+    config.instance = control.context().config.instanceId;
+    config.incarnation = incarnation;
+    return config;
+}
+
+} // namespace
+
+ClaimService::ClaimService(ControlPlane &control, const ObjectStore &store, Incarnation incarnation,
+                           ClaimKeeper::GoneHook isGone)
+    : control_(control),
+      keeper_(configOf(control, incarnation), store, seededRandom(std::random_device()()),
+              control.context().events, std::move(isGone))
+{
+    ClaimHooks &hooks = control_.context().claims;
+    hooks.begin = [this](const ClaimRequest &request, const ClaimKeeper::Completion &completion) {
+        control_.thread().post(
+            [this, request, completion] { keeper_.begin(request, completion); });
+    };
+    hooks.finish = [this](const std::string &token, const ClaimOutcome &outcome) {
+        control_.thread().post([this, token, outcome] { keeper_.finish(token, outcome); });
+    };
+    control_.addTick(tickPeriod, [this](Millis now) { keeper_.tick(now); });
+    control_.addState("claims", [this] {
+        return nlohmann::json{{"waiting", keeper_.waitingDecisions()},
+                              {"ends_to_write", keeper_.pendingWrites()}};
+    });
+    control_.addStopHook([this](std::function<void()> done) { finishAtStop(std::move(done)); });
+}
+
+void ClaimService::finishAtStop(std::function<void()> done)
+{
+    // An instance that went before its claims' ends are written would leave lodged bundles whose
+    // repeats hear "may have run" instead of their answer.
+    if (keeper_.pendingWrites() == 0) {
+        done();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(control_.thread().io());
+    timer->expires_after(std::chrono::milliseconds(tickPeriod.count()));
+    timer->async_wait([this, timer, done = std::move(done)](const auto &error) mutable {
+        if (!error)
+            finishAtStop(std::move(done));
+    });
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/instance/services/ClaimService.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "dispatch/claims/ClaimKeeper.h"
+#include "instance/control/ControlPlane.h"
+#include "ports/store/ObjectStore.h"
+
+namespace cuminrail {
+
+/**
+    Claims of non-repeatable calls: kept on the control thread, asked from request threads.
+
+    @see ClaimKeeper
+*/
+class ClaimService
+{
+public:
+    ClaimService(ControlPlane &control, const ObjectStore &store, Incarnation incarnation,
+                 ClaimKeeper::GoneHook isGone);
+    ClaimService(const ClaimService &) = delete;
+    ClaimService &operator=(const ClaimService &) = delete;
+
+private:
+    void finishAtStop(std::function<void()> done);
+
+    ControlPlane &control_;
+    ClaimKeeper keeper_;
+};
+
+} // namespace cuminrail
