--- /dev/null
+++ b/modules/ctl/settings/KeyEdit.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/errors/Reason.h"
+#include "core/ids/Ids.h"
+#include "core/random/Random.h"
+#include "identity/keys/KeyHash.h"
+#include "settings/read/SettingsReader.h"
+
+#include <string>
+#include <vector>
+
+namespace cuminrail {
+
+/** A key that is to be added; only its hash is stored. */
+struct NewKey
+{
+    TeamId team;
+    CustomerId customer;
+    std::string label;
+    KeyHash hash;
+};
+
+/** Adds a key to its team's subtree. Returns false, with a reason, if the hash exists anywhere. */
+bool addKey(SettingsSubtrees &subtrees, const NewKey &key, Reason *lastReason);
+
+/** Marks a key as withdrawn wherever it is. Returns false, with a reason, if there is none. */
+bool withdrawKey(SettingsSubtrees &subtrees, const KeyHash &hash, Reason *lastReason);
+
+/**
+    Returns the hashes of keys that are withdrawn in the older tree and valid in the newer.
+
+    Applying a directory that was checked out before a withdrawal would bring the key back to life,
+    and nobody would notice before its thief uses it.
+*/
+std::vector<std::string> revivedKeys(const SettingsSubtrees &older, const SettingsSubtrees &newer);
+
+/** Returns a new caller key of 256 random bits. */
+std::string makeKey(const RandomHook &random);
+
+} // namespace cuminrail
--- a/modules/platform/adapters/HttpAuthority_test.cpp
+++ b/modules/platform/adapters/HttpAuthority_test.cpp
@@ -1,6 +1,6 @@
 #include "core/guards/Guards.h"
+#include "platform/client/ControlLoop.h"
 #include "platform/platform.h"
-#include "platform/testing/ControlLoop.h"
 #include "runtime/time/BootClock.h"
 #include "standin/standin.h"
 
--- a/modules/platform/adapters/HttpObjectStore_test.cpp
+++ b/modules/platform/adapters/HttpObjectStore_test.cpp
@@ -1,5 +1,5 @@
+#include "platform/client/ControlLoop.h"
 #include "platform/platform.h"
-#include "platform/testing/ControlLoop.h"
 #include "standin/standin.h"
 
 #include <doctest/doctest.h>
--- a/modules/platform/testing/ControlLoop.h
+++ b/modules/platform/client/ControlLoop.h
@@ -11,7 +11,13 @@
 
 namespace cuminrail {
 
-/** An event loop with a client on it, as a control thread has them; tests call it and wait. */
+/**
+    An event loop with a client on it, for programs and tests that wait for each call.
+
+    @code
+    const auto reply = loop.await<StoreReply>([&](auto done) { store.get(path, done); });
+    @endcode
+*/
 class ControlLoop
 {
 public:
@@ -36,6 +42,9 @@
 
     PlatformClient &client() { return *client_; }
 
+    /** Runs something on the loop and waits until it has run. */
+    void post(const std::function<void()> &action) { thread_.run(action); }
+
     /** Begins a call on the loop and waits for what its completion gets. */
     template<typename Reply>
     Reply await(const std::function<void(std::function<void(const Reply &)>)> &begin)
--- a/modules/platform/platform.h
+++ b/modules/platform/platform.h
@@ -15,4 +15,5 @@
 #include "platform/adapters/HttpObjectStore.h"
 #include "platform/adapters/HttpUsageReceiver.h"
 #include "platform/adapters/HttpWeightStore.h"
+#include "platform/client/ControlLoop.h"
 #include "platform/client/PlatformClient.h"
