Policy bench and decide bench: first version

Workloads, a queueing fake of the engines, four baselines and the very modules of an instance in virtual time; the time of one decision and its slopes. Policy not tuned yet.

--- /dev/null
+++ b/modules/policybench/policy/InstancePolicy.cpp
@@ -0,0 +1,40 @@
+#include "policybench/policy/InstancePolicy.h"
+
+#include "policybench/policy/BaselinePolicy.h"
+#include "policybench/policy/CuminrailPolicy.h"
+
+#include <utility>
+
+namespace cuminrail::policybench {
+
+namespace {
+
+constexpr std::size_t upstreamCapacity = 64;
+constexpr std::size_t teamCapacity = 8;
+constexpr std::size_t hintEntries = 16384;
+
+} // namespace
+
+InstancePolicy::InstancePolicy(PolicySetup setup)
+    : setup_(std::move(setup)), loads_(upstreamCapacity, teamCapacity), hints_(hintEntries),
+      router_(loads_, hints_)
+{ }
+
+AdmissionCapacity InstancePolicy::capacity(const PoolUse &own) const
+{
+    const PoolCapacity whole = table_->capacity(setup_.pool);
+    const PoolLoad load = poolLoad(*table_, loads_, setup_.pool);
+    return instanceCapacity({whole.slots, whole.prefillTokensPerSecond, whole.decodeTokensPerSecond,
+                             setup_.enginePrefillTokensPerSecond},
+                            {load.requests, load.promptTokens}, own,
+                            static_cast<double>(setup_.instances));
+}
+
+std::unique_ptr<InstancePolicy> makeInstancePolicy(PolicySetup setup)
+{
+    if (setup.kind == PolicyKind::Cuminrail)
+        return std::make_unique<CuminrailPolicy>(std::move(setup));
+    return std::make_unique<BaselinePolicy>(std::move(setup));
+}
+
+} // namespace cuminrail::policybench
--- /dev/null
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "core/names/NameTable.h"
+#include "routing/routing.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace cuminrail::policybench {
+
+enum class PolicyKind : std::uint8_t {
+    RoundRobin,
+    LeastOutstanding,
+    PrefixAffinity,
+    /** Least outstanding behind the same bound on prompts in progress as cuminrail has. */
+    LeastOutstandingWindow,
+    Cuminrail,
+};
+
+inline constexpr NameTable<PolicyKind, 5> policyNames{{{
+    {PolicyKind::RoundRobin, "round-robin"},
+    {PolicyKind::LeastOutstanding, "least-outstanding"},
+    {PolicyKind::PrefixAffinity, "prefix-affinity"},
+    {PolicyKind::LeastOutstandingWindow, "least-outstanding-window"},
+    {PolicyKind::Cuminrail, "cuminrail"},
+}}};
+
+/** What all instances of one run share, and what each is told. */
+struct PolicySetup
+{
+    PolicyKind kind = PolicyKind::Cuminrail;
+    std::size_t instance = 0;
+    std::size_t instances = 1;
+    const AdmissionSettings *settings = nullptr;
+    PoolIndex pool = 0;
+    double enginePrefillTokensPerSecond = 0;
+    /** Baselines hold the limits by one limiter a customer that all instances see at once. */
+    std::vector<CustomerLimiter> *sharedLimiters = nullptr;
+    /** Messages of the budget ledgers. */
+    std::function<void(std::size_t to, const std::string &frame)> send;
+    /** What a poll of the ledger admitted or refused. */
+    std::function<void(const AdmissionChanges &)> changed;
+    RandomHook random;
+};
+
+/** One instance's decisions. The live counters are kept in the same way for every policy. */
+class InstancePolicy
+{
+public:
+    explicit InstancePolicy(PolicySetup setup);
+    virtual ~InstancePolicy() = default;
+    InstancePolicy(const InstancePolicy &) = delete;
+    InstancePolicy &operator=(const InstancePolicy &) = delete;
+
+    virtual AdmissionDecision submit(const AdmissionRequest &request, Millis now) = 0;
+    virtual AdmissionChanges firstToken(AdmissionTicket ticket, Millis now) = 0;
+    virtual AdmissionChanges finished(AdmissionTicket ticket, std::uint32_t outputTokens,
+                                      Millis now) = 0;
+    virtual AdmissionChanges cancel(AdmissionTicket ticket, Millis now) = 0;
+    virtual AdmissionChanges tick(Millis now) = 0;
+    /** Four times a second. */
+    virtual void control(Millis now) = 0;
+    virtual std::optional<RoutingChoice> choose(const RoutingRequest &request, Millis now) = 0;
+    virtual void receive(const std::string &, Millis) { }
+
+    void setTable(std::shared_ptr<const RoutingTable> table) { table_ = std::move(table); }
+    const RoutingTable &table() const { return *table_; }
+    Router &router() { return router_; }
+    void attemptFailed(UpstreamIndex upstream, Millis now) { failedAt_[upstream] = now; }
+
+protected:
+    /** Returns this instance's share of the pool, from reports and own use. */
+    AdmissionCapacity capacity(const PoolUse &own) const;
+
+    PolicySetup setup_;
+    std::shared_ptr<const RoutingTable> table_;
+    LiveLoads loads_;
+    PrefixHints hints_;
+    Router router_;
+    std::unordered_map<UpstreamIndex, Millis> failedAt_;
+};
+
+/** Returns a new instance of a policy. */
+std::unique_ptr<InstancePolicy> makeInstancePolicy(PolicySetup setup);
+
+} // namespace cuminrail::policybench
--- /dev/null
+++ b/modules/policybench/simulation/PolicyBench.cpp
@@ -0,0 +1,17 @@
+#include "policybench/simulation/PolicyBench.h"
+
+#include "policybench/simulation/Simulation.h"
+
+namespace cuminrail::policybench {
+
+Score runPolicy(const Workload &workload, PolicyKind policy, std::uint64_t seed,
+                std::vector<RequestRecord> *records)
+{
+    Simulation simulation(workload, policy, seed);
+    const std::vector<RequestRecord> &seen = simulation.run();
+    if (records != nullptr)
+        *records = seen;
+    return scoreOf(workload, seen);
+}
+
+} // namespace cuminrail::policybench
--- /dev/null
+++ b/modules/policybench/simulation/PolicyBench.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "policybench/policy/InstancePolicy.h"
+#include "policybench/score/Score.h"
+
+#include <vector>
+
+namespace cuminrail::policybench {
+
+/** Runs a workload under a policy. @param records  what became of each request; may be null. */
+Score runPolicy(const Workload &workload, PolicyKind policy, std::uint64_t seed,
+                std::vector<RequestRecord> *records = nullptr);
+
+} // namespace cuminrail::policybench
--- /dev/null
+++ b/modules/policybench/workload/Workload.cpp
@@ -0,0 +1,198 @@
+#include "policybench/workload/Workload.h"
+
+#include "policybench/workload/WorkloadBuilder.h"
+
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace cuminrail::policybench {
+
+namespace {
+
+constexpr double second = 1000;
+constexpr double runLength = 240 * second;
+const std::vector<double> fewLargeCustomers = {6, 4, 3, 1, 1, 1, 0.5, 0.5};
+
+RequestKind exhibitSummary()
+{
+    return {3000, 150, 0.6, Priority::Interactive, 0.5, 60, 2};
+}
+
+RequestKind privilegeFlag()
+{
+    return {1500, 20, 0.5, Priority::Interactive, 0.3, 60, 3};
+}
+
+RequestKind bundleIndex()
+{
+    return {5000, 400, 0.5, Priority::Batch, 0, 1, 1, 60 * second};
+}
+
+RequestKind partCheck()
+{
+    return {2000, 250, 0.6, Priority::Standard, 0.4, 40, 2};
+}
+
+RequestKind handwrittenPage()
+{
+    return {900, 350, 0.5, Priority::Interactive, 0, 1, 1};
+}
+
+RequestKind rehearsalMarks()
+{
+    return {1200, 80, 0.5, Priority::Batch, 0.3, 40, 1, 90 * second};
+}
+
+RequestKind shortChat()
+{
+    return {400, 250, 0.7, Priority::Interactive, 0, 1, 1};
+}
+
+/** The registry closes at the end; work comes ever faster until then. */
+Workload courtDay(WorkloadBuilder builder)
+{
+    builder.addEngines(10);
+    builder.addCustomers(fewLargeCustomers);
+    builder.addArrivals([](double time) {
+        const double rise = std::min(1.0, time / (0.75 * runLength));
+        return Mix{0.45 + 0.6 * rise, {exhibitSummary(), privilegeFlag(), bundleIndex()}};
+    });
+    return builder.take();
+}
+
+/** Waves of checking and of reading pages, around what the fleet carries. */
+Workload festival(WorkloadBuilder builder)
+{
+    builder.addEngines(12);
+    builder.addCustomers(fewLargeCustomers);
+    builder.addArrivals([](double time) {
+        const double wave = std::sin(time / (80 * second) * 6.283);
+        RequestKind check = partCheck();
+        check.share *= 1 + 0.8 * wave;
+        return Mix{0.75 + 0.25 * wave, {check, handwrittenPage(), rehearsalMarks()}};
+    });
+    return builder.take();
+}
+
+/** The share of prefill swings between a tenth and two thirds within a minute. */
+Workload mixSwing(WorkloadBuilder builder)
+{
+    builder.addEngines(12);
+    builder.addCustomers({1, 1, 1, 1, 1, 1, 1, 1});
+    builder.addArrivals([](double time) {
+        const double swing = 0.5 + 0.5 * std::sin(time / (60 * second) * 6.283);
+        RequestKind reading{4000, 60, 0.9, Priority::Interactive, 0, 1, swing};
+        RequestKind writing{250, 400, 0.7, Priority::Interactive, 0, 1, 1 - swing};
+        return Mix{0.9, {reading, writing}};
+    });
+    return builder.take();
+}
+
+/** One customer sends three times its limit, through two of the six instances. */
+Workload whale(WorkloadBuilder builder)
+{
+    builder.addEngines(10);
+    builder.addCustomers({1, 1, 1, 1, 1, 1, 1, 1});
+    builder.addArrivals([](double) { return Mix{0.5, {exhibitSummary(), shortChat()}}; });
+    RequestKind large{2500, 250, 0.8, Priority::Interactive};
+    builder.addWhale(0.9, 0.3, large, {0, 1});
+    return builder.take();
+}
+
+/** A third of the engines is gone for a minute and a half. */
+Workload domainLoss(WorkloadBuilder builder)
+{
+    builder.addEngines(12);
+    builder.addCustomers(fewLargeCustomers);
+    builder.addArrivals([](double) {
+        return Mix{0.75, {exhibitSummary(), shortChat(), bundleIndex()}};
+    });
+    builder.workload.outages.push_back({80 * second, 170 * second, {1, 4, 7, 10}});
+    return builder.take();
+}
+
+/** Half of the cheaper engines vanish, with all that ran there. */
+Workload cheapReclaim(WorkloadBuilder builder)
+{
+    builder.addEngines(8);
+    builder.addEngines(6, "reclaimable");
+    builder.addCustomers(fewLargeCustomers, 0.5);
+    builder.addArrivals([](double) {
+        RequestKind index = bundleIndex();
+        index.share = 2;
+        RequestKind once = bundleIndex();
+        once.share = 0.2;
+        once.repeatable = false;
+        return Mix{1.1, {exhibitSummary(), shortChat(), index, once}};
+    });
+    builder.workload.outages.push_back({100 * second, 160 * second, {8, 9, 10}});
+    return builder.take();
+}
+
+/** Many engines, and reports that are two seconds old when they arrive. */
+Workload staleReports(WorkloadBuilder builder)
+{
+    builder.addEngines(24);
+    builder.addCustomers(fewLargeCustomers);
+    builder.workload.reportLag = 2 * second;
+    builder.addArrivals([](double) {
+        RequestKind large{6000, 100, 0.8, Priority::Interactive, 0, 1, 0.5};
+        return Mix{0.85, {large, shortChat(), privilegeFlag()}};
+    });
+    return builder.take();
+}
+
+/** Many questions about few long documents; the caches of all engines together hold them once. */
+Workload prefixHeavy(WorkloadBuilder builder)
+{
+    builder.addEngines(12);
+    builder.addCustomers(fewLargeCustomers);
+    builder.workload.cacheTokens = 120000;
+    builder.addArrivals([](double) {
+        RequestKind question{7000, 100, 0.4, Priority::Interactive, 0.92, 20, 1};
+        return Mix{0.7, {question, shortChat()}};
+    });
+    return builder.take();
+}
+
+struct Named
+{
+    std::string name;
+    std::function<Workload(WorkloadBuilder)> make;
+};
+
+const std::vector<Named> &allWorkloads()
+{
+    static const std::vector<Named> all = {
+        {"inteko-court-day", courtDay},  {"kerlann-festival", festival},
+        {"mix-swing", mixSwing},         {"whale-customer", whale},
+        {"domain-loss", domainLoss},     {"cheap-reclaim", cheapReclaim},
+        {"stale-reports", staleReports}, {"prefix-heavy", prefixHeavy},
+    };
+    return all;
+}
+
+} // namespace
+
+const std::vector<std::string> &workloadNames()
+{
+    static const std::vector<std::string> names = [] {
+        std::vector<std::string> list;
+        for (const Named &entry : allWorkloads())
+            list.push_back(entry.name);
+        return list;
+    }();
+    return names;
+}
+
+std::optional<Workload> makeWorkload(std::string_view name, std::uint64_t seed)
+{
+    for (const Named &entry : allWorkloads()) {
+        if (entry.name == name)
+            return entry.make(WorkloadBuilder(entry.name, seed, runLength));
+    }
+    return std::nullopt;
+}
+
+} // namespace cuminrail::policybench
--- a/modules/ports/engines/EngineControl.h
+++ b/modules/ports/engines/EngineControl.h
@@ -4,7 +4,6 @@
 #include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
-#include "core/time/Millis.h"
 
 #include <cstdint>
 #include <functional>
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -16,6 +16,7 @@
 #include "routing/ejection/OutlierEjector.h"
 #include "routing/leaving/LeavingSet.h"
 #include "routing/live/LiveLoads.h"
+#include "routing/live/PoolLoad.h"
 #include "routing/prefix/PrefixChain.h"
 #include "routing/prefix/PrefixHints.h"
 #include "routing/table/LiveFacts.h"
--- /dev/null
+++ b/programs/cuminrail-bench/main.cpp
@@ -0,0 +1,51 @@
+#include "BenchCommand.h"
+
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using cuminrail::BenchCommand;
+
+const std::vector<BenchCommand> &commands()
+{
+    static const std::vector<BenchCommand> all = {
+        {"policy", "goodput of admission and routing against baselines, in virtual time",
+         cuminrail::runPolicyCommand},
+        {"decide", "time and memory of one decision, and their slopes",
+         cuminrail::runDecideCommand},
+    };
+    return all;
+}
+
+int usage(std::ostream &out, int code)
+{
+    out << "cuminrail-bench COMMAND [--help] [options]\n\n";
+    for (const BenchCommand &command : commands())
+        out << "  " << command.name << "\t" << command.help << "\n";
+    return code;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string name = argc > 1 ? argv[1] : "";
+    if (name == "--help" || name == "-h")
+        return usage(std::cout, 0);
+    for (const BenchCommand &command : commands()) {
+        if (command.name != name)
+            continue;
+        try {
+            return command.run(argc - 1, argv + 1);
+        } catch (const std::exception &error) {
+            std::cerr << "cuminrail-bench " << name << ": " << error.what() << "\n";
+            return cuminrail::usageError;
+        }
+    }
+    if (!name.empty())
+        std::cerr << "cuminrail-bench: no command '" << name << "'\n";
+    return usage(std::cerr, cuminrail::usageError);
+}
