--- a/modules/instance/Instance.h
+++ b/modules/instance/Instance.h
@@ -49,6 +49,8 @@
     void drain();
     /** Returns when the graceful stop is over. */
     void wait();
+    /** Reads changed certificate files now instead of at the next check. Control thread. */
+    void reloadTls();
     /** Ends all threads. Signal handlers and the like on the control loop must outlive this. */
     void shutDown();
     /** Returns true once the graceful stop is over. */
@@ -63,7 +65,6 @@
     void requestsCounted(std::size_t busy);
     void endDrain();
     void stopped();
-    void reloadTls();
 
     ServingContext context_;
     AdmissionDesk admission_;
--- a/modules/instance/config/InstanceFlags.cpp
+++ b/modules/instance/config/InstanceFlags.cpp
@@ -107,10 +107,9 @@
 
 bool setPlatform(const std::string &text, InstanceConfig &config, Reason *lastReason)
 {
-    if (!text.empty() && !address(text, 1, lastReason))
-        return false;
+    // Taken over even when wrong: a second line saying that it is missing would only confuse.
     config.platform = text;
-    return true;
+    return text.empty() || address(text, 1, lastReason).has_value();
 }
 
 bool setPeers(const std::string &text, InstanceConfig &config, Reason *lastReason)
@@ -282,6 +281,7 @@
             result.mistakes.push_back({rest, "is not a flag"});
     } catch (const std::exception &error) {
         result.mistakes.push_back({"command line", error.what()});
+        return result;
     }
     for (const InstanceFlag &flag : instanceFlags()) {
         const auto onLine = given.find(flag.name);
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -264,7 +264,8 @@
     deadline_.setAfter(pool_.limits_.idleTimeout);
     pool_.keepIdle(shared_from_this());
     read();
-    hooks.onEnd(UpstreamEnd{UpstreamEndKind::Complete, Verdict::Ran, {}});
+    if (hooks.onEnd)
+        hooks.onEnd(UpstreamEnd{UpstreamEndKind::Complete, Verdict::Ran, {}});
 }
 
 void UpstreamConnection::end(UpstreamEndKind kind, Reason reason)
