--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -23,8 +23,23 @@
         &storeReturned,
         // 5xx configuration and keys
         &configurationInForce,
+        &configurationRefused,
+        &configurationWouldRevert,
+        &configurationStale,
+        &configurationConfirmed,
+        &keyWithdrawnHeard,
+        &watchDutyChanged,
+        &watchReplaced,
         // 6xx membership
         &peerSuspected,
+        &peerJoined,
+        &peerLeaving,
+        &peerDeclaredDead,
+        &tooManySilent,
+        &ownPauseNoticed,
+        &peerFrameMalformed,
+        &peerLinkRefused,
+        &peerLinkReplaced,
         // 7xx leases and orders
         &leaseTaken,
         &leaseLost,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -57,10 +57,52 @@
 inline constexpr EventKind configurationInForce{
     501, EventLevel::Info, "configuration-in-force",
     "A newer version of a settings subtree is in force here."};
+inline constexpr EventKind configurationRefused{
+    510, EventLevel::Warning, "configuration-refused",
+    "New settings are not valid here; the previous ones stay in force."};
+inline constexpr EventKind configurationWouldRevert{
+    511, EventLevel::Error, "configuration-would-revert",
+    "The store or a peer shows older settings than those in force; they are not taken."};
+inline constexpr EventKind configurationStale{
+    512, EventLevel::Warning, "configuration-stale",
+    "Nobody confirms the settings; from the limit on requests are refused."};
+inline constexpr EventKind configurationConfirmed{
+    513, EventLevel::Info, "configuration-confirmed",
+    "The settings are confirmed again; requests are served."};
+inline constexpr EventKind keyWithdrawnHeard{
+    514, EventLevel::Info, "key-withdrawn-heard",
+    "A peer says that a key is withdrawn; it is refused from now on."};
+inline constexpr EventKind watchDutyChanged{
+    515, EventLevel::Info, "watch-duty-changed",
+    "This instance begins or ends watching the settings for its failure domain."};
+inline constexpr EventKind watchReplaced{516, EventLevel::Warning, "watch-replaced",
+                                         "A watch on the settings went silent and was replaced."};
 
 // 6xx membership
 inline constexpr EventKind peerSuspected{601, EventLevel::Info, "peer-suspected",
                                          "An instance shows no progress; others are asked."};
+inline constexpr EventKind peerJoined{
+    602, EventLevel::Info, "peer-joined",
+    "An instance, or a new life of one, is known for the first time."};
+inline constexpr EventKind peerLeaving{603, EventLevel::Info, "peer-leaving",
+                                       "An instance announced its planned stop."};
+inline constexpr EventKind peerDeclaredDead{604, EventLevel::Warning, "peer-declared-dead",
+                                            "An instance stayed silent; it gets no more messages."};
+inline constexpr EventKind tooManySilent{605, EventLevel::Error, "too-many-silent",
+                                         "So many of a region are silent that this instance may be "
+                                         "the one cut off; none is declared dead."};
+inline constexpr EventKind ownPauseNoticed{
+    606, EventLevel::Warning, "own-pause-noticed",
+    "This process did not run for a while; silences seen meanwhile are not counted."};
+inline constexpr EventKind peerFrameMalformed{
+    607, EventLevel::Warning, "peer-frame-malformed",
+    "A frame from a peer could not be read and changed nothing."};
+inline constexpr EventKind peerLinkRefused{
+    610, EventLevel::Warning, "peer-link-refused",
+    "A connection did not prove the shared secret, or a frame its origin; it is closed."};
+inline constexpr EventKind peerLinkReplaced{
+    611, EventLevel::Info, "peer-link-replaced",
+    "A connection to a peer showed no progress; the next message opens a new one."};
 
 // 7xx leases and orders
 inline constexpr EventKind leaseTaken{701, EventLevel::Info, "lease-taken",
--- /dev/null
+++ b/modules/membership/ring/NeighbourRing.cpp
@@ -0,0 +1,49 @@
+#include "membership/ring/NeighbourRing.h"
+
+#include "membership/model/StableHash.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace cuminrail {
+
+namespace {
+
+using RingPlace = std::pair<std::uint64_t, InstanceId>;
+
+RingPlace placeOf(const InstanceId &id)
+{
+    return {StableHash().add(id.text()).value(), id};
+}
+
+void addOnce(std::vector<InstanceId> &list, const InstanceId &id, const InstanceId &self)
+{
+    if (id != self && std::find(list.begin(), list.end(), id) == list.end())
+        list.push_back(id);
+}
+
+} // namespace
+
+void NeighbourRing::rebuild(const InstanceId &self, const std::vector<InstanceId> &members)
+{
+    std::vector<RingPlace> ring;
+    ring.reserve(members.size() + 1);
+    for (const InstanceId &member : members)
+        ring.push_back(placeOf(member));
+    ring.push_back(placeOf(self));
+    std::sort(ring.begin(), ring.end());
+    ring.erase(std::unique(ring.begin(), ring.end()), ring.end());
+
+    neighbours_.clear();
+    watchers_.clear();
+    const std::size_t size = ring.size();
+    const auto own = std::lower_bound(ring.begin(), ring.end(), placeOf(self));
+    const auto place = static_cast<std::size_t>(own - ring.begin());
+    for (std::size_t distance = 1; distance < size; distance *= 2) {
+        addOnce(neighbours_, ring[(place + distance) % size].second, self);
+        addOnce(watchers_, ring[(place + size - distance) % size].second, self);
+    }
+}
+
+} // namespace cuminrail
--- a/modules/settings/diff/SettingsDiff.cpp
+++ b/modules/settings/diff/SettingsDiff.cpp
@@ -21,7 +21,7 @@
 std::string elementName(const Json &element, std::size_t index)
 {
     for (const char *name : {"id", "name", "sha256", "date"}) {
-        const std::string text = textEntry(element, name);
+        std::string text = textEntry(element, name);
         if (!text.empty())
             return text;
     }
--- a/modules/settings/fields/Field.h
+++ b/modules/settings/fields/Field.h
@@ -164,10 +164,10 @@
 
 /** An entry whose value is a text, kept in a std::string or an Id. */
 template<typename T, typename Member>
-Field<T> textField(FieldInfo info, Member T::*member, TextCheck check)
+Field<T> textField(const FieldInfo &info, Member T::*member, TextCheck check)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [member, check = std::move(check)](const nlohmann::json &value,
                                                     const std::string &pointer, T &target,
                                                     FieldProblems &problems) {
@@ -184,10 +184,10 @@
 
 /** An entry whose value is a list of texts without repetitions. */
 template<typename T, typename Member>
-Field<T> textListField(FieldInfo info, std::vector<Member> T::*member, TextCheck check)
+Field<T> textListField(const FieldInfo &info, std::vector<Member> T::*member, TextCheck check)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [member, check = std::move(check)](const nlohmann::json &value,
                                                     const std::string &pointer, T &target,
                                                     FieldProblems &problems) {
@@ -222,10 +222,10 @@
 
 /** An entry whose value is a finite number in a closed range. */
 template<typename T>
-Field<T> numberField(FieldInfo info, double T::*member, double minimum, double maximum)
+Field<T> numberField(const FieldInfo &info, double T::*member, double minimum, double maximum)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         if (!value.is_number())
@@ -248,11 +248,11 @@
 
 /** An entry whose value is a whole number in a closed range. */
 template<typename T>
-Field<T> countField(FieldInfo info, std::uint32_t T::*member, std::uint32_t minimum,
+Field<T> countField(const FieldInfo &info, std::uint32_t T::*member, std::uint32_t minimum,
                     std::uint32_t maximum)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         if (const auto number = readWholeNumber(value, pointer, minimum, maximum, problems))
@@ -264,10 +264,10 @@
 
 /** An entry whose value is a span of whole milliseconds. */
 template<typename T>
-Field<T> millisField(FieldInfo info, Millis T::*member, Millis minimum, Millis maximum)
+Field<T> millisField(const FieldInfo &info, Millis T::*member, Millis minimum, Millis maximum)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         if (const auto number =
@@ -279,10 +279,10 @@
 }
 
 template<typename T>
-Field<T> boolField(FieldInfo info, bool T::*member)
+Field<T> boolField(const FieldInfo &info, bool T::*member)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         if (!value.is_boolean())
@@ -295,10 +295,10 @@
 
 /** An entry whose value is one of an enumeration's names. */
 template<typename T, typename Enum, std::size_t Size>
-Field<T> enumField(FieldInfo info, Enum T::*member, const NameTable<Enum, Size> &names)
+Field<T> enumField(const FieldInfo &info, Enum T::*member, const NameTable<Enum, Size> &names)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         const auto found =
@@ -315,10 +315,10 @@
 
 /** An entry whose value is an object with a table of its own. */
 template<typename T, typename Inner>
-Field<T> objectField(FieldInfo info, Inner T::*member)
+Field<T> objectField(const FieldInfo &info, Inner T::*member)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         readFields(value, pointer, target.*member, problems);
@@ -332,10 +332,10 @@
 
 /** An entry whose value is a list of objects with a table of their own. */
 template<typename T, typename Element>
-Field<T> listField(FieldInfo info, std::vector<Element> T::*member)
+Field<T> listField(const FieldInfo &info, std::vector<Element> T::*member)
 {
     Field<T> field;
-    field.info = std::move(info);
+    field.info = info;
     field.read = [=](const nlohmann::json &value, const std::string &pointer, T &target,
                      FieldProblems &problems) {
         if (!value.is_array())
