Usage: cumulative counters, windows sealed once, reported from the seal

Cause: a window must never be reported with two figures, nor by two holders. Change: UsageFlusher writes cumulative counters per life of an instance; UsageReporter seals windows in order, each created under the condition that there is none, and reports the sealed bytes; late use goes into the next window, marked; counters of dead instances are folded and removed.

--- a/modules/orders/keeper/OrderKeeper.cpp
+++ b/modules/orders/keeper/OrderKeeper.cpp
@@ -130,6 +130,14 @@
     return track != tracks_.end() && track->second->stage() == EngineOrderTrack::Stage::Idle;
 }
 
+std::optional<OrderRecord> OrderKeeper::lastSettled(const UpstreamId &engine) const
+{
+    const auto track = tracks_.find(engine);
+    if (track == tracks_.end())
+        return std::nullopt;
+    return track->second->lastSettled();
+}
+
 bool OrderKeeper::isQuiet() const
 {
     return std::none_of(tracks_.begin(), tracks_.end(),
--- a/modules/orders/keeper/OrderKeeper.h
+++ b/modules/orders/keeper/OrderKeeper.h
@@ -68,6 +68,8 @@
     bool request(const WantedOrder &wanted, Reason *lastReason);
     /** Returns true when the engine could be given an order now. */
     bool isIdle(const UpstreamId &engine) const;
+    /** Returns the engine's last settled order, when none is outstanding. */
+    std::optional<OrderRecord> lastSettled(const UpstreamId &engine) const;
     /** Returns true when nothing is recorded as intended and not settled. */
     bool isQuiet() const;
     std::vector<View> view() const;
--- a/modules/orders/track/EngineOrderTrack.cpp
+++ b/modules/orders/track/EngineOrderTrack.cpp
@@ -29,6 +29,7 @@
     takenAt_ = hooks_.clock.now();
     nextAt_ = takenAt_;
     unsentOrderId_.clear();
+    record_ = OrderRecord{};
 }
 
 void EngineOrderTrack::end()
@@ -47,6 +48,13 @@
     return record_;
 }
 
+std::optional<OrderRecord> EngineOrderTrack::lastSettled() const
+{
+    if (stage_ != Stage::Idle || record_.order.orderId.empty())
+        return std::nullopt;
+    return record_;
+}
+
 bool EngineOrderTrack::hasAuthority() const
 {
     const auto authority = hooks_.authority();
@@ -163,13 +171,13 @@
     // A former holder's order may be under way. A different one now would meet it in the engine,
     // which then does both or the older one last.
     const bool isOpen = !record.isSettled() && guardEnabled(Guard::SettleBeforeNext);
+    record_ = record;
     if (!isOpen) {
         stage_ = Stage::Idle;
         return;
     }
     const bool isOwnUnsent = record.order.orderId == unsentOrderId_;
     const auto authority = hooks_.authority();
-    record_ = record;
     if (isOwnUnsent) {
         send();
         return;
--- a/modules/orders/track/EngineOrderTrack.h
+++ b/modules/orders/track/EngineOrderTrack.h
@@ -88,6 +88,8 @@
     Stage stage() const { return stage_; }
     /** Returns the order that is not settled. */
     std::optional<OrderRecord> outstanding() const;
+    /** Returns the last order that was settled, when none is outstanding. */
+    std::optional<OrderRecord> lastSettled() const;
     void setChecksFence(bool checks) { engine_.checksFence = checks; }
 
 private:
--- /dev/null
+++ b/modules/usage/seal/UsageReporter.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "core/events/Event.h"
+#include "core/random/Random.h"
+#include "core/time/Clock.h"
+#include "lease/keeper/DutyLease.h"
+#include "ports/store/ObjectStore.h"
+#include "ports/usage/UsageReceiver.h"
+#include "usage/seal/UsageMerge.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cuminrail {
+
+struct UsageTiming
+{
+    Millis windowLength = Millis::minutes(5);
+    /** How long after a window's end it is sealed, so that instances can write what they have. */
+    Millis grace = Millis::seconds(15);
+    Millis retryEvery{1000};
+    /** Nothing is written or reported with less of the lease left than this. */
+    Millis sendMargin{1000};
+    /** How many sealed and reported windows stay in the store. */
+    WindowIndex kept = 48;
+};
+
+/**
+    Seals and reports one team's usage windows, as the holder of the team's duty.
+
+    Windows are sealed one after the other and none is left out. Each seal is created on the
+    condition that there is none, so that of two who believe to be in charge one makes the figures
+    and both report them; a window that a slow writer seals late is found, not repeated.
+*/
+class UsageReporter
+{
+public:
+    struct Hooks
+    {
+        ObjectStore store;
+        UsageReceiver receiver;
+        Clock clock;
+        RandomHook random;
+        EventSink events;
+        std::function<std::optional<Authority>()> authority;
+        /** Calendar time since 1970 in UTC. */
+        std::function<Millis()> calendar;
+        /** Says whether a life of an instance, "<instance>-<incarnation>", may still count. */
+        std::function<bool(const std::string &)> isLive;
+    };
+
+    UsageReporter(TeamId team, const UsageTiming &timing, Hooks hooks);
+    UsageReporter(const UsageReporter &) = delete;
+    UsageReporter &operator=(const UsageReporter &) = delete;
+
+    /** The duty's lease was taken. */
+    void taken();
+    /** The duty's lease was lost or is being given back. */
+    void lost();
+    /** Does what is due. */
+    void tick();
+
+    /** Returns the last window known to be sealed. */
+    std::optional<WindowIndex> lastSealed() const;
+    /** Returns how many sealed windows the platform has not confirmed. */
+    std::size_t unreported() const;
+
+    static std::string sealPrefix(const TeamId &team)
+    {
+        return "usage/" + team.text() + "/sealed/";
+    }
+    static std::string startPath(const TeamId &team) { return "usage/" + team.text() + "/start"; }
+
+private:
+    struct Seal
+    {
+        ObjectVersion version = 0;
+        SealedWindow window;
+    };
+
+    template<typename Reply>
+    std::function<void(const Reply &)> current(void (UsageReporter::*method)(const Reply &));
+
+    std::optional<Authority> usableAuthority() const;
+    std::string sealPath(WindowIndex window) const;
+    WindowIndex nextWindow() const;
+    bool isSealDue() const;
+    void loadSeals();
+    void sealsLoaded(const StoreReply &reply);
+    void claimStart();
+    void startClaimed(const StoreReply &reply);
+    void startRead(const StoreReply &reply);
+    void listCounters();
+    void countersListed(const StoreReply &reply);
+    void writeSeal();
+    void sealWritten(const StoreReply &reply);
+    void sealRead(const StoreReply &reply);
+    void adoptSeal(ObjectVersion version, const SealedWindow &window);
+    bool reportOldest();
+    void reported(const OrderReply &reply);
+    void markWritten(const StoreReply &reply);
+    bool removeOld();
+    void removed(const StoreReply &reply);
+    std::string figuresToReport(const Seal &seal) const;
+    UsageMergeInput mergeInput(WindowIndex window) const;
+    void retryLater();
+
+    TeamId team_;
+    UsageTiming timing_;
+    UsageWindows windows_;
+    Hooks hooks_;
+    bool inCharge_ = false;
+    bool loaded_ = false;
+    bool busy_ = false;
+    std::uint64_t epoch_ = 0;
+    Millis nextAt_;
+    std::optional<WindowIndex> first_;
+    std::map<WindowIndex, Seal> seals_;
+    std::vector<CounterSource> sources_;
+    /** Versions of counters at the seal before, to see which have stopped moving. */
+    std::map<std::string, ObjectVersion> versionsBefore_;
+    SealedWindow draft_;
+    WindowIndex reporting_ = 0;
+    /** Counter objects that are folded into a seal and can be removed. */
+    std::map<std::string, ObjectVersion> removable_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/usage/usage.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/**
+    Usage: counted at every instance, merged per team, sealed once a window, reported from the seal.
+
+    Purpose: no window is ever reported with two different figures. Counters are cumulative per
+    life of an instance, so that merging them twice counts nothing twice. See docs/USAGE.md.
+
+    Runs on an instance's control thread; request threads hand their sums over.
+
+    Depends on: core, ports, lease, nlohmann-json.
+*/
+
+#include "usage/figures/UsageFigures.h"
+#include "usage/figures/UsageWindows.h"
+#include "usage/flush/FlushPeriod.h"
+#include "usage/flush/UsageFlusher.h"
+#include "usage/record/CounterRecord.h"
+#include "usage/record/SealedWindow.h"
+#include "usage/seal/UsageMerge.h"
+#include "usage/seal/UsageReporter.h"
