--- a/modules/engineview/EngineView.cpp
+++ b/modules/engineview/EngineView.cpp
@@ -30,14 +30,10 @@
 } // namespace
 
 EngineView::EngineView(Config config, EngineControl engines, PeerTransport peers, Hooks hooks,
-                       RandomHook random) :
-    config_(std::move(config)),
-    engines_(std::move(engines)),
-    peers_(std::move(peers)),
-    hooks_(std::move(hooks)),
-    random_(std::move(random))
-{
-}
+                       RandomHook random)
+    : config_(std::move(config)), engines_(std::move(engines)), peers_(std::move(peers)),
+      hooks_(std::move(hooks)), random_(std::move(random))
+{ }
 
 EngineView::~EngineView()
 {
@@ -112,26 +108,52 @@
     if (!state)
         return;
     const EngineReport report = reportOf(*state, now_);
-    if (table_.merge(report))
-        fresh_.insert(report.engine);
+    noteNews(report.engine, table_.merge(report));
     table_.learn(*state);
 }
 
+void EngineView::noteNews(EngineKey engine, ReportNews news)
+{
+    if (news == ReportNews::Facts)
+        changed_.insert(engine);
+    else if (news == ReportNews::Load)
+        fresh_.insert(engine);
+}
+
 void EngineView::passOn(Millis now)
 {
-    if (fresh_.empty())
-        return;
+    if (!changed_.empty())
+        passOnChanges(now);
+    if (!fresh_.empty()) {
+        const std::string frame = reportFrame(fresh_, now);
+        for (const PeerAddress &neighbour : drawNeighbours())
+            peers_.send(neighbour, frame);
+    }
+    changed_.clear();
+    fresh_.clear();
+}
+
+void EngineView::passOnChanges(Millis now)
+{
+    const std::string frame = reportFrame(changed_, now);
+    const std::vector<EngineKey> changed(changed_.begin(), changed_.end());
+    for (const PeerAddress &neighbour : hooks_.neighbours()) {
+        peers_.send(neighbour, frame);
+        // Left to ask for the facts, each instance in a chain would wait for the one before it.
+        answerFacts(neighbour, changed, now);
+    }
+}
+
+std::string EngineView::reportFrame(const std::set<EngineKey> &engines, Millis now) const
+{
     ReportMessage message;
     message.kind = ReportMessageKind::Reports;
-    for (const EngineKey engine : fresh_) {
+    for (const EngineKey engine : engines) {
         const EngineReport *report = table_.find(engine);
         if (report != nullptr && message.reports.size() < maxReportsPerFrame)
             message.reports.push_back(*report);
     }
-    fresh_.clear();
-    const std::string frame = encodeReportMessage(message, now);
-    for (const PeerAddress &neighbour : drawNeighbours())
-        peers_.send(neighbour, frame);
+    return encodeReportMessage(message, now);
 }
 
 std::vector<PeerAddress> EngineView::drawNeighbours()
@@ -187,9 +209,10 @@
 void EngineView::takeReports(const PeerAddress &from, const std::vector<EngineReport> &reports)
 {
     for (const EngineReport &report : reports) {
-        if (!table_.merge(report))
+        const ReportNews news = table_.merge(report);
+        if (news == ReportNews::None)
             continue;
-        fresh_.insert(report.engine);
+        noteNews(report.engine, news);
         teller_[report.engine] = from;
     }
 }
--- a/modules/engineview/EngineView.h
+++ b/modules/engineview/EngineView.h
@@ -22,9 +22,11 @@
     Keeps what this instance knows of all engines up to date, with a bounded share of the work.
 
     Each engine is polled by one instance (pollerOf). What a poll or a peer brings is passed on
-    once, to a few neighbours, in frames gathered over a short span. With n instances, e engines,
-    poll period p and fan-out f an instance sends e × f × 14 bytes each p, whatever n is, and polls
-    e / n engines each p.
+    once, in frames gathered over a short span: loads to a few neighbours drawn at random, since
+    the next sample makes up for a member that was missed; changes of role, models or life whole
+    and to all neighbours, since work sent by the old ones fails. With n instances, e engines, poll
+   period p and fan-out f an instance sends e × f × 14 bytes each p, whatever n is, and polls e / n
+    engines each p.
 
     Runs on the control thread.
 
@@ -76,7 +78,8 @@
     bool receive(const PeerAddress &from, const std::string &frame, Millis now);
 
     /** Puts the known loads into the counters that routing reads. */
-    void publishLoads(LiveLoads &loads, const std::function<UpstreamIndex(const UpstreamId &)> &index,
+    void publishLoads(LiveLoads &loads,
+                      const std::function<UpstreamIndex(const UpstreamId &)> &index,
                       Millis now) const;
 
     const ReportTable &table() const { return table_; }
@@ -97,6 +100,9 @@
     void passOn(Millis now);
     void askForFacts(Millis now);
     void answerFacts(const PeerAddress &to, const std::vector<EngineKey> &wanted, Millis now);
+    void noteNews(EngineKey engine, ReportNews news);
+    void passOnChanges(Millis now);
+    std::string reportFrame(const std::set<EngineKey> &engines, Millis now) const;
     void takeReports(const PeerAddress &from, const std::vector<EngineReport> &reports);
     std::vector<PeerAddress> drawNeighbours();
 
@@ -112,8 +118,10 @@
     std::vector<EngineSettings> settings_;
     std::map<UpstreamId, Polled> polled_;
     ReportTable table_;
-    /** Engines whose newest report has not been passed on. */
+    /** Engines whose newest sample has not been passed on. */
     std::set<EngineKey> fresh_;
+    /** Engines whose facts changed, which has not been passed on. */
+    std::set<EngineKey> changed_;
     /** Who last told of an engine: whom to ask for its facts. */
     std::map<EngineKey, PeerAddress> teller_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/modules/engineview/EngineView_test.cpp
+++ b/modules/engineview/EngineView_test.cpp
@@ -77,13 +77,13 @@
     const auto report = [&](const EngineState &state, std::int64_t at) {
         return EngineReport{engineKey(engine), factsHash(state), 0, 0, Millis(at)};
     };
-    REQUIRE(table.merge(report(decode, 2000)));
+    REQUIRE(table.merge(report(decode, 2000)) == ReportNews::Load);
     REQUIRE(table.learn(decode));
-    CHECK_FALSE(table.merge(report(prefill, 1000)));
+    CHECK(table.merge(report(prefill, 1000)) == ReportNews::None);
     CHECK_FALSE(table.learn(prefill));
     CHECK(table.facts(engineKey(engine))->role == EngineRole::Decode);
 
-    REQUIRE(table.merge(report(prefill, 3000)));
+    REQUIRE(table.merge(report(prefill, 3000)) == ReportNews::Facts);
     CHECK(table.unknownFacts() == std::vector<EngineKey>{engineKey(engine)});
     REQUIRE(table.learn(prefill));
     CHECK(table.unknownFacts().empty());
@@ -93,7 +93,7 @@
 {
     ReportTable table;
     table.setEngines({UpstreamId("e1")});
-    CHECK_FALSE(table.merge({engineKey(UpstreamId("e2")), 1, 0, 0, Millis(1)}));
+    CHECK(table.merge({engineKey(UpstreamId("e2")), 1, 0, 0, Millis(1)}) == ReportNews::None);
     CHECK(table.reports().empty());
 }
 
--- a/modules/engineview/reports/ReportTable.cpp
+++ b/modules/engineview/reports/ReportTable.cpp
@@ -23,17 +23,21 @@
     ++factsRevision_;
 }
 
-bool ReportTable::merge(const EngineReport &report)
+ReportNews ReportTable::merge(const EngineReport &report)
 {
     if (engines_.count(report.engine) == 0)
-        return false;
+        return ReportNews::None;
     const auto [entry, isFirst] = reports_.emplace(report.engine, report);
+    // A first report is most often news to this instance alone, which has just started. Passed on
+    // as a change it would send the whole fleet's facts to all neighbours at every restart.
     if (isFirst)
-        return true;
-    if (report.sampledAt <= entry->second.sampledAt)
-        return false;
-    entry->second = report;
-    return true;
+        return ReportNews::Load;
+    EngineReport &known = entry->second;
+    if (report.sampledAt <= known.sampledAt)
+        return ReportNews::None;
+    const bool sameFacts = report.facts == known.facts;
+    known = report;
+    return sameFacts ? ReportNews::Load : ReportNews::Facts;
 }
 
 bool ReportTable::learn(const EngineState &state)
--- a/modules/engineview/reports/ReportTable.h
+++ b/modules/engineview/reports/ReportTable.h
@@ -8,6 +8,16 @@
 
 namespace cuminrail {
 
+/** What a report brought. */
+enum class ReportNews : std::uint8_t {
+    /** Known already, or older than what is known, or of an engine that settings do not name. */
+    None,
+    /** A newer sample of the same facts. */
+    Load,
+    /** The engine's role, models, adapters or life changed. */
+    Facts,
+};
+
 /**
     The newest report of each engine, and the facts that reports refer to.
 
@@ -20,8 +30,8 @@
     /** Sets which engines there are; reports of others are ignored. */
     void setEngines(const std::vector<UpstreamId> &engines);
 
-    /** Takes a report. Returns true when it is newer than what is known. */
-    bool merge(const EngineReport &report);
+    /** Takes a report, unless it is older than what is known. */
+    ReportNews merge(const EngineReport &report);
 
     /** Takes an engine's facts. Returns true when they are the ones its newest report refers to. */
     bool learn(const EngineState &state);
--- a/modules/instance/services/ClaimService.cpp
+++ b/modules/instance/services/ClaimService.cpp
@@ -28,8 +28,7 @@
 {
     ClaimHooks &hooks = control_.context().claims;
     hooks.begin = [this](const ClaimRequest &request, const ClaimKeeper::Completion &completion) {
-        control_.thread().post(
-            [this, request, completion] { keeper_.begin(request, completion); });
+        control_.thread().post([this, request, completion] { keeper_.begin(request, completion); });
     };
     hooks.finish = [this](const std::string &token, const ClaimOutcome &outcome) {
         control_.thread().post([this, token, outcome] { keeper_.finish(token, outcome); });
--- a/modules/membership/messages/FrameChannel.h
+++ b/modules/membership/messages/FrameChannel.h
@@ -14,12 +14,15 @@
     ConfigSync = 2,
     /** Budgets of customers' limits, lent between instances. */
     Budgets = 3,
+    /** Engines' loads and facts. */
+    EngineReports = 4,
 };
 
-inline constexpr NameTable<FrameChannel, 3> frameChannelNames{{{
+inline constexpr NameTable<FrameChannel, 4> frameChannelNames{{{
     {FrameChannel::Membership, "membership"},
     {FrameChannel::ConfigSync, "configsync"},
     {FrameChannel::Budgets, "budgets"},
+    {FrameChannel::EngineReports, "engine-reports"},
 }}};
 
 /** Returns which module a frame is for, or nothing for a frame that is for none. */
