--- /dev/null
+++ b/modules/instance/services/UsageService.cpp
@@ -0,0 +1,106 @@
+#include "instance/services/UsageService.h"
+
+#include "runtime/time/BootClock.h"
+#include "usage/flush/FlushPeriod.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr Millis tickPeriod{100};
+
+UsageFigures figuresOf(const UsageRecord &record)
+{
+    UsageFigures figures;
+    figures.promptTokens = record.promptTokens;
+    figures.outputTokens = record.outputTokens;
+    figures.requests = 1;
+    return figures;
+}
+
+} // namespace
+
+Millis calendarNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Millis(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+UsageService::UsageService(ControlPlane &control, const ObjectStore &store,
+                           const InstanceLife &self, const MemberService &members,
+                           Millis windowLength)
+    : control_(control), store_(store), self_(self), members_(members), windows_(windowLength)
+{
+    control_.context().onUsage = [this](const UsageRecord &usage) { record(usage); };
+    control_.addTick(tickPeriod, [this](Millis) { tick(); });
+    control_.addStopHook([this](std::function<void()> done) { stopFlushers(std::move(done)); });
+    control_.addState("usage", [this] {
+        nlohmann::json teams = nlohmann::json::object();
+        for (const auto &[team, flusher] : flushers_)
+            teams[team.text()] = {{"flushed", flusher->isFlushed()}};
+        return teams;
+    });
+}
+
+void UsageService::record(const UsageRecord &record)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    records_.push_back(record);
+}
+
+void UsageService::tick()
+{
+    std::vector<UsageRecord> records;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        records.swap(records_);
+    }
+    for (const UsageRecord &record : records)
+        flusher(record.team).add(record.customer, figuresOf(record));
+    for (const auto &entry : flushers_)
+        entry.second->tick();
+}
+
+UsageFlusher &UsageService::flusher(const TeamId &team)
+{
+    auto &flusher = flushers_[team];
+    if (!flusher) {
+        UsageFlusher::Hooks hooks;
+        hooks.store = store_;
+        hooks.clock = bootClock();
+        hooks.random = seededRandom(std::random_device()());
+        hooks.currentWindow = [this] { return windows_.indexAt(calendarNow()); };
+        hooks.period = [this] {
+            return flushPeriod(members_.usable().size(), control_.builder().settings().teams.size());
+        };
+        flusher = std::make_unique<UsageFlusher>(team, self_, std::move(hooks));
+    }
+    return *flusher;
+}
+
+void UsageService::stopFlushers(std::function<void()> done)
+{
+    tick();
+    bool isFlushed = true;
+    for (const auto &entry : flushers_) {
+        entry.second->stop();
+        entry.second->tick();
+        isFlushed = isFlushed && entry.second->isFlushed();
+    }
+    if (isFlushed) {
+        done();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(control_.thread().io());
+    timer->expires_after(std::chrono::milliseconds(tickPeriod.count()));
+    timer->async_wait([this, timer, done = std::move(done)](const auto &error) mutable {
+        if (!error)
+            stopFlushers(std::move(done));
+    });
+}
+
+} // namespace cuminrail
