--- a/modules/ctl/commands/CommandLine_test.cpp
+++ b/modules/ctl/commands/CommandLine_test.cpp
@@ -13,6 +13,7 @@
 {
     words.insert(words.begin(), "cuminrailctl");
     std::vector<const char *> argv;
+    argv.reserve(words.size());
     for (const std::string &word : words)
         argv.push_back(word.c_str());
     return readCtlArguments(
