Control services: store, members, settings, engines, budgets, claims, usage, duties in one instance

Cause: the decision modules stood beside the instance without running in it. Change: one service each on the control thread, put together by ControlServices when a platform is named; stop hooks poll for their end; ticks end before their services do.

--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -40,6 +40,9 @@
 Instance::~Instance()
 {
     shutDown();
+    // Calls that were under way are ended by their owners' going; their handlers hold deadlines,
+    // which must go before the list that they are in.
+    control_.thread().runLeftovers();
 }
 
 void Instance::shutDown()
@@ -48,6 +51,7 @@
         worker->stop();
     control_.thread().stop();
     control_.thread().join();
+    control_.end();
 }
 
 bool Instance::start(Reason *lastReason)
--- a/modules/instance/Instance.h
+++ b/modules/instance/Instance.h
@@ -35,6 +35,7 @@
     /** What runs beside the request path registers here, before start(). */
     ControlPlane &control() { return control_; }
     ServingContext &context() { return context_; }
+    AdmissionDesk &admission() { return admission_; }
 
     /** Listens and starts all threads. */
     bool start(Reason *lastReason);
--- a/modules/instance/config/InstanceConfig.h
+++ b/modules/instance/config/InstanceConfig.h
@@ -51,7 +51,7 @@
     Millis firstByteTimeout = Millis::seconds(60);
     Millis upstreamStallTimeout = Millis::seconds(10);
     /** Beyond this without knowing how current the keys are, requests are refused. */
-    Millis stalenessLimit = Millis::minutes(15);
+    Millis stalenessLimit = Millis::seconds(5);
     /** How finely timeouts are noticed. */
     Millis deadlineTick{20};
 };
--- a/modules/instance/control/ControlPlane.cpp
+++ b/modules/instance/control/ControlPlane.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace cuminrail {
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr Millis admissionTick{10};
+constexpr Millis pollPeriod{50};
 
 } // namespace
 
@@ -59,13 +61,33 @@
 {
     tick->timer->expires_after(std::chrono::milliseconds(tick->every.count()));
     tick->timer->async_wait([this, tick](const boost::system::error_code &error) {
-        if (error)
+        if (error || isOver_)
             return;
         tick->hook(thread_.deadlines().now());
         arm(tick);
     });
 }
 
+void ControlPlane::end()
+{
+    isOver_ = true;
+    onStopHooksDone_ = nullptr;
+    stopDeadline_.reset();
+}
+
+void ControlPlane::pollUntil(std::function<bool()> isReached, std::function<void()> done)
+{
+    if (isReached())
+        return done();
+    auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io());
+    timer->expires_after(std::chrono::milliseconds(pollPeriod.count()));
+    timer->async_wait([this, timer, isReached = std::move(isReached),
+                       done = std::move(done)](const boost::system::error_code &error) {
+        if (!error && !isOver_)
+            pollUntil(isReached, done);
+    });
+}
+
 void ControlPlane::runStopHooks(Millis atMost, std::function<void()> done)
 {
     onStopHooksDone_ = std::move(done);
@@ -100,6 +122,16 @@
     republish();
 }
 
+void ControlPlane::setInstanceCount(std::size_t count)
+{
+    const std::size_t atLeastOne = std::max<std::size_t>(count, 1);
+    if (instanceCount_ == atLeastOne)
+        return;
+    instanceCount_ = atLeastOne;
+    if (hasSettings_)
+        republish();
+}
+
 void ControlPlane::publishFacts(LiveFacts facts)
 {
     builder_.setFacts(std::move(facts));
@@ -131,11 +163,14 @@
     admission_.withController([&](AdmissionController &controller) {
         controller.configure(settings, now);
         for (PoolIndex pool = 0; pool < snapshot.routing.poolCount(); ++pool) {
-            const PoolCapacity capacity = snapshot.routing.capacity(pool);
+            const PoolCapacity whole = snapshot.routing.capacity(pool);
+            // Each instance taking the whole for itself would let in as many times too much as
+            // there are instances, and the queues would stand at the engines, where nobody is fair.
+            const auto share = 1.0 / static_cast<double>(instanceCount_);
             controller.setCapacity(pool,
-                                   AdmissionCapacity{capacity.slots,
-                                                     capacity.prefillTokensPerSecond,
-                                                     capacity.decodeTokensPerSecond});
+                                   AdmissionCapacity{whole.slots * share,
+                                                     whole.prefillTokensPerSecond * share,
+                                                     whole.decodeTokensPerSecond * share});
         }
     });
 }
--- a/modules/instance/control/ControlPlane.h
+++ b/modules/instance/control/ControlPlane.h
@@ -45,13 +45,24 @@
     /** Runs the stop hooks, at most for the given time, then calls done on this thread. */
     void runStopHooks(Millis atMost, std::function<void()> done);
 
+    /**
+        Forgets all that is registered, once the thread has ended.
+
+        Timers that are due would otherwise call into services that are gone.
+    */
+    void end();
+
     // On the control thread alone:
+    /** Asks again and again until a condition holds, then calls done. For stop hooks. */
+    void pollUntil(std::function<bool()> isReached, std::function<void()> done);
     /** Puts a checked settings tree in force on all request threads. */
     void publish(Settings settings);
     /** Puts new knowledge of engines and leaving upstreams in force. */
     void publishFacts(LiveFacts facts);
     /** Makes withdrawn keys stop working ahead of the settings that say so. */
     void publishWithdrawn(std::set<KeyHash> keys);
+    /** Sets among how many instances the upstreams' capacity is divided. */
+    void setInstanceCount(std::size_t count);
     bool hasSettings() const { return hasSettings_; }
     std::vector<std::string> missingForReadiness() const;
     nlohmann::json describe() const;
@@ -59,6 +70,7 @@
 
     IoThread &thread() { return thread_; }
     ServingContext &context() { return context_; }
+    const ServingContext &context() const { return context_; }
 
 private:
     struct Tick
@@ -89,6 +101,8 @@
     IoThread thread_;
     SnapshotBuilder builder_;
     bool hasSettings_ = false;
+    bool isOver_ = false;
+    std::size_t instanceCount_ = 1;
     std::vector<std::function<void()>> startHooks_;
     std::vector<StopHook> stopHooks_;
     std::vector<std::shared_ptr<Tick>> ticks_;
--- a/modules/instance/services/ClaimService.cpp
+++ b/modules/instance/services/ClaimService.cpp
@@ -1,6 +1,5 @@
 #include "instance/services/ClaimService.h"
 
-#include <chrono>
 #include <random>
 #include <utility>
 
@@ -38,22 +37,10 @@
         return nlohmann::json{{"waiting", keeper_.waitingDecisions()},
                               {"ends_to_write", keeper_.pendingWrites()}};
     });
-    control_.addStopHook([this](std::function<void()> done) { finishAtStop(std::move(done)); });
-}
-
-void ClaimService::finishAtStop(std::function<void()> done)
-{
     // An instance that went before its claims' ends are written would leave lodged bundles whose
     // repeats hear "may have run" instead of their answer.
-    if (keeper_.pendingWrites() == 0) {
-        done();
-        return;
-    }
-    auto timer = std::make_shared<boost::asio::steady_timer>(control_.thread().io());
-    timer->expires_after(std::chrono::milliseconds(tickPeriod.count()));
-    timer->async_wait([this, timer, done = std::move(done)](const auto &error) mutable {
-        if (!error)
-            finishAtStop(std::move(done));
+    control_.addStopHook([this](std::function<void()> done) {
+        control_.pollUntil([this] { return keeper_.pendingWrites() == 0; }, std::move(done));
     });
 }
 
--- a/modules/instance/services/ClaimService.h
+++ b/modules/instance/services/ClaimService.h
@@ -20,8 +20,6 @@
     ClaimService &operator=(const ClaimService &) = delete;
 
 private:
-    void finishAtStop(std::function<void()> done);
-
     ControlPlane &control_;
     ClaimKeeper keeper_;
 };
--- /dev/null
+++ b/modules/instance/services/ControlServices.cpp
@@ -0,0 +1,134 @@
+#include "instance/services/ControlServices.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace cuminrail {
+
+namespace {
+
+/** How long a leaving instance stays, so that its neighbours hear that it leaves. */
+constexpr Millis leaveTime{300};
+constexpr std::uint64_t randomPart = 1000;
+
+/**
+    Returns a number greater than that of this instance's former lives, if calendars go forward.
+
+    The random part keeps two lives within a millisecond apart. A calendar that went back is made
+    up for by the membership, where a life that hears of a greater one of its own name refutes it.
+*/
+Incarnation newIncarnation()
+{
+    const auto milliseconds = static_cast<Incarnation>(calendarNow().count());
+    return milliseconds * randomPart + std::random_device()() % randomPart;
+}
+
+PlatformClientOptions clientOptions(const InstanceConfig &config)
+{
+    PlatformClientOptions options;
+    options.instance = config.instanceId.text();
+    return options;
+}
+
+MemberRecord selfRecord(const InstanceConfig &config, const InstanceLife &self)
+{
+    MemberRecord record;
+    record.id = config.instanceId;
+    record.incarnation = self.incarnation;
+    record.domain = config.failureDomain;
+    record.region = config.region;
+    record.address = config.peerListen.toString();
+    return record;
+}
+
+UsageTiming usageTiming(const ControlTiming &timing)
+{
+    UsageTiming usage;
+    usage.windowLength = timing.usageWindow;
+    usage.grace = timing.usageGrace;
+    return usage;
+}
+
+/** Drops what is sent: this instance has no links to peers yet and acts as if it were alone. */
+PeerTransport withoutPeers()
+{
+    return {[](const PeerAddress &, const std::string &) {}};
+}
+
+} // namespace
+
+ControlServices::ControlServices(Instance &instance, const ControlTiming &timing)
+    : control_(instance.control()), self_{control_.context().config.instanceId, newIncarnation()},
+      client_(control_.thread().io(), control_.thread().deadlines(),
+              clientOptions(control_.context().config)),
+      store_(makeHttpObjectStore(client_, control_.context().config.platform)),
+      engineControl_(makeHttpEngineControl(
+          client_, [this](const UpstreamId &engine) { return engineAddress(engine); })),
+      fleet_(makeHttpFleetOrdering(client_, control_.context().config.platform)),
+      peers_(withoutPeers()),
+      members_(control_, selfRecord(control_.context().config, self_), peers_, fleet_,
+               [this](Millis now) { return settings_.digest(now); }),
+      settings_(control_, members_, store_, peers_),
+      engines_(control_, members_, engineControl_, peers_),
+      budgets_(control_, instance.admission(), members_, peers_, self_.incarnation),
+      claims_(control_, store_, self_.incarnation,
+              [this](const InstanceId &other, Incarnation life) {
+                  return members_.isGone(other, life);
+              }),
+      usage_(control_, store_, self_, members_, timing.usageWindow),
+      duties_(control_, members_, self_,
+              {store_, engineControl_,
+               makeHttpUsageReceiver(client_, control_.context().config.platform),
+               makeHttpWeightStore(client_, control_.context().config.platform)},
+              usageTiming(timing))
+{
+    settings_.addSettingsHook([this](const Settings &settings) { settingsChanged(settings); });
+    members_.setListReaderHook([this] { return settings_.isWatching(); });
+    members_.setUpstreamListHook(
+        [this](const std::vector<ListedInstance> &upstreams) { upstreamsListed(upstreams); });
+    control_.addStopHook([this](std::function<void()> done) { leave(std::move(done)); });
+}
+
+void ControlServices::settingsChanged(const Settings &settings)
+{
+    engineAddresses_.clear();
+    for (const EngineSettings &engine : settings.fleet.engines)
+        engineAddresses_[engine.id] = engine.address;
+    engines_.configure(settings);
+    budgets_.configure(settings);
+    duties_.configure(settings);
+}
+
+std::optional<std::string> ControlServices::engineAddress(const UpstreamId &engine) const
+{
+    const auto address = engineAddresses_.find(engine);
+    if (address == engineAddresses_.end())
+        return std::nullopt;
+    return address->second;
+}
+
+void ControlServices::upstreamsListed(const std::vector<ListedInstance> &upstreams)
+{
+    for (const ListedInstance &upstream : upstreams) {
+        if (!upstream.leaving)
+            continue;
+        const UpstreamId id(upstream.name);
+        const EngineState *state = engines_.table().facts(engineKey(id));
+        const Incarnation life = state == nullptr ? 0 : state->incarnation;
+        engines_.markLeaving({id, life});
+        // The list lags and few read it: told at once, all instances stop sending within seconds.
+        members_.membership().broadcast(control_.thread().deadlines().now(),
+                                        {UrgentFactKind::UpstreamLeaving, id.text(), life});
+    }
+}
+
+void ControlServices::leave(std::function<void()> done)
+{
+    members_.membership().leave(control_.thread().deadlines().now());
+    auto timer = std::make_shared<boost::asio::steady_timer>(control_.thread().io());
+    timer->expires_after(std::chrono::milliseconds(leaveTime.count()));
+    timer->async_wait([timer, done = std::move(done)](const auto &) { done(); });
+}
+
+} // namespace cuminrail
--- a/modules/instance/services/MemberService.cpp
+++ b/modules/instance/services/MemberService.cpp
@@ -8,7 +8,11 @@
 namespace {
 
 constexpr Millis tickPeriod{100};
-/** The list lags by seconds anyway; at 370 instances this period makes 12 reads a second. */
+/**
+    Few instances read the list each second, so that a leaving upstream is noticed soon, and tell
+    the others. The rest read it to find peers: at 370 instances 12 reads a second.
+*/
+constexpr Millis listTick{1000};
 constexpr Millis listPeriod = Millis::seconds(30);
 
 } // namespace
@@ -24,8 +28,8 @@
     setFrameHook(FrameChannel::Membership, [this](const PeerAddress &, const std::string &frame) {
         membership_.receive(control_.thread().deadlines().now(), frame);
     });
-    control_.addStartHook([this] { readList(); });
-    control_.addTick(listPeriod, [this](Millis) { readList(); });
+    control_.addStartHook([this] { readListIfDue(control_.thread().deadlines().now()); });
+    control_.addTick(listTick, [this](Millis now) { readListIfDue(now); });
     control_.addTick(tickPeriod, [this](Millis now) { membership_.tick(now); });
     control_.addState("members", [this] { return describe(); });
 }
@@ -135,20 +139,33 @@
     return member ? member->record.address : PeerAddress();
 }
 
-void MemberService::readList()
+void MemberService::setUpstreamListHook(
+    std::function<void(const std::vector<ListedInstance> &)> hook)
 {
-    if (!fleet_.listInstances)
+    onUpstreamList_ = std::move(hook);
+}
+
+void MemberService::readListIfDue(Millis now)
+{
+    const bool isReader = isListReader_ && isListReader_();
+    if (!isReader && now < nextListAt_)
         return;
-    fleet_.listInstances([this](const std::optional<std::vector<ListedInstance>> &listed) {
-        if (!listed)
-            return;
-        std::vector<ListedInstance> own;
-        for (const ListedInstance &entry : *listed) {
-            if (entry.isOwn)
-                own.push_back(entry);
-        }
-        membership_.setListed(own);
-    });
+    nextListAt_ = now + listPeriod;
+    fleet_.listInstances(
+        [this](const std::optional<std::vector<ListedInstance>> &listed) { listRead(listed); });
+}
+
+void MemberService::listRead(const std::optional<std::vector<ListedInstance>> &listed)
+{
+    if (!listed)
+        return;
+    std::vector<ListedInstance> own;
+    std::vector<ListedInstance> upstreams;
+    for (const ListedInstance &entry : *listed)
+        (entry.isOwn ? own : upstreams).push_back(entry);
+    membership_.setListed(own);
+    if (onUpstreamList_)
+        onUpstreamList_(upstreams);
 }
 
 nlohmann::json MemberService::describe() const
--- a/modules/instance/services/MemberService.h
+++ b/modules/instance/services/MemberService.h
@@ -37,6 +37,11 @@
     void addDigestHook(std::function<void(const PeerDigest &)> hook);
     void addChangeHook(std::function<void()> hook);
 
+    /** Called with each list of upstreams that the platform gave. */
+    void setUpstreamListHook(std::function<void(const std::vector<ListedInstance> &)> hook);
+    /** Says whether this instance is one of the few that read the platform's list every second. */
+    void setListReaderHook(std::function<bool()> hook) { isListReader_ = std::move(hook); }
+
     /** Members that may be given duties, this instance included. */
     std::vector<MemberRecord> usable() const;
     std::vector<InstanceId> usableIds() const;
@@ -49,7 +54,8 @@
 private:
     MembershipHooks hooksFor(PeerTransport transport,
                              std::function<SettingsDigest(Millis)> settingsDigest);
-    void readList();
+    void readListIfDue(Millis now);
+    void listRead(const std::optional<std::vector<ListedInstance>> &listed);
     nlohmann::json describe() const;
 
     ControlPlane &control_;
@@ -58,6 +64,9 @@
     std::vector<std::function<void(const UrgentFact &)>> factHooks_;
     std::vector<std::function<void(const PeerDigest &)>> digestHooks_;
     std::vector<std::function<void()>> changeHooks_;
+    std::function<void(const std::vector<ListedInstance> &)> onUpstreamList_;
+    std::function<bool()> isListReader_;
+    Millis nextListAt_{0};
     Membership membership_;
 };
 
--- a/modules/instance/services/UsageService.cpp
+++ b/modules/instance/services/UsageService.cpp
@@ -3,6 +3,7 @@
 #include "runtime/time/BootClock.h"
 #include "usage/flush/FlushPeriod.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -69,13 +70,12 @@
 {
     auto &flusher = flushers_[team];
     if (!flusher) {
-        UsageFlusher::Hooks hooks;
-        hooks.store = store_;
-        hooks.clock = bootClock();
-        hooks.random = seededRandom(std::random_device()());
+        UsageFlusher::Hooks hooks{
+            store_, bootClock(), seededRandom(std::random_device()()), {}, {}};
         hooks.currentWindow = [this] { return windows_.indexAt(calendarNow()); };
         hooks.period = [this] {
-            return flushPeriod(members_.usable().size(), control_.builder().settings().teams.size());
+            return flushPeriod(members_.usable().size(),
+                               control_.builder().settings().teams.size());
         };
         flusher = std::make_unique<UsageFlusher>(team, self_, std::move(hooks));
     }
@@ -85,22 +85,15 @@
 void UsageService::stopFlushers(std::function<void()> done)
 {
     tick();
-    bool isFlushed = true;
-    for (const auto &entry : flushers_) {
+    for (const auto &entry : flushers_)
         entry.second->stop();
-        entry.second->tick();
-        isFlushed = isFlushed && entry.second->isFlushed();
-    }
-    if (isFlushed) {
-        done();
-        return;
-    }
-    auto timer = std::make_shared<boost::asio::steady_timer>(control_.thread().io());
-    timer->expires_after(std::chrono::milliseconds(tickPeriod.count()));
-    timer->async_wait([this, timer, done = std::move(done)](const auto &error) mutable {
-        if (!error)
-            stopFlushers(std::move(done));
-    });
+    control_.pollUntil([this] { return isFlushed(); }, std::move(done));
+}
+
+bool UsageService::isFlushed() const
+{
+    return std::all_of(flushers_.begin(), flushers_.end(),
+                       [](const auto &entry) { return entry.second->isFlushed(); });
 }
 
 } // namespace cuminrail
--- a/modules/instance/services/UsageService.h
+++ b/modules/instance/services/UsageService.h
@@ -33,6 +33,7 @@
     void record(const UsageRecord &record);
     void tick();
     void stopFlushers(std::function<void()> done);
+    bool isFlushed() const;
     UsageFlusher &flusher(const TeamId &team);
 
     ControlPlane &control_;
--- a/modules/instance/serving/AdmissionDesk.cpp
+++ b/modules/instance/serving/AdmissionDesk.cpp
@@ -32,6 +32,13 @@
     deliver(controller_.cancel(ticket, now), lock);
 }
 
+void AdmissionDesk::addCredit(CustomerIndex customer, const LocalShare &credit, Millis now)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    const AdmissionChanges changes = controller_.addCredit(customer, credit, now);
+    deliver(changes, lock);
+}
+
 void AdmissionDesk::tick(Millis now)
 {
     std::unique_lock<std::mutex> lock(mutex_);
--- a/modules/instance/serving/AdmissionDesk.h
+++ b/modules/instance/serving/AdmissionDesk.h
@@ -37,6 +37,8 @@
     void finished(AdmissionTicket ticket, std::uint32_t outputTokens, Millis now);
     /** Gives up a ticket that waits or runs; its hook is not called any more. */
     void cancel(AdmissionTicket ticket, Millis now);
+    /** Adds credit that another instance handed over, and admits whom it lets through. */
+    void addCredit(CustomerIndex customer, const LocalShare &credit, Millis now);
     /** Control thread, every 10 ms or so. */
     void tick(Millis now);
 
--- a/programs/cuminraild/main.cpp
+++ b/programs/cuminraild/main.cpp
@@ -1,5 +1,6 @@
 #include "instance/config/SettingsFiles.h"
 #include "instance/instance.h"
+#include "instance/services/ControlServices.h"
 #include "runtime/log/EventLog.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -7,6 +8,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 
 using namespace cuminrail;
 
@@ -37,6 +39,9 @@
         if (!error)
             instance.drain();
     });
+    std::unique_ptr<ControlServices> services;
+    if (!config.platform.empty())
+        services = std::make_unique<ControlServices>(instance, ControlTiming());
     Reason reason;
     if (!instance.start(&reason)) {
         std::cerr << "cuminraild: " << reason.toString() << "\n";
