--- a/modules/net/testing/ScriptedUpstream.h
+++ b/modules/net/testing/ScriptedUpstream.h
@@ -71,7 +71,8 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        static_cast<void>(
+            ::bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address));
         ::listen(listener_, 64);
         socklen_t size = sizeof address;
         getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -76,7 +76,7 @@
         if (found == idle_.end() || found->second.empty())
             return nullptr;
         // The last one back is the least likely to have been forgotten by something on the way.
-        const Connection connection = found->second.back();
+        Connection connection = found->second.back();
         found->second.pop_back();
         if (!connection->isStale())
             return connection;
--- a/modules/runtime/log/EasyLogging.cpp
+++ b/modules/runtime/log/EasyLogging.cpp
@@ -7,6 +7,6 @@
 #define ELPP_THREAD_SAFE
 #define ELPP_NO_DEFAULT_LOG_FILE
 
-#include <easylogging++.cc>
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include): the library ships it so
 
 INITIALIZE_EASYLOGGINGPP
