Answers and requests are written at once where the socket takes them

Each write went through the event loop, which cost a round of it. What the socket takes at once is now written at once, and the look into an idle connection is kept for services, whose answers may carry no identity.

--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -2,6 +2,8 @@
 
 #include "net/server/ServerExchange.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -326,22 +328,46 @@
 {
     if (isWriting_ || state_ == State::Closed)
         return;
-    if (written_ == output_.size()) {
-        output_.clear();
-        written_ = 0;
-        output_.swap(queue_);
-    }
+    takeQueue();
     if (output_.empty())
         return;
+    boost::system::error_code error;
+    written_ += stream_->tryWrite(unsent(), error);
+    if (error)
+        return failLater();
+    takeQueue();
+    if (output_.empty())
+        return allWritten();
     isWriting_ = true;
     writeDeadline_.setAfter(server_.limits_.writeStallTimeout);
     stream_->writeSome(
-        boost::asio::buffer(output_.data() + written_, output_.size() - written_),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
-            self->onWritten(error, size);
+        unsent(),
+        [self = shared_from_this()](const boost::system::error_code &failed, std::size_t size) {
+            self->onWritten(failed, size);
         });
 }
 
+boost::asio::const_buffer ServerConnection::unsent() const
+{
+    return {output_.data() + written_, output_.size() - written_};
+}
+
+void ServerConnection::takeQueue()
+{
+    if (written_ < output_.size())
+        return;
+    output_.clear();
+    written_ = 0;
+    output_.swap(queue_);
+}
+
+void ServerConnection::failLater()
+{
+    // Not at once: whoever is answering would find its request gone in the middle of a call.
+    isWriting_ = true;
+    boost::asio::post(server_.io_, [self = shared_from_this()] { self->close(); });
+}
+
 void ServerConnection::onWritten(const boost::system::error_code &error, std::size_t size)
 {
     isWriting_ = false;
@@ -351,24 +377,31 @@
         return close();
     const bool wasCongested = isCongested();
     written_ += size;
-    if (written_ < output_.size() || !queue_.empty()) {
-        flush();
-    } else {
-        writeDeadline_.clear();
-        if (state_ == State::Flushing)
-            return answerFlushed();
-    }
+    flush();
     if (wasCongested && !isCongested() && onWritable_) {
         const auto hook = onWritable_;
         hook();
     }
 }
 
+void ServerConnection::allWritten()
+{
+    writeDeadline_.clear();
+    if (state_ == State::Flushing)
+        answerFlushed();
+}
+
 void ServerConnection::answerFlushed()
 {
     if (!keepsOpen_ || server_.isClosing_)
         return linger();
-    beginRequest();
+    if (input_.empty())
+        return beginRequest();
+    // Requests sent ahead are begun from the loop, or each would be a level on the stack.
+    boost::asio::post(server_.io_, [self = shared_from_this()] {
+        if (self->state_ == State::Flushing)
+            self->beginRequest();
+    });
 }
 
 void ServerConnection::linger()
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -55,6 +55,10 @@
     void appendHead(int status, const std::vector<HttpHeader> &headers);
     void flush();
     void onWritten(const boost::system::error_code &error, std::size_t size);
+    boost::asio::const_buffer unsent() const;
+    void takeQueue();
+    void failLater();
+    void allWritten();
     void answerFlushed();
     void linger();
     void extendReadDeadline(std::size_t received);
--- a/modules/net/stream/ByteStream.h
+++ b/modules/net/stream/ByteStream.h
@@ -25,6 +25,13 @@
     /** Does what must precede the first byte; plain connections have nothing to do. */
     virtual void handshake(std::function<void(const boost::system::error_code &)> done) = 0;
     virtual void readSome(boost::asio::mutable_buffer buffer, IoHandler done) = 0;
+    /**
+        Writes what the socket takes at once, and returns how much that was; 0 when it takes
+        nothing now, or when the stream cannot write without waiting. Spares the event loop a
+        round for the many answers that fit.
+    */
+    virtual std::size_t tryWrite(boost::asio::const_buffer buffer,
+                                 boost::system::error_code &error) = 0;
     virtual void writeSome(boost::asio::const_buffer buffer, IoHandler done) = 0;
     virtual TcpSocket &socket() = 0;
 };
--- a/modules/net/stream/TlsFiles.cpp
+++ b/modules/net/stream/TlsFiles.cpp
@@ -25,6 +25,10 @@
     {
         stream_.async_read_some(buffer, std::move(done));
     }
+    std::size_t tryWrite(boost::asio::const_buffer, boost::system::error_code &) override
+    {
+        return 0;
+    }
     void writeSome(boost::asio::const_buffer buffer, IoHandler done) override
     {
         stream_.async_write_some(buffer, std::move(done));
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -107,6 +107,7 @@
 void UpstreamConnection::applySocketOptions()
 {
     boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket_.set_option(boost::asio::socket_base::keep_alive(true), ignored);
     // By default TCP notices after a quarter of an hour that nobody answers any more, and idle
@@ -127,8 +128,14 @@
         });
         return;
     }
-    // With a fault wanted midway, only half is offered to the socket at first.
-    sendRest(pool_.faultHook_ ? request_.wire.size() / 2 : request_.wire.size());
+    if (pool_.faultHook_)
+        return sendRest(request_.wire.size() / 2);
+    boost::system::error_code error;
+    sent_ = socket_.write_some(boost::asio::buffer(request_.wire), error);
+    if (error || sent_ < request_.wire.size())
+        return sendRest(request_.wire.size() - sent_);
+    state_ = State::Receiving;
+    deadline_.setAfter(request_.timeouts.firstByte);
 }
 
 void UpstreamConnection::sendRest(std::size_t atMost)
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -60,7 +60,7 @@
 {
     Connection connection;
     if (!request.needsFreshConnection)
-        connection = takeIdle(request.address);
+        connection = takeIdle(request);
     if (connection == nullptr) {
         connection = std::make_shared<detail::UpstreamConnection>(*this, request.address);
         open_.insert(connection);
@@ -69,16 +69,18 @@
     return {connection, connection->attempt()};
 }
 
-UpstreamPool::Connection UpstreamPool::takeIdle(const std::string &address)
+UpstreamPool::Connection UpstreamPool::takeIdle(const UpstreamRequest &request)
 {
     for (;;) {
-        const auto found = idle_.find(address);
+        const auto found = idle_.find(request.address);
         if (found == idle_.end() || found->second.empty())
             return nullptr;
         // The last one back is the least likely to have been forgotten by something on the way.
         Connection connection = found->second.back();
         found->second.pop_back();
-        if (!connection->isStale())
+        // An engine's answer is known by its identity. A service's may have none: there a look
+        // at the socket must show that no late answer lies in it.
+        if (request.isEchoRequired || !connection->isStale())
             return connection;
         connection->close();
     }
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -81,7 +81,7 @@
     friend class detail::UpstreamConnection;
     using Connection = std::shared_ptr<detail::UpstreamConnection>;
 
-    Connection takeIdle(const std::string &address);
+    Connection takeIdle(const UpstreamRequest &request);
     void keepIdle(const Connection &connection);
     void forget(const Connection &connection);
     bool isCutAt(SendPoint point, const UpstreamRequest &request) const;
