--- a/modules/membership/Membership_test.cpp
+++ b/modules/membership/Membership_test.cpp
@@ -159,6 +159,10 @@
     cluster.at(2).events = [&](const Event &event) {
         suspicions += event.kind == &events::peerSuspected ? 1 : 0;
     };
+    // Two lost answers see to it that probes are out when the pause begins.
+    cluster.setConnected(2, false);
+    cluster.runFor(Millis(800));
+    cluster.setConnected(2, true);
     cluster.at(2).process->pauseUntil(cluster.now() + Millis::seconds(30));
     cluster.runFor(Millis::seconds(30));
     CHECK(deadAt(cluster, 2) == 5);
