Links between instances: authenticated, bounded, replaced when silent

Frames between instances need a transport that tells strangers nothing. Both ends prove a shared secret over fresh challenges before a frame is taken; each frame is authenticated and numbered under keys of its connection; two secrets are accepted, so that they can be rotated without a stop. Connections are made on demand, at most so many, and closed when idle; queues drop their oldest; a link that answers no ping is replaced.

--- a/modules/configsync/measure/ConfigCluster.h
+++ b/modules/configsync/measure/ConfigCluster.h
@@ -94,13 +94,17 @@
     /** Sent by one instance in a second at rest, and its busiest, membership included. */
     double bytesPerSecond = 0;
     double worstBytesPerSecond = 0;
-    /** Most calls to the store in any second of the minute after an outage of ten. */
+    /** Most calls to the store in any second of the minute after an outage. */
     double worstReturnCallsPerSecond = 0;
     /** Instances that refused requests during that outage. */
     std::size_t refusedInOutage = 0;
 };
 
-/** Runs a cluster of a shape in virtual time and measures; the same seed gives the same figures. */
-ConfigFigures measureConfigSync(const ClusterShape &shape);
+/**
+    Runs a cluster of a shape in virtual time and measures; the same seed gives the same figures.
+
+    @param outage  how long the store is out for everybody
+*/
+ConfigFigures measureConfigSync(const ClusterShape &shape, Millis outage = Millis::minutes(10));
 
 } // namespace cuminrail
--- a/modules/configsync/measure/ConfigMeasure.cpp
+++ b/modules/configsync/measure/ConfigMeasure.cpp
@@ -8,7 +8,6 @@
 
 constexpr Millis kSettle = Millis::seconds(90);
 constexpr Millis kRest = Millis::seconds(20);
-constexpr Millis kOutage = Millis::minutes(10);
 constexpr Millis kLimit = Millis::seconds(60);
 constexpr std::size_t kChanges = 5;
 
@@ -65,10 +64,10 @@
     }
 }
 
-void measureOutage(ConfigCluster &cluster, ConfigFigures &figures)
+void measureOutage(ConfigCluster &cluster, Millis outage, ConfigFigures &figures)
 {
     cluster.setStoreOut(true);
-    cluster.runFor(kOutage);
+    cluster.runFor(outage);
     for (std::size_t i = 0; i < cluster.size(); ++i)
         figures.refusedInOutage += cluster.config(i).freshness(cluster.now()).mayServe ? 0 : 1;
     cluster.setStoreOut(false);
@@ -84,7 +83,7 @@
 
 } // namespace
 
-ConfigFigures measureConfigSync(const ClusterShape &shape)
+ConfigFigures measureConfigSync(const ClusterShape &shape, Millis outage)
 {
     ConfigFigures figures;
     figures.instances = shape.instances;
@@ -96,7 +95,7 @@
         measureChange(cluster, change, figures);
     cluster.runFor(kRest);
     measureRest(cluster, figures);
-    measureOutage(cluster, figures);
+    measureOutage(cluster, outage, figures);
     return figures;
 }
 
--- /dev/null
+++ b/modules/peerlink/PeerLinks.cpp
@@ -0,0 +1,410 @@
+#include "peerlink/PeerLinks.h"
+
+#include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace cuminrail {
+
+namespace {
+
+using Error = websocketpp::lib::error_code;
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kTickPeriod{50};
+constexpr long kDialTimeoutMs = 2000;
+constexpr long kCloseTimeoutMs = 1000;
+
+std::optional<tcp::endpoint> toEndpoint(const PeerAddress &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[')
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(host, error);
+    const std::string port = address.substr(colon + 1);
+    const bool isNumber = !port.empty() && port.size() <= 5
+        && port.find_first_not_of("0123456789") == std::string::npos;
+    if (error || !isNumber || std::stoi(port) > 65535)
+        return std::nullopt;
+    return tcp::endpoint(ip, static_cast<std::uint16_t>(std::stoi(port)));
+}
+
+PeerAddress toAddress(const tcp::endpoint &endpoint)
+{
+    const std::string host = endpoint.address().to_string();
+    const std::string bracketed = endpoint.address().is_v6() ? "[" + host + "]" : host;
+    return bracketed + ":" + std::to_string(endpoint.port());
+}
+
+template<typename Endpoint>
+void silenceLogs(Endpoint &endpoint)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.set_user_agent(""); // a stranger learns not even the library's version
+}
+
+void sendSmallFramesAtOnce(const detail::PeerConnection &connection)
+{
+    boost::system::error_code ignored;
+    connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+}
+
+} // namespace
+
+PeerLinks::PeerLinks(boost::asio::io_context &context, PeerLinksConfig config,
+                     SharedSecrets secrets, Clock clock, EventSink events)
+    : context_(context), config_(config), secrets_(std::move(secrets)), clock_(std::move(clock)),
+      events_(std::move(events)), timer_(context)
+{
+    Error error;
+    silenceLogs(server_);
+    silenceLogs(client_);
+    server_.init_asio(&context_, error);
+    client_.init_asio(&context_, error);
+    setHandlers();
+    scheduleTick();
+}
+
+PeerLinks::~PeerLinks()
+{
+    stop();
+}
+
+void PeerLinks::setHandlers()
+{
+    setCommonHandlers(server_);
+    setCommonHandlers(client_);
+    server_.set_validate_handler(whileAlive([this](const Handle &) { return mayAccept(); }));
+    server_.set_open_handler(whileAlive([this](const Handle &handle) { accepted(handle); }));
+    server_.set_http_handler(whileAlive([this](const Handle &handle) {
+        // Not a websocket: answered without a word of what this is.
+        Error error;
+        if (const auto connection = server_.get_con_from_hdl(handle, error))
+            connection->set_status(websocketpp::http::status_code::not_found);
+    }));
+    client_.set_open_handler(whileAlive([this](const Handle &handle) {
+        Error error;
+        if (const auto connection = client_.get_con_from_hdl(handle, error))
+            sendSmallFramesAtOnce(connection);
+    }));
+}
+
+template<typename Endpoint>
+void PeerLinks::setCommonHandlers(Endpoint &endpoint)
+{
+    endpoint.set_open_handshake_timeout(kDialTimeoutMs);
+    endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
+    endpoint.set_max_message_size(detail::PeerWebsocketConfig::max_message_size);
+    endpoint.set_message_handler(
+        whileAlive([this](const Handle &handle, const typename Endpoint::message_ptr &message) {
+            received(handle, message->get_payload());
+        }));
+    endpoint.set_pong_handler(whileAlive([this](const Handle &handle, const std::string &) {
+        const auto found = links_.find(handle);
+        if (found == links_.end())
+            return;
+        ++stats_.pongs;
+        found->second->noteProgress(clock_.now());
+    }));
+    endpoint.set_close_handler(whileAlive([this](const Handle &handle) { ended(handle); }));
+    endpoint.set_fail_handler(whileAlive([this](const Handle &handle) { ended(handle); }));
+}
+
+std::optional<PeerAddress> PeerLinks::listen(const PeerAddress &address, PeerAddress advertised,
+                                             Reason *lastReason)
+{
+    const auto endpoint = toEndpoint(address);
+    if (!endpoint) {
+        fail(lastReason, address, "is no IP number and port");
+        return std::nullopt;
+    }
+    Error error;
+    server_.set_reuse_addr(true);
+    server_.listen(*endpoint, error);
+    if (!error)
+        server_.start_accept(error);
+    if (error) {
+        fail(lastReason, address, error.message());
+        return std::nullopt;
+    }
+    isListening_ = true;
+    boost::system::error_code localError;
+    const tcp::endpoint local = server_.get_local_endpoint(localError);
+    self_ = advertised.empty() ? toAddress(local) : std::move(advertised);
+    return self_;
+}
+
+PeerTransport PeerLinks::transport()
+{
+    PeerTransport port;
+    port.send = [this](const PeerAddress &to, std::string frame) { send(to, std::move(frame)); };
+    return port;
+}
+
+void PeerLinks::send(const PeerAddress &to, std::string frame)
+{
+    if (isStopped_ || frame.size() > FrameLimits::bytes) {
+        ++stats_.dropped;
+        return;
+    }
+    enqueue(to, std::move(frame));
+    flush(to);
+}
+
+// A peer that does not read must not fill this instance's memory. What it gets too late is of
+// little use: probes repeat and settings are asked for again, so the oldest goes first.
+void PeerLinks::enqueue(const PeerAddress &to, std::string frame)
+{
+    Queue &queue = queues_[to];
+    if (queue.frames.empty())
+        queue.since = clock_.now();
+    queue.bytes += frame.size();
+    queue.frames.push_back(std::move(frame));
+    while (queue.frames.size() > config_.maxQueuedFrames || queue.bytes > config_.maxQueuedBytes) {
+        queue.bytes -= queue.frames.front().size();
+        queue.frames.pop_front();
+        ++stats_.dropped;
+    }
+}
+
+void PeerLinks::flush(const PeerAddress &to)
+{
+    const auto found = queues_.find(to);
+    if (found == queues_.end())
+        return;
+    const LinkPtr link = readyLink(to);
+    if (!link) {
+        if (isDialling(to) || clock_.now() < found->second.nextDialAt)
+            return;
+        found->second.nextDialAt = clock_.now() + config_.dialAgainAfter;
+        dial(to);
+        return;
+    }
+    Queue &queue = found->second;
+    while (!queue.frames.empty() && link->bufferedBytes() < config_.maxSocketBytes) {
+        const std::string frame = std::move(queue.frames.front());
+        queue.frames.pop_front();
+        queue.bytes -= frame.size();
+        link->send(frame, clock_.now());
+        ++stats_.framesSent;
+        stats_.bytesSent += frame.size() + FrameSeal::overhead;
+    }
+    if (queue.frames.empty())
+        queues_.erase(found);
+}
+
+PeerLinks::LinkPtr PeerLinks::readyLink(const PeerAddress &to) const
+{
+    LinkPtr newest;
+    for (const auto &entry : links_) {
+        const LinkPtr &link = entry.second;
+        if (link->state() != PeerLink::State::Ready || link->peer() != to)
+            continue;
+        if (!newest || link->createdAt() > newest->createdAt())
+            newest = link;
+    }
+    return newest;
+}
+
+bool PeerLinks::isDialling(const PeerAddress &to) const
+{
+    return std::any_of(links_.begin(), links_.end(), [&](const auto &entry) {
+        const PeerLink &link = *entry.second;
+        return link.state() == PeerLink::State::Handshake && !link.isAccepted()
+            && link.peer() == to;
+    });
+}
+
+void PeerLinks::dial(const PeerAddress &to)
+{
+    if (!toEndpoint(to)) {
+        queues_.erase(to);
+        ++stats_.dropped;
+        return;
+    }
+    makeRoom();
+    Error error;
+    const detail::PeerConnection connection = client_.get_connection("ws://" + to + "/", error);
+    if (error)
+        return;
+    ++stats_.dialled;
+    links_[connection->get_handle()] = std::make_shared<PeerLink>(
+        connection, ConnectingHandshake(secrets_, self_, to), to, clock_.now());
+    client_.connect(connection);
+}
+
+/** Closes the link that was idle for longest when there are as many as there may be. */
+void PeerLinks::makeRoom()
+{
+    if (links_.size() < config_.maxLinks)
+        return;
+    auto oldest = links_.end();
+    for (auto entry = links_.begin(); entry != links_.end(); ++entry) {
+        const bool isReady = entry->second->state() == PeerLink::State::Ready;
+        if (isReady
+            && (oldest == links_.end()
+                || entry->second->lastFrameAt() < oldest->second->lastFrameAt()))
+            oldest = entry;
+    }
+    if (oldest == links_.end())
+        oldest = links_.begin();
+    const LinkPtr link = oldest->second;
+    links_.erase(oldest);
+    link->close();
+}
+
+bool PeerLinks::mayAccept()
+{
+    const auto strangers =
+        static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) {
+            return entry.second->isAccepted()
+                && entry.second->state() == PeerLink::State::Handshake;
+        }));
+    return !isStopped_ && strangers < config_.maxStrangers;
+}
+
+void PeerLinks::accepted(const Handle &handle)
+{
+    Error error;
+    const detail::PeerConnection connection = server_.get_con_from_hdl(handle, error);
+    if (!connection)
+        return;
+    makeRoom();
+    sendSmallFramesAtOnce(connection);
+    const auto link =
+        std::make_shared<PeerLink>(connection, AcceptingHandshake(secrets_, self_), clock_.now());
+    links_[handle] = link;
+    link->opened();
+}
+
+void PeerLinks::received(const Handle &handle, const std::string &bytes)
+{
+    const auto found = links_.find(handle);
+    if (found == links_.end())
+        return;
+    const LinkPtr link = found->second;
+    PeerLink::Received result = link->receive(bytes, clock_.now());
+    if (result.isRefused) {
+        refuse(handle);
+        return;
+    }
+    if (result.becameReady)
+        flush(link->peer());
+    if (!result.frame)
+        return;
+    ++stats_.framesReceived;
+    stats_.bytesReceived += bytes.size();
+    if (handler_)
+        handler_(link->peer(), std::move(*result.frame));
+}
+
+void PeerLinks::refuse(const Handle &handle)
+{
+    const LinkPtr link = links_.at(handle);
+    links_.erase(handle);
+    ++stats_.refused;
+    events_(Event{&events::peerLinkRefused,
+                  {{"accepted", link->isAccepted() ? "true" : "false"},
+                   {"peer", link->state() == PeerLink::State::Ready ? link->peer() : ""}}});
+    link->close();
+}
+
+void PeerLinks::ended(const Handle &handle)
+{
+    links_.erase(handle);
+}
+
+void PeerLinks::scheduleTick()
+{
+    timer_.expires_after(kTickPeriod);
+    timer_.async_wait(whileAlive([this](const boost::system::error_code &error) {
+        if (error || isStopped_)
+            return;
+        tick();
+        scheduleTick();
+    }));
+}
+
+void PeerLinks::tick()
+{
+    const Millis now = clock_.now();
+    std::vector<Handle> handles;
+    handles.reserve(links_.size());
+    for (const auto &entry : links_)
+        handles.push_back(entry.first);
+    for (const Handle &handle : handles) {
+        const auto found = links_.find(handle);
+        if (found == links_.end() || !mustClose(*found->second, now))
+            continue;
+        const LinkPtr link = found->second;
+        links_.erase(handle);
+        link->close();
+    }
+    dropOldQueues(now);
+    std::vector<PeerAddress> waiting;
+    waiting.reserve(queues_.size());
+    for (const auto &entry : queues_)
+        waiting.push_back(entry.first);
+    for (const PeerAddress &to : waiting)
+        flush(to);
+}
+
+bool PeerLinks::mustClose(PeerLink &link, Millis now)
+{
+    if (link.state() == PeerLink::State::Handshake) {
+        if (now < link.createdAt() + config_.handshakeTimeout)
+            return false;
+        ++stats_.refused;
+        return true;
+    }
+    const Millis quiet = now - link.lastReceivedAt();
+    // Something between the two ends may lose track of an open connection: no end, no reset, and
+    // frames go nowhere, while a new connection would work. Only answers show that it is alive.
+    if (quiet >= config_.silentAfter && guardEnabled(Guard::SilentLinkReplaced)) {
+        ++stats_.silent;
+        events_(Event{&events::peerLinkReplaced, {{"peer", link.peer()}}});
+        return true;
+    }
+    if (now - link.lastFrameAt() >= config_.idleAfter)
+        return true;
+    if (quiet >= config_.pingAfter && now >= link.lastPingAt() + config_.pingAfter)
+        link.ping(now);
+    return false;
+}
+
+void PeerLinks::dropOldQueues(Millis now)
+{
+    for (auto entry = queues_.begin(); entry != queues_.end();) {
+        const bool isOld = now >= entry->second.since + config_.silentAfter;
+        if (isOld)
+            stats_.dropped += entry->second.frames.size();
+        entry = isOld ? queues_.erase(entry) : std::next(entry);
+    }
+}
+
+void PeerLinks::stop()
+{
+    if (std::exchange(isStopped_, true))
+        return;
+    timer_.cancel();
+    Error error;
+    if (isListening_)
+        server_.stop_listening(error);
+    const Links links = std::exchange(links_, Links());
+    for (const auto &entry : links)
+        entry.second->close();
+    queues_.clear();
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/peerlink/link/PeerEndpoints.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "membership/messages/CborArray.h"
+#include "peerlink/auth/FrameSeal.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace cuminrail::detail {
+
+/**
+    One configuration for both ends, so that they share one type of connection.
+
+    The client's: it masks frames with random numbers, as the protocol demands of one end.
+*/
+struct PeerWebsocketConfig : public websocketpp::config::asio_client
+{
+    static const bool enable_multithreading = false;
+    static const std::size_t max_message_size = FrameLimits::bytes + FrameSeal::overhead;
+    static const std::size_t max_http_body_size = 1024;
+    static const std::size_t connection_read_buffer_size = 4096;
+    static const bool silent_close = true;
+    static const bool drop_on_protocol_error = true;
+    static const websocketpp::log::level elog_level = websocketpp::log::elevel::none;
+    static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
+};
+
+using PeerServer = websocketpp::server<PeerWebsocketConfig>;
+using PeerClient = websocketpp::client<PeerWebsocketConfig>;
+using PeerConnection = PeerServer::connection_ptr;
+
+} // namespace cuminrail::detail
