--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -31,10 +31,10 @@
         tls_ = std::make_unique<TlsFiles>(settled.tlsCertificate, settled.tlsKey);
         control_.addTick(tlsCheckInterval, [this](Millis) { reloadTls(); });
     }
-    const auto connections = std::make_shared<ConnectionCount>(0);
+    const auto load = std::make_shared<ServerLoad>();
     for (std::uint32_t i = 0; i < settled.threads; ++i)
         workers_.push_back(
-            std::make_unique<RequestWorker>(context_, admission_, connections, freshSeed()));
+            std::make_unique<RequestWorker>(context_, admission_, load, freshSeed()));
 }
 
 Instance::~Instance()
--- a/modules/instance/admin/AdminServer.cpp
+++ b/modules/instance/admin/AdminServer.cpp
@@ -34,7 +34,7 @@
               },
               [](int status, const Reason &reason) { return problem(status, reason.toString()); },
           },
-          std::make_shared<ConnectionCount>(0))
+          std::make_shared<ServerLoad>())
 { }
 
 bool AdminServer::listen(const ListenAddress &address, Reason *lastReason)
--- a/modules/instance/config/InstanceConfig.h
+++ b/modules/instance/config/InstanceConfig.h
@@ -41,6 +41,7 @@
     Millis drainLag = Millis::seconds(5);
     Millis drainLimit = Millis::minutes(10);
     std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
+    std::uint64_t maxAllBodyBytes = 256 * 1024 * 1024;
     std::uint32_t maxHeadBytes = 16 * 1024;
     std::uint32_t maxConnections = 10000;
     Millis headTimeout = Millis::seconds(10);
--- a/modules/instance/config/InstanceFlags.cpp
+++ b/modules/instance/config/InstanceFlags.cpp
@@ -193,6 +193,9 @@
     return {
         {"max-body-bytes", "bytes", "8388608", "The largest request body.",
          numberSetter(&C::maxBodyBytes, 1024, 1LL << 30)},
+        {"max-all-body-bytes", "bytes", "268435456",
+         "All request bodies in progress together; bounds the memory for them.",
+         numberSetter(&C::maxAllBodyBytes, 1024, 1LL << 40)},
         {"max-head-bytes", "bytes", "16384", "The largest request head.",
          numberSetter(&C::maxHeadBytes, 1024, 1 << 20)},
         {"max-connections", "count", "10000", "Callers' connections open at once.",
@@ -254,6 +257,13 @@
     return result;
 }
 
+std::string InstanceFlag::toMarkdown() const
+{
+    const std::string shown = defaultText.empty() ? "" : "`" + defaultText + "`";
+    return "| `--" + name + "` | `" + environmentName() + "` | " + type + " | " + shown + " | "
+        + meaning + " |";
+}
+
 const std::vector<InstanceFlag> &instanceFlags()
 {
     static const std::vector<InstanceFlag> flags = [] {
--- a/modules/instance/config/InstanceFlags.h
+++ b/modules/instance/config/InstanceFlags.h
@@ -25,6 +25,8 @@
     std::function<bool(const std::string &text, InstanceConfig &config, Reason *lastReason)> set;
 
     std::string environmentName() const;
+    /** Returns the flag's row as it stands in docs/SETTINGS.md. */
+    std::string toMarkdown() const;
 };
 
 /** Returns all flags, in the order of the help page and of docs/SETTINGS.md. */
--- a/modules/instance/config/InstanceFlags_test.cpp
+++ b/modules/instance/config/InstanceFlags_test.cpp
@@ -127,3 +127,19 @@
     CHECK(fromDefaults.stalenessLimit == untouched.stalenessLimit);
     CHECK(fromDefaults.threads == untouched.threads);
 }
+
+// An operator looks a flag up and finds an old default, because the page was not changed with the
+// code.
+TEST_CASE("docs/SETTINGS.md lists exactly the flags of the code")
+{
+    std::ifstream page("docs/SETTINGS.md");
+    std::vector<std::string> rows;
+    for (std::string line; std::getline(page, line);) {
+        if (line.rfind("| `--", 0) == 0)
+            rows.push_back(line);
+    }
+    std::vector<std::string> expected;
+    for (const InstanceFlag &flag : instanceFlags())
+        expected.push_back(flag.toMarkdown());
+    CHECK(rows == expected);
+}
--- a/modules/instance/request/BadRequests_test.cpp
+++ b/modules/instance/request/BadRequests_test.cpp
@@ -274,3 +274,34 @@
     CHECK(contains(answer, "\"code\":\"overloaded\""));
     CHECK(contains(answer, "Retry-After: 1\r\n"));
 }
+
+// Many callers send large bodies at once, each below the limit for one. Together they would fill
+// the memory of a small instance.
+TEST_CASE("bodies are bounded together, not only each")
+{
+    InstanceConfig config = testConfig();
+    config.maxAllBodyBytes = 60 * 1024;
+    Signal finish;
+    ScriptedUpstream engine([&](ScriptedUpstream::Connection &connection) {
+        const std::string id = connection.read().header("X-Request-Id");
+        finish.wait();
+        connection.socket.send(plainAnswer(id, "{}"));
+        connection.read();
+    });
+    RunningInstance running(testSettings({engine.address()}, {}), config);
+    const std::string large = plainBody + std::string(40 * 1024, ' ');
+    TestSocket first = running.connect();
+    first.send(completion(large));
+    REQUIRE(engine.waitForRequests(1));
+    const std::string second = running.ask(completion(large));
+    CHECK(contains(second, "HTTP/1.1 503 "));
+    CHECK(contains(second, "X-Cuminrail-Verdict: not-run"));
+    finish.set();
+    CHECK(contains(first.readMessage(), "200 OK"));
+    // The room comes back right after the answer, and what is refused before then did not run.
+    std::string third;
+    for (int i = 0; i < 1000 && !contains(third, "200 OK"); ++i)
+        third = running.ask(completion(large));
+    CHECK(contains(third, "200 OK"));
+    CHECK(engine.received().size() == 2);
+}
--- a/modules/instance/request/RequestWorker.cpp
+++ b/modules/instance/request/RequestWorker.cpp
@@ -24,6 +24,7 @@
     limits.idleTimeout = config.idleTimeout;
     limits.writeStallTimeout = config.writeStallTimeout;
     limits.connections = config.maxConnections;
+    limits.allBodyBytes = config.maxAllBodyBytes;
     return limits;
 }
 
@@ -51,12 +52,12 @@
 } // namespace
 
 RequestWorker::RequestWorker(ServingContext &context, AdmissionDesk &admission,
-                             std::shared_ptr<ConnectionCount> connections, std::uint64_t seed)
+                             std::shared_ptr<ServerLoad> load, std::uint64_t seed)
     : context_(context), admission_(admission), thread_(context.config.deadlineTick),
       random_(seededRandom(seed)), idPrefix_(hex(random_())),
       pool_(thread_.io(), thread_.deadlines()),
       server_(thread_.io(), thread_.deadlines(), serverLimits(context.config), serverHooks(),
-              std::move(connections))
+              std::move(load))
 { }
 
 RequestWorker::~RequestWorker()
@@ -64,6 +65,12 @@
     stop();
 }
 
+void RequestWorker::start()
+{
+    pool_.setFaultHook(context_.sendFault);
+    thread_.start();
+}
+
 void RequestWorker::stop()
 {
     thread_.stop();
--- a/modules/instance/request/RequestWorker.h
+++ b/modules/instance/request/RequestWorker.h
@@ -27,7 +27,7 @@
 {
 public:
     RequestWorker(ServingContext &context, AdmissionDesk &admission,
-                  std::shared_ptr<ConnectionCount> connections, std::uint64_t seed);
+                  std::shared_ptr<ServerLoad> load, std::uint64_t seed);
     ~RequestWorker();
     RequestWorker(const RequestWorker &) = delete;
     RequestWorker &operator=(const RequestWorker &) = delete;
@@ -35,7 +35,7 @@
     /** Listens, before start(). */
     bool listen(const ListenAddress &address, const TlsFiles *tls, Reason *lastReason);
     std::uint16_t port() const { return server_.port(); }
-    void start() { thread_.start(); }
+    void start();
     /** Ends the thread; what is still in progress is cut. */
     void stop();
 
--- a/modules/instance/serving/ServingContext.h
+++ b/modules/instance/serving/ServingContext.h
@@ -7,6 +7,7 @@
 #include "instance/serving/ClaimHooks.h"
 #include "instance/serving/ServingSnapshot.h"
 #include "instance/serving/UsageRecord.h"
+#include "net/upstream/UpstreamPool.h"
 #include "routing/Router.h"
 #include "runtime/rcu/RcuCell.h"
 
@@ -31,6 +32,8 @@
     /** Set before the threads start, never after. */
     ClaimHooks claims;
     UsageHook onUsage;
+    /** For tests: cuts attempts at chosen points; called on any request thread. */
+    SendFaultHook sendFault;
     EventSink events = ignoreEvents();
     /** Set while the instance has not known for too long which keys are withdrawn. */
     std::atomic<bool> isStale{false};
--- a/modules/instance/testing/InstanceFixture.h
+++ b/modules/instance/testing/InstanceFixture.h
@@ -118,10 +118,11 @@
 {
 public:
     explicit RunningInstance(const Settings &settings, InstanceConfig config = testConfig(),
-                             const ClaimHooks &claims = {})
+                             const ClaimHooks &claims = {}, const SendFaultHook &fault = {})
         : instance(std::move(config), [this](const Event &event) { keep(event); })
     {
         instance.context().claims = claims;
+        instance.context().sendFault = fault;
         instance.context().onUsage = [this](const UsageRecord &record) {
             const std::lock_guard<std::mutex> lock(mutex_);
             usage_.push_back(record);
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -17,9 +17,9 @@
 
 HttpServer::HttpServer(boost::asio::io_context &io, DeadlineList &deadlines,
                        HttpServerLimits limits, HttpServerHooks hooks,
-                       std::shared_ptr<ConnectionCount> count)
+                       std::shared_ptr<ServerLoad> load)
     : io_(io), deadlines_(deadlines), limits_(limits), hooks_(std::move(hooks)),
-      count_(std::move(count)), acceptor_(io)
+      load_(std::move(load)), acceptor_(io)
 { }
 
 HttpServer::~HttpServer()
@@ -72,7 +72,7 @@
     socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
     auto stream =
         tls_ != nullptr ? tls_->makeStream(std::move(socket)) : makePlainStream(std::move(socket));
-    const bool isOver = count_->load(std::memory_order_relaxed) >= limits_.connections;
+    const bool isOver = load_->connections.load(std::memory_order_relaxed) >= limits_.connections;
     auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(stream));
     connections_.insert(connection);
     if (isOver)
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 namespace cuminrail {
 
@@ -38,6 +39,8 @@
     std::size_t congestionBytes = 256 * 1024;
     /** Over all threads that share the count. */
     std::uint32_t connections = 10000;
+    /** Bytes of all request bodies together, over all threads that share the load. */
+    std::uint64_t allBodyBytes = 256 * 1024 * 1024;
 };
 
 /** What a server asks of the program it belongs to; called on the server's thread. */
@@ -50,8 +53,42 @@
     std::function<HttpAnswer(int status, const Reason &)> onProblem;
 };
 
-/** Connections open over several servers, for the common limit. */
-using ConnectionCount = std::atomic<std::uint32_t>;
+/** What several servers hold together, for their common limits. */
+struct ServerLoad
+{
+    std::atomic<std::uint32_t> connections{0};
+    /** Of request bodies, until their requests are over. */
+    std::atomic<std::uint64_t> bodyBytes{0};
+};
+
+/** A request body's part of the common limit, given back when this object goes. */
+class BodyReservation
+{
+public:
+    explicit BodyReservation(std::shared_ptr<ServerLoad> load) : load_(std::move(load)) { }
+    ~BodyReservation() { release(); }
+    BodyReservation(BodyReservation &&other) noexcept
+        : load_(other.load_), bytes_(std::exchange(other.bytes_, 0))
+    { }
+    BodyReservation(const BodyReservation &) = delete;
+    BodyReservation &operator=(const BodyReservation &) = delete;
+    BodyReservation &operator=(BodyReservation &&) = delete;
+
+    /** Takes more. Returns false when all bodies together would be over the limit. */
+    bool add(std::uint64_t bytes, std::uint64_t limit)
+    {
+        bytes_ += bytes;
+        return load_->bodyBytes.fetch_add(bytes, std::memory_order_relaxed) + bytes <= limit;
+    }
+    void release()
+    {
+        load_->bodyBytes.fetch_sub(std::exchange(bytes_, 0), std::memory_order_relaxed);
+    }
+
+private:
+    std::shared_ptr<ServerLoad> load_;
+    std::uint64_t bytes_ = 0;
+};
 
 /**
     An HTTP/1.1 server on one event loop; several of them can share one port.
@@ -62,7 +99,7 @@
 {
 public:
     HttpServer(boost::asio::io_context &io, DeadlineList &deadlines, HttpServerLimits limits,
-               HttpServerHooks hooks, std::shared_ptr<ConnectionCount> count);
+               HttpServerHooks hooks, std::shared_ptr<ServerLoad> load);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -100,7 +137,7 @@
     DeadlineList &deadlines_;
     HttpServerLimits limits_;
     HttpServerHooks hooks_;
-    std::shared_ptr<ConnectionCount> count_;
+    std::shared_ptr<ServerLoad> load_;
     const TlsFiles *tls_ = nullptr;
     Acceptor acceptor_;
     std::uint16_t port_ = 0;
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -35,16 +35,16 @@
 } // namespace
 
 ServerConnection::ServerConnection(HttpServer &server, std::unique_ptr<ByteStream> stream)
-    : server_(server), stream_(std::move(stream)),
+    : server_(server), stream_(std::move(stream)), reservation_(server.load_),
       readDeadline_(server.deadlines_, [this] { onReadStalled(); }),
       writeDeadline_(server.deadlines_, [this] { close(); })
 {
-    server_.count_->fetch_add(1, std::memory_order_relaxed);
+    server_.load_->connections.fetch_add(1, std::memory_order_relaxed);
 }
 
 ServerConnection::~ServerConnection()
 {
-    server_.count_->fetch_sub(1, std::memory_order_relaxed);
+    server_.load_->connections.fetch_sub(1, std::memory_order_relaxed);
 }
 
 void ServerConnection::start()
@@ -75,9 +75,13 @@
     version_ = 11;
     bodyReceived_ = 0;
     body_.clear();
+    reservation_.release();
+    isOverBudget_ = false;
     parser_ = std::make_unique<HttpParser>(
-        HttpParser::Kind::Request, server_.limits_.message,
-        [this](std::string_view data) { body_.append(data.data(), data.size()); });
+        HttpParser::Kind::Request, server_.limits_.message, [this](std::string_view data) {
+            body_.append(data.data(), data.size());
+            isOverBudget_ = !reservation_.add(data.size(), server_.limits_.allBodyBytes);
+        });
     readDeadline_.setAfter(server_.limits_.idleTimeout);
     if (input_.empty())
         readMore();
@@ -146,6 +150,9 @@
         input_.erase(0, used);
         if (parser_->problem())
             return problemAnswer(*parser_->problem());
+        if (isOverBudget_)
+            return refuseAndClose(server_.hooks_.onProblem(
+                503, {"body", "there is no room for it now; other requests fill it"}));
         if (parser_->isHeadDone() && !isHeadAccepted_) {
             judgeHead();
             continue;
@@ -194,8 +201,9 @@
     if (input_.size() < readAhead)
         readMore();
     if (state_ == State::Answering)
-        server_.hooks_.onRequest(std::make_shared<ServerExchange>(
-            shared_from_this(), std::move(parser_->head()), std::move(body_)));
+        server_.hooks_.onRequest(
+            std::make_shared<ServerExchange>(shared_from_this(), std::move(parser_->head()),
+                                             std::move(body_), std::move(reservation_)));
 }
 
 void ServerConnection::problemAnswer(const HttpProblem &problem)
@@ -330,7 +338,7 @@
         return;
     takeQueue();
     if (output_.empty())
-        return;
+        return allWritten();
     boost::system::error_code error;
     written_ += stream_->tryWrite(unsent(), error);
     if (error)
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -76,6 +76,8 @@
     std::array<char, 16 * 1024> chunk_;
     std::string input_;
     std::string body_;
+    BodyReservation reservation_;
+    bool isOverBudget_ = false;
     /** Being written, from written_ on, and waiting for that. */
     std::string output_;
     std::size_t written_ = 0;
--- a/modules/net/server/ServerExchange.h
+++ b/modules/net/server/ServerExchange.h
@@ -8,7 +8,8 @@
 class ServerExchange final : public HttpExchange
 {
 public:
-    ServerExchange(std::shared_ptr<ServerConnection> connection, HttpHead head, std::string body);
+    ServerExchange(std::shared_ptr<ServerConnection> connection, HttpHead head, std::string body,
+                   BodyReservation reservation);
 
     const HttpHead &head() const override { return head_; }
     std::string &body() override { return body_; }
@@ -29,6 +30,7 @@
     std::uint64_t requestNumber_;
     HttpHead head_;
     std::string body_;
+    BodyReservation reservation_;
 };
 
 } // namespace cuminrail::detail
--- a/modules/net/testing/ScriptedUpstream.h
+++ b/modules/net/testing/ScriptedUpstream.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -87,10 +88,10 @@
         ::close(listener_);
         {
             const std::lock_guard<std::mutex> lock(mutex_);
-            for (const int handle : handles_)
+            for (const auto &[number, handle] : handles_)
                 ::shutdown(handle, SHUT_RDWR);
         }
-        for (std::thread &thread : threads_)
+        for (auto &[number, thread] : threads_)
             thread.join();
     }
 
@@ -126,25 +127,39 @@
             const int handle = ::accept(listener_, nullptr, nullptr);
             if (handle < 0)
                 return;
+            joinEnded();
             const std::lock_guard<std::mutex> lock(mutex_);
             const std::size_t number = ++connections_;
             const int watched = ::dup(handle);
-            handles_.push_back(watched);
-            threads_.emplace_back([this, handle, watched, number] {
+            handles_[number] = watched;
+            threads_[number] = std::thread([this, handle, watched, number] {
                 {
                     Connection connection(*this, TestSocket(handle), number);
                     script_(connection);
                 }
                 const std::lock_guard<std::mutex> locked(mutex_);
-                for (int &each : handles_) {
-                    if (each == watched)
-                        each = -1;
-                }
+                handles_.erase(number);
+                ended_.push_back(number);
                 ::close(watched);
             });
         }
     }
 
+    void joinEnded()
+    {
+        std::vector<std::thread> ended;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            for (const std::size_t number : ended_) {
+                ended.push_back(std::move(threads_[number]));
+                threads_.erase(number);
+            }
+            ended_.clear();
+        }
+        for (std::thread &thread : ended)
+            thread.join();
+    }
+
     void record(const ReceivedRequest &request)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -159,8 +174,9 @@
     std::condition_variable changed_;
     std::size_t connections_ = 0;
     std::vector<ReceivedRequest> received_;
-    std::vector<int> handles_;
-    std::vector<std::thread> threads_;
+    std::map<std::size_t, int> handles_;
+    std::map<std::size_t, std::thread> threads_;
+    std::vector<std::size_t> ended_;
     std::thread acceptor_;
 };
 
--- a/modules/net/testing/TestSocket.h
+++ b/modules/net/testing/TestSocket.h
@@ -6,8 +6,10 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -97,10 +99,12 @@
         return true;
     }
 
-    /** Reads until the other end closes or resets; returns everything. */
+    /** Reads until the other end closes or resets; returns everything. Throws when it does not. */
     std::string readToEnd()
     {
         while (readSome()) { }
+        if (hasWaitedInVain_)
+            throw std::runtime_error("the other end did not close");
         return take(input_.size());
     }
 
@@ -136,7 +140,8 @@
     {
         char buffer[16384];
         const auto size = ::recv(handle_, buffer, sizeof buffer, 0);
-        wasReset_ = size < 0;
+        hasWaitedInVain_ = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        wasReset_ = size < 0 && !hasWaitedInVain_;
         if (size <= 0)
             return false;
         input_.append(buffer, static_cast<std::size_t>(size));
@@ -152,6 +157,7 @@
 
     int handle_ = -1;
     bool wasReset_ = false;
+    bool hasWaitedInVain_ = false;
     std::string input_;
 };
 
