--- a/extras/bench.sh
+++ b/extras/bench.sh
@@ -1,26 +1,38 @@
 #!/usr/bin/env bash
-# Runs all benches: a table for people on standard output, JSON for programs in BUILD/bench/.
+# Runs all benches: tables for people on standard output, JSON for programs in BUILD/bench/.
 #   extras/bench.sh [BUILD]
-# SEEDS (default "101 102 103") are the seeds of the seeded benches.
+# SEEDS (default 101-110) are the seeds of the policy bench, ONCE_SEEDS (default "101 102 103")
+# those of at-most-once.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
 bench=$build/bin/cuminrail-bench
 out=$build/bench
-read -ra seeds <<<"${SEEDS:-101 102 103}"
+seeds=${SEEDS:-101-110}
+read -ra once_seeds <<<"${ONCE_SEEDS:-101 102 103}"
 mkdir -p "$out"
 
-run() {
+has() { "$bench" --help | grep -qE "^  $1([[:space:]]|$)"; }
+
+# Runs one bench for its table and once more for its JSON.
+both() {
   local name=$1
   shift
+  echo
   echo "== cuminrail-bench $*"
+  "$bench" "$@"
   "$bench" "$@" --format json >"$out/$name.json"
 }
 
-# Prints a bench's JSON, one figure a line.
-show() { tr ',{}[]' '\n\n\n\n\n' <"$out/$1.json" | sed -E '/^ *$/d; s/^ *"/  /; s/":/: /'; }
-
-has() { "$bench" --help | grep -qE "^  $1([[:space:]]|$)"; }
+# Runs one bench once, for its JSON, and prints that a figure a line.
+once() {
+  local name=$1
+  shift
+  echo
+  echo "== cuminrail-bench $*"
+  "$bench" "$@" --format json >"$out/$name.json"
+  tr ',{}' '\n\n\n' <"$out/$name.json" | sed -E '/^ *$/d; s/^ *"/  /; s/":/: /'
+}
 
 {
   echo "machine: $(nproc) cores, $(awk '/MemTotal/ {printf "%.0f GB", $2 / 1048576}' /proc/meminfo)," \
@@ -28,25 +40,10 @@
   echo "load at start: $(cut -d' ' -f1-3 /proc/loadavg)"
 } | tee "$out/machine.txt"
 
-echo "== cuminrail-bench path"
-"$bench" path
-run path path
-for seed in "${seeds[@]}"; do
-  run "at-most-once-$seed" at-most-once --seed "$seed"
-  show "at-most-once-$seed"
-done
-run decide decide
-show decide
-if has control; then
-  run control control
-  show control
-fi
-for workload in inteko-court-day kerlann-festival mix-swing whale-customer domain-loss cheap-reclaim stale-reports prefix-heavy; do
-  for seed in "${seeds[@]}"; do
-    for policy in round-robin least-outstanding prefix-affinity cuminrail; do
-      run "policy-$workload-$policy-$seed" policy --workload "$workload" --seed "$seed" --policy "$policy"
-      show "policy-$workload-$policy-$seed" | grep -E 'goodput|worst_customer|role_changes|cost|lost' || true
-    done
-  done
-done
+both path path
+for seed in "${once_seeds[@]}"; do once "at-most-once-$seed" at-most-once --seed "$seed"; done
+both decide decide
+if has control; then both control control; fi
+both policy policy --seeds "$seeds"
+echo
 echo "JSON is in $out/"
