Authority tried with real processes

What pauses, kills and partitions do to holders of duties was proved in virtual time alone. extras/authority-runs.sh runs three processes that hold the duties over the real adapters, slows one of seven steps down, and kills, stops or cuts off the holder meanwhile; a judge reads the stand-ins' records, whose times are now of the machine's clock. WITHOUT=guard switches a guard off in the holders.

--- a/modules/standin/server/StandinServer.cpp
+++ b/modules/standin/server/StandinServer.cpp
@@ -1,5 +1,6 @@
 #include "standin/server/StandinServer.h"
 
+#include "runtime/time/BootClock.h"
 #include "standin/server/Connection.h"
 
 #include <algorithm>
@@ -56,9 +57,7 @@
 
 std::int64_t StandinServer::nowMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
-                                                                 - started_)
-        .count();
+    return bootTime().count();
 }
 
 void StandinServer::handle(const std::shared_ptr<Exchange> &exchange)
--- a/modules/standin/server/StandinServer.h
+++ b/modules/standin/server/StandinServer.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,7 +44,7 @@
     /** Handles a request that no fault stopped. */
     void handle(const std::shared_ptr<Exchange> &exchange);
 
-    /** Milliseconds since this server began. */
+    /** Milliseconds of the machine, the same for all stand-ins on it. */
     std::int64_t nowMs() const;
 
 private:
@@ -60,7 +59,6 @@
     FaultPlan faults_;
     std::uint64_t connections_ = 0;
     std::vector<std::weak_ptr<detail::Connection>> open_;
-    std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
 };
 
 } // namespace cuminrail::standin
--- a/programs/cuminrail-bench/BenchCommand.h
+++ b/programs/cuminrail-bench/BenchCommand.h
@@ -22,5 +22,7 @@
 int runDecideCommand(int argc, char **argv);
 int runPathCommand(int argc, char **argv);
 int runAtMostOnceCommand(int argc, char **argv);
+int runAuthorityHolderCommand(int argc, char **argv);
+int runAuthorityJudgeCommand(int argc, char **argv);
 
 } // namespace cuminrail
--- a/programs/cuminrail-bench/main.cpp
+++ b/programs/cuminrail-bench/main.cpp
@@ -20,6 +20,10 @@
          cuminrail::runPathCommand},
         {"at-most-once", "calls that may not be repeated, while connections break everywhere",
          cuminrail::runAtMostOnceCommand},
+        {"authority-holder", "a process that holds duties, for extras/authority-runs.sh",
+         cuminrail::runAuthorityHolderCommand},
+        {"authority-judge", "judges a trial of holders by the stand-ins' records",
+         cuminrail::runAuthorityJudgeCommand},
     };
     return all;
 }
