--- a/programs/cuminrail-bench/BenchCommand.h
+++ b/programs/cuminrail-bench/BenchCommand.h
@@ -20,5 +20,9 @@
 
 int runPolicyCommand(int argc, char **argv);
 int runDecideCommand(int argc, char **argv);
+int runPathCommand(int argc, char **argv);
+int runAtMostOnceCommand(int argc, char **argv);
+int runAuthorityHolderCommand(int argc, char **argv);
+int runAuthorityJudgeCommand(int argc, char **argv);
 
 } // namespace cuminrail
