A slow store's late answers count; random trees through writer and reader

A call that was given up was ignored when its answer came, so that a store whose answers take longer than a watch's patience would have kept every change out of force. What it says is true and is taken, with its age. Substitutes step in after 4 s instead of 3: at 370 instances ages reach 3.1 s at rest and needless substitutes had doubled the watches.

--- a/modules/configsync/content/ContentFetcher.cpp
+++ b/modules/configsync/content/ContentFetcher.cpp
@@ -111,11 +111,12 @@
                                    const StoreReply &reply)
 {
     const auto found = wanted_.find(hash);
-    if (found == wanted_.end() || found->second.call != call || !found->second.isAsked)
+    if (found == wanted_.end())
         return;
+    // A text that comes late is taken too: its hash says whether it is the right one.
     if (reply.status == StoreStatus::Ok && !reply.objects.empty())
         arrived(hash, reply.objects.front().value);
-    else
+    else if (found->second.call == call && found->second.isAsked)
         failed(found->second);
 }
 
--- a/modules/configsync/duty/WatchDuty.h
+++ b/modules/configsync/duty/WatchDuty.h
@@ -17,7 +17,7 @@
     /** How many more may step in when the watchers confirm nothing. */
     std::size_t substitutesPerDomain = 4;
     /** How old the confirmation gets before the first substitute steps in, and each next one. */
-    Millis stepInAfter{3000};
+    Millis stepInAfter{4000};
     Millis stepInStep{1000};
     /** How long a substitute stays. */
     Millis substituteTerm = Millis::minutes(5);
--- a/modules/configsync/store/HeadWatcher.cpp
+++ b/modules/configsync/store/HeadWatcher.cpp
@@ -9,25 +9,25 @@
 namespace cuminrail {
 
 HeadWatcher::HeadWatcher(HeadWatcherConfig config, HeadWatcherHooks hooks)
-    : config_(config), hooks_(std::move(hooks)), currentCall_(std::make_shared<std::uint64_t>(0))
+    : config_(config), hooks_(std::move(hooks)), alive_(std::make_shared<bool>(true))
 { }
 
 HeadWatcher::~HeadWatcher()
 {
-    ++*currentCall_;
+    *alive_ = false;
 }
 
 void HeadWatcher::tick(bool isOnDuty)
 {
     const Millis now = hooks_.clock.now();
     if (!isOnDuty) {
-        ++*currentCall_;
+        ++currentCall_;
         isWaiting_ = false;
         return;
     }
     const bool isSilent = isWaiting_ && now >= askedAt_ + config_.wait + config_.margin;
     if (isSilent && guardEnabled(Guard::SilentWatchReplaced)) {
-        ++*currentCall_;
+        ++currentCall_;
         isWaiting_ = false;
         hooks_.events(Event{&events::watchReplaced,
                             {{"waited_ms", std::to_string((now - askedAt_).count())}}});
@@ -41,10 +41,14 @@
 {
     isWaiting_ = true;
     askedAt_ = now;
-    const std::uint64_t call = ++*currentCall_;
-    const auto done = [this, call, now, current = currentCall_](const StoreReply &reply) {
-        if (*current == call)
-            take(reply, now);
+    const std::uint64_t call = ++currentCall_;
+    const auto done = [this, call, now, alive = alive_](const StoreReply &reply) {
+        if (!*alive)
+            return;
+        // What a slow store says late is true all the same; only its call is no longer waited for.
+        if (currentCall_ == call)
+            finished(reply);
+        take(reply, now);
     };
     if (revision_ == 0)
         hooks_.store.get(kSettingsHeadPath, done);
@@ -52,7 +56,7 @@
         hooks_.store.watch(kSettingsHeadPath, revision_, config_.wait, done);
 }
 
-void HeadWatcher::take(const StoreReply &reply, Millis askedAt)
+void HeadWatcher::finished(const StoreReply &reply)
 {
     isWaiting_ = false;
     const Millis now = hooks_.clock.now();
@@ -64,13 +68,18 @@
     failures_ = 0;
     // A head that is not there yet is looked for again after a pause, not at once.
     nextAt_ = reply.status == StoreStatus::NotFound ? now + config_.firstRetry : now;
+}
+
+void HeadWatcher::take(const StoreReply &reply, Millis askedAt)
+{
+    if (reply.status != StoreStatus::Ok)
+        return;
     revision_ = std::max(revision_, reply.version);
     for (const StoreObject &object : reply.objects) {
         if (object.path == kSettingsHeadPath && !object.removed)
             hooks_.onHead(object.value);
     }
-    if (reply.status == StoreStatus::Ok)
-        hooks_.onConfirmed(askedAt);
+    hooks_.onConfirmed(askedAt);
 }
 
 void HeadWatcher::retryLater(Millis now)
--- a/modules/configsync/store/HeadWatcher.h
+++ b/modules/configsync/store/HeadWatcher.h
@@ -58,13 +58,16 @@
 
 private:
     void ask(Millis now);
+    void finished(const StoreReply &reply);
     void take(const StoreReply &reply, Millis askedAt);
     void retryLater(Millis now);
 
     HeadWatcherConfig config_;
     HeadWatcherHooks hooks_;
-    /** Tells a completion that this object is gone or has given the call up. */
-    std::shared_ptr<std::uint64_t> currentCall_;
+    /** Tells a completion that this object is gone. */
+    std::shared_ptr<bool> alive_;
+    /** Tells a completion that its call was given up, or the duty with it. */
+    std::uint64_t currentCall_ = 0;
     bool isWaiting_ = false;
     Millis askedAt_;
     Millis nextAt_;
--- a/modules/settings/write/SettingsWriter_test.cpp
+++ b/modules/settings/write/SettingsWriter_test.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -66,6 +67,98 @@
     }
 }
 
+namespace {
+
+/** Returns one of two values, for entries that may have their default. */
+template<typename T>
+T either(std::mt19937_64 &random, T one, T other)
+{
+    return random() % 2 == 0 ? one : other;
+}
+
+std::string drawnHash(std::mt19937_64 &random)
+{
+    std::string digits;
+    for (int i = 0; i < 64; ++i)
+        digits += "0123456789abcdef"[random() % 16];
+    return digits;
+}
+
+FleetSettings drawnFleet(std::mt19937_64 &random)
+{
+    FleetSettings fleet;
+    for (int i = 0; i < 3; ++i)
+        fleet.domains.push_back({FailureDomainId("d" + std::to_string(i)), RegionId("r"),
+                                 either<std::uint32_t>(random, 1, 7)});
+    ModelSettings model;
+    model.id = ModelId("m");
+    model.version = either<std::string>(random, "1", "2026.1_b");
+    model.adapters = either<std::vector<std::string>>(random, {}, {"a", "b-1"});
+    model.tokenTarget = Millis(1 + std::int64_t(random() % 600000));
+    fleet.models.push_back(model);
+    EngineSettings engine;
+    engine.id = UpstreamId("e");
+    engine.address = either<std::string>(random, "10.0.0.1:1", "[fd00::1]:65535");
+    engine.domain = FailureDomainId("d2");
+    engine.models = {ModelId("m")};
+    engine.role = either<std::string>(random, "mixed", "prefill");
+    engine.checksFence = random() % 2 == 0;
+    engine.decodeTokensPerSecond = 1 + double(random() % 1000000) / 7;
+    fleet.engines.push_back(engine);
+    ServiceSettings service;
+    service.name = "s";
+    service.prefix = "/s/";
+    service.timeout = Millis(1 + std::int64_t(random() % 3600000));
+    service.upstreams.push_back({UpstreamId("u"), "10.0.0.2:1", FailureDomainId("d0")});
+    service.calls.push_back({"POST", "/x/", random() % 2 == 0, random() % 2 == 0});
+    fleet.services.push_back(service);
+    return fleet;
+}
+
+Settings drawnSettings(std::mt19937_64 &random)
+{
+    Settings settings;
+    settings.fleet = drawnFleet(random);
+    for (const char *name : {"a", "b"}) {
+        TeamSettings team;
+        team.id = TeamId(name);
+        team.reclaimableShare = double(random() % 1000) / 999;
+        team.expectedDays.push_back({"2028-02-29", 0.1 + double(random() % 900) / 11});
+        CustomerSettings customer;
+        customer.id = CustomerId(std::string("c-") + name);
+        customer.team = team.id;
+        customer.weight = 0.001 + double(random() % 10000) / 13;
+        customer.priority = either(random, Priority::Standard, Priority::Batch);
+        customer.limits.tokensPerSecond = either(random, 0.0, 1e9 / 3);
+        team.customers.push_back(customer);
+        settings.teams.push_back(team);
+        settings.keys.push_back({drawnHash(random), customer.id,
+                                 either<std::string>(random, "", "K\u00e9 \"x\""),
+                                 random() % 2 == 0});
+    }
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("any valid tree comes back from writing unchanged")
+{
+    std::mt19937_64 random(11);
+    for (int round = 0; round < 200; ++round) {
+        const Settings drawn = drawnSettings(random);
+        std::vector<Reason> mistakes;
+        const auto read = readSettings(writeSettings(drawn), &mistakes);
+        INFO((mistakes.empty() ? std::string() : mistakes.front().toString()));
+        REQUIRE(read);
+        CHECK(isSameSettings(*read, drawn));
+        CHECK(read->fleet.engines[0].decodeTokensPerSecond
+              == drawn.fleet.engines[0].decodeTokensPerSecond);
+        CHECK(read->teams[1].customers[0].weight == drawn.teams[1].customers[0].weight);
+        CHECK(read->keys[0].label == drawn.keys[0].label);
+        CHECK(read->keys[1].withdrawn == drawn.keys[1].withdrawn);
+    }
+}
+
 TEST_CASE("a directory with a stray file is refused, with its name")
 {
     DirectoryHooks hooks;
