--- a/modules/configsync/configsync.h
+++ b/modules/configsync/configsync.h
@@ -18,4 +18,5 @@
 #include "configsync/measure/ConfigCluster.h"
 #include "configsync/messages/ConfigCodec.h"
 #include "configsync/messages/ConfigMessages.h"
+#include "configsync/state/DescribeConfig.h"
 #include "configsync/store/HeadWatcher.h"
--- a/modules/membership/membership.h
+++ b/modules/membership/membership.h
@@ -23,3 +23,4 @@
 #include "membership/model/Member.h"
 #include "membership/model/MemberTable.h"
 #include "membership/ring/NeighbourRing.h"
+#include "membership/state/DescribeMembership.h"
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -95,7 +95,13 @@
     }));
     client_.set_open_handler(whileAlive([this](const Handle &handle) {
         Error error;
-        if (const auto connection = client_.get_con_from_hdl(handle, error))
+        const auto connection = client_.get_con_from_hdl(handle, error);
+        if (!connection)
+            return;
+        // A link that was given up while it was being made could not be closed before.
+        if (links_.count(handle) == 0)
+            connection->close(websocketpp::close::status::normal, "", error);
+        else
             sendSmallFramesAtOnce(connection);
     }));
 }
--- a/modules/peerlink/PeerLinksMembership_test.cpp
+++ b/modules/peerlink/PeerLinksMembership_test.cpp
@@ -52,6 +52,12 @@
         return holds();
     }
 
+private:
+    // Before the members: their timers and sockets belong to it.
+    boost::asio::io_context context_;
+    Millis now_{1000};
+
+public:
     std::vector<std::unique_ptr<LinkedMember>> members;
 
 private:
@@ -86,9 +92,6 @@
         hooks.onFact = [&member](const UrgentFact &fact) { member.facts.push_back(fact); };
         return hooks;
     }
-
-    boost::asio::io_context context_;
-    Millis now_{1000};
 };
 
 } // namespace
--- a/modules/peerlink/auth/LinkHandshake_test.cpp
+++ b/modules/peerlink/auth/LinkHandshake_test.cpp
@@ -100,8 +100,10 @@
 {
     CHECK(SharedSecrets::fromText(kOld + "\n")->secrets.size() == 1);
     CHECK(SharedSecrets::fromText(kNew + "\r\n" + kOld)->secrets.front() == kNew);
-    for (const std::string &text : {std::string(), std::string("short"), std::string(300, 'x'),
-                                    kOld + "\n" + kNew + "\n" + kOld}) {
+    std::string three = kOld;
+    three.append("\n").append(kNew).append("\n").append(kOld);
+    for (const std::string &text :
+         {std::string(), std::string("short"), std::string(300, 'x'), three}) {
         Reason reason;
         CHECK_FALSE(SharedSecrets::fromText(text, &reason));
         CHECK(reason.where == "peer secrets");
