--- a/modules/configsync/ConfigSync_test.cpp
+++ b/modules/configsync/ConfigSync_test.cpp
@@ -1,6 +1,7 @@
 #include "configsync/configsync.h"
 
 #include "core/events/EventCatalogue.h"
+#include "membership/state/DescribeMembership.h"
 
 #include <doctest/doctest.h>
 
@@ -274,42 +275,81 @@
     CHECK(cluster.runUntilInForce(good + 1, Millis::seconds(30)) < Millis::seconds(20));
 }
 
+namespace {
+
+/** A head watcher over a store whose answers a test gives. */
+class WatcherBench
+{
+public:
+    using Ask = std::function<void(const StoreCompletion &)>;
+
+    explicit WatcherBench(Ask onWatch)
+    {
+        HeadWatcherHooks hooks{ObjectStore(),
+                               scheduler.clock(),
+                               scheduler.random(),
+                               [this](const Event &event) {
+                                   replaced += event.kind == &events::watchReplaced ? 1 : 0;
+                               },
+                               [this](const std::string &text) { newest = text; },
+                               [this](Millis askedAt) { confirmedAt = askedAt; }};
+        hooks.store.get = [this](const std::string &, const StoreCompletion &done) {
+            scheduler.after(Millis(2), [done] { done(replyWith("first", 5)); });
+        };
+        hooks.store.watch = [onWatch](const std::string &, ObjectVersion, Millis,
+                                      const StoreCompletion &done) { onWatch(done); };
+        watcher_ = std::make_unique<HeadWatcher>(HeadWatcherConfig(), std::move(hooks));
+        scheduler.every(Millis(100), [this] { watcher_->tick(true); });
+    }
+
+    static StoreReply replyWith(const std::string &text, ObjectVersion version)
+    {
+        StoreReply reply;
+        reply.status = StoreStatus::Ok;
+        reply.version = version;
+        reply.objects.push_back(StoreObject{kSettingsHeadPath, text, version, false});
+        return reply;
+    }
+
+    FakeScheduler scheduler;
+    std::size_t replaced = 0;
+    std::string newest;
+    Millis confirmedAt;
+
+private:
+    std::unique_ptr<HeadWatcher> watcher_;
+};
+
+} // namespace
+
 // A watch's connection goes silent for good: no answer, no reset. New connections work. The
 // settings would stay as they are, and nobody would notice.
 TEST_CASE("a watch that went silent is replaced")
 {
-    FakeScheduler scheduler;
     std::size_t asked = 0;
-    std::size_t replaced = 0;
-    std::string newest;
-    HeadWatcherHooks hooks{
-        ObjectStore(),
-        scheduler.clock(),
-        scheduler.random(),
-        [&](const Event &event) { replaced += event.kind == &events::watchReplaced ? 1 : 0; },
-        [&](const std::string &text) { newest = text; },
-        [](Millis) {}};
-    hooks.store.get = [&](const std::string &, const StoreCompletion &done) {
-        StoreReply reply;
-        reply.status = StoreStatus::Ok;
-        reply.version = 5;
-        scheduler.after(Millis(2), [done, reply] { done(reply); });
-    };
-    hooks.store.watch = [&](const std::string &, ObjectVersion, Millis,
-                            const StoreCompletion &done) {
-        if (++asked == 1)
-            return; // silent for good
-        StoreReply reply;
-        reply.status = StoreStatus::Ok;
-        reply.version = 6;
-        reply.objects.push_back(StoreObject{kSettingsHeadPath, "newer", 6, false});
-        scheduler.after(Millis(500), [done, reply] { done(reply); });
-    };
-    HeadWatcher watcher(HeadWatcherConfig(), std::move(hooks));
-    scheduler.every(Millis(100), [&] { watcher.tick(true); });
-    scheduler.runFor(Millis::seconds(6));
-    CHECK(replaced == 1);
-    CHECK(newest == "newer");
+    FakeScheduler *scheduler = nullptr;
+    WatcherBench bench([&](const StoreCompletion &done) {
+        if (++asked > 1)
+            scheduler->after(Millis(500), [done] { done(WatcherBench::replyWith("newer", 6)); });
+    });
+    scheduler = &bench.scheduler;
+    bench.scheduler.runFor(Millis::seconds(6));
+    CHECK(bench.replaced == 1);
+    CHECK(bench.newest == "newer");
+}
+
+// The store is slow for an hour: each answer takes eight seconds. Calls are given up before, but
+// what they say in the end is true; if it were thrown away no change would come into force.
+TEST_CASE("a slow store's late answers are taken, with the age that they have")
+{
+    FakeScheduler *scheduler = nullptr;
+    WatcherBench bench([&](const StoreCompletion &done) {
+        scheduler->after(Millis::seconds(8), [done] { done(WatcherBench::replyWith("newer", 6)); });
+    });
+    scheduler = &bench.scheduler;
+    bench.scheduler.runFor(Millis::seconds(9));
+    CHECK(bench.newest == "newer");
+    CHECK(bench.scheduler.now() - bench.confirmedAt >= Millis::seconds(8));
 }
 
 // A watcher is killed, or stops as planned. Another of its domain must take its place without
@@ -371,6 +411,23 @@
     CHECK(cluster.runUntilInForce(next, Millis::seconds(10)) < Millis::seconds(3));
 }
 
+TEST_CASE("the state shown to operators says what is in force and how current it is")
+{
+    ConfigCluster cluster(shapeOf(3));
+    const std::uint64_t generation = cluster.apply({ConfigCluster::keyHash(1)}, {});
+    cluster.startAll();
+    CHECK(describeConfig(cluster.config(0), cluster.now()).at("store_age_ms").is_null());
+    cluster.runFor(Millis::seconds(10));
+    const auto config = describeConfig(cluster.config(0), cluster.now());
+    CHECK(config.at("generation") == generation);
+    CHECK(config.at("confirmed_by") == "store");
+    CHECK(config.at("store_age_ms").get<std::int64_t>() < 5000);
+    const auto members = describeMembership(cluster.instances().membership(0));
+    CHECK(members.at("members").size() == 2);
+    CHECK(members.at("members").at(0).at("settings_generation") == generation);
+    CHECK(config.dump().find(ConfigCluster::keyHash(1)) == std::string::npos);
+}
+
 TEST_CASE("malformed frames change nothing and are counted")
 {
     ConfigCluster cluster(shapeOf(2));
