--- a/modules/admission/AdmissionController.h
+++ b/modules/admission/AdmissionController.h
@@ -23,6 +23,10 @@
     double interactivePatience = 0.9;
     /** ... and a standard one past this multiple. */
     double standardPatience = 4;
+    /** ... but each may wait for this share of its target. */
+    double smallestWait = 0.1;
+    /** Share of the target that a request may spend between admission and first token. */
+    double engineShare = 0.8;
     /** A batch request without a deadline waits this long. */
     Millis batchPatience = Millis::minutes(5);
     /** Where a prompt alone takes long to read, its target is this multiple of that time. */
--- a/modules/admission/AdmissionController_test.cpp
+++ b/modules/admission/AdmissionController_test.cpp
@@ -313,7 +313,7 @@
 {
     const AdmissionCapacity whole{100, 10000, 0, 0};
     CHECK(instanceCapacity(whole, {100, 4500}, {10, 200}, 10).slots == doctest::Approx(10));
-    CHECK(instanceCapacity(whole, {20, 0}, {15, 0}, 10).slots == doctest::Approx(31));
+    CHECK(instanceCapacity(whole, {20, 0}, {15, 0}, 10).slots == doctest::Approx(47));
     CHECK(instanceCapacity(whole, {100, 4500}, {10, 450}, 10).prefillTokensPerSecond
           == doctest::Approx(1000));
     CHECK(instanceCapacity(whole, {0, 900}, {0, 900}, 1).slots == doctest::Approx(100));
--- a/modules/admission/detail/AdmissionState.cpp
+++ b/modules/admission/detail/AdmissionState.cpp
@@ -12,6 +12,8 @@
 constexpr double outputGain = 1.0 / 8;
 constexpr double holdGain = 1.0 / 32;
 constexpr double rateWindowSeconds = 2;
+/** What a first token takes beside reading. */
+constexpr double firstTokenOverhead = 0.02;
 constexpr Millis shortestRetryAfter = Millis::seconds(1);
 constexpr Millis longestRetryAfter = Millis::minutes(1);
 
@@ -121,17 +123,48 @@
     return rate > 0 ? promptTokens / rate : 0;
 }
 
+/** What the first token may take; long prompts get a multiple of their own reading time. */
+double AdmissionState::targetSeconds(const Pool &pool, const AdmissionRequest &request) const
+{
+    const double target =
+        std::max(pool.row.firstTokenTarget.toSeconds(),
+                 options_.readingPatience * readingSeconds(pool, request.promptTokens));
+    return request.priority == Priority::Interactive ? target : target * options_.standardPatience;
+}
+
+/** Time from admission to first token for a prompt of this size, as seen lately. */
+double AdmissionState::expectedFirstToken(const Pool &pool, double promptTokens) const
+{
+    const double reading = readingSeconds(pool, promptTokens) + firstTokenOverhead;
+    if (pool.meanReadingSeconds <= 0)
+        return reading;
+    return reading * pool.meanFirstTokenSeconds / pool.meanReadingSeconds;
+}
+
+void AdmissionState::learnFirstToken(const HeldRequest &held, Pool &pool, Millis now) const
+{
+    const double seconds = (now - held.admittedAt).toSeconds();
+    const double reading = readingSeconds(pool, held.request.promptTokens) + firstTokenOverhead;
+    pool.meanFirstTokenSeconds += holdGain * (seconds - pool.meanFirstTokenSeconds);
+    pool.meanReadingSeconds += holdGain * (reading - pool.meanReadingSeconds);
+    const double allowed = options_.engineShare
+        * std::max(pool.row.firstTokenTarget.toSeconds(),
+                   options_.readingPatience * readingSeconds(pool, held.request.promptTokens));
+    pool.window.firstToken({seconds, allowed}, now);
+}
+
 /** The instant after which the request, if admitted, would miss its target or its deadline. */
 Millis AdmissionState::latestStart(const HeldRequest &held, const Pool &pool, Millis now) const
 {
     const double reading = readingSeconds(pool, held.request.promptTokens);
-    const double target =
-        std::max(pool.row.firstTokenTarget.toSeconds(), options_.readingPatience * reading);
-    Millis latest = now + options_.batchPatience;
-    if (held.request.priority == Priority::Interactive)
-        latest = now + fromSeconds(target * options_.interactivePatience - reading);
-    else if (held.request.priority == Priority::Standard)
-        latest = now + fromSeconds(target * options_.standardPatience - reading);
+    const double target = targetSeconds(pool, held.request);
+    // Some wait is always granted: else a bad spell would refuse everything, and nothing would be
+    // left to show that it is over.
+    const double wait = std::max(options_.smallestWait * target,
+                                 options_.interactivePatience * target
+                                     - expectedFirstToken(pool, held.request.promptTokens));
+    const Millis latest = held.request.priority == Priority::Batch ? now + options_.batchPatience
+                                                                   : now + fromSeconds(wait);
     if (held.request.deadline == Millis::never())
         return latest;
     const double writing =
@@ -147,7 +180,7 @@
     What lies ahead is the whole queue at most, and no more than its own customer's queue times the
     share that the customer gets: a customer with a short queue does not wait behind a long one.
 */
-double AdmissionState::predictedWait(const Flow &flow, const Pool &pool) const
+double AdmissionState::predictedWait(const Flow &flow, Pool &pool, Millis now) const
 {
     const double weight = pool.fair.weight(flow.fairIndex);
     const double others =
@@ -156,7 +189,8 @@
     double seconds = 0;
     if (pool.capacity.prefillTokensPerSecond > 0) {
         const double tokens = std::min(pool.queuedTokens, flow.queuedTokens * slowdown);
-        seconds = tokens / pool.capacity.prefillTokensPerSecond;
+        const double nominal = pool.capacity.prefillTokensPerSecond;
+        seconds = tokens / std::max(nominal / 2, pool.admittedTokens.perSecond(now));
     }
     if (pool.capacity.slots > 0 && pool.meanHoldSeconds > 0) {
         const double waiting = static_cast<double>(flow.waiting.size());
@@ -224,7 +258,7 @@
         const double mayWait = std::max(4.0, owner.limiter.share().concurrentRequests);
         if (wait > options_.limitWait || owner.queued >= mayWait)
             return refuse(slot, *limit, std::max(wait, shortestRetryAfter));
-    } else if (now + fromSeconds(predictedWait(flow, target)) > held.giveUpAt) {
+    } else if (now + fromSeconds(predictedWait(flow, target, now)) > held.giveUpAt) {
         return refuse(slot, hopelessCode(held), retryAfterOverload(target));
     }
     if (queued_ >= options_.maxQueued)
@@ -278,6 +312,7 @@
     held.admittedAt = now;
     target.running += 1;
     target.readingTokens += held.request.promptTokens;
+    target.admittedTokens.add(held.request.promptTokens, now);
     target.fair.charge(flow.fairIndex, held.cost);
     customer(flow.customer).limiter.started(tokensOf(held));
     ++running_;
@@ -358,8 +393,10 @@
             giveUp(slot, changes, now);
             continue;
         }
-        if (!fits(target, slab_.at(slot)))
+        if (!fits(target, slab_.at(slot))) {
+            target.window.heldBack();
             return;
+        }
         if (const auto limit = customer(flows_[flowIndex].customer).limiter.heldBackBy(now)) {
             holdBack(flowIndex, *limit, now);
             continue;
@@ -405,7 +442,10 @@
     const Slot slot = slab_.find(ticket);
     if (slot == RequestSlab::none || slab_.at(slot).phase != RequestPhase::Reading)
         return changes;
-    releaseReading(slab_.at(slot));
+    HeldRequest &held = slab_.at(slot);
+    held.firstTokenAt = now;
+    learnFirstToken(held, pool(held.request.pool), now);
+    releaseReading(held);
     pump(slab_.at(slot).request.pool, changes, now);
     return changes;
 }
@@ -439,6 +479,11 @@
     flow.meanOutputTokens += flow.meanOutputTokens > 0
         ? outputGain * (outputTokens - flow.meanOutputTokens)
         : outputTokens;
+    if (held.phase == RequestPhase::Writing && outputTokens > 1) {
+        Pool &target = pool(held.request.pool);
+        const double each = (now - held.firstTokenAt).toSeconds() / (outputTokens - 1);
+        target.window.answer({each, target.row.tokenTarget.toSeconds()}, now);
+    }
     slab_.remove(slot);
     retryLimited(held.request.customer, changes, now);
     pump(held.request.pool, changes, now);
--- a/modules/admission/detail/AdmissionState.h
+++ b/modules/admission/detail/AdmissionState.h
@@ -4,6 +4,7 @@
 #include "admission/detail/RequestSlab.h"
 #include "admission/limits/CustomerLimiter.h"
 #include "admission/queue/FairQueue.h"
+#include "admission/queue/WindowController.h"
 
 #include <cstdint>
 #include <set>
@@ -64,6 +65,12 @@
     double queued = 0;
     /** Mean time that a request holds its slot, for predictions; 0 until known. */
     double meanHoldSeconds = 0;
+    WindowController window;
+    /** Prompt tokens admitted lately: the speed at which the queue really moves. */
+    RecentRate admittedTokens;
+    /** Means of the time from admission to first token, and of what reading alone would take. */
+    double meanFirstTokenSeconds = 0;
+    double meanReadingSeconds = 0;
 };
 
 /** One customer at this instance. */
@@ -108,8 +115,11 @@
     double tokensOf(const HeldRequest &held) const;
     double costOf(const HeldRequest &held, double outputTokens) const;
     double readingSeconds(const Pool &pool, double promptTokens) const;
+    double targetSeconds(const Pool &pool, const AdmissionRequest &request) const;
+    double expectedFirstToken(const Pool &pool, double promptTokens) const;
+    void learnFirstToken(const HeldRequest &held, Pool &pool, Millis now) const;
     Millis latestStart(const HeldRequest &held, const Pool &pool, Millis now) const;
-    double predictedWait(const Flow &flow, const Pool &pool) const;
+    double predictedWait(const Flow &flow, Pool &pool, Millis now) const;
     bool fits(const Pool &pool, const HeldRequest &held) const;
     AdmissionDecision refuse(Slot slot, RefusalCode code, Millis retryAfter);
     AdmissionDecision enqueue(Slot slot, Millis now);
--- a/modules/admission/detail/RequestSlab.h
+++ b/modules/admission/detail/RequestSlab.h
@@ -30,6 +30,7 @@
     bool limited = false;
     RefusalCode limitCode = RefusalCode::RateLimited;
     Millis admittedAt;
+    Millis firstTokenAt;
     /** It is hopeless when not admitted by then. */
     Millis giveUpAt;
     double cost = 0;
--- a/modules/admission/limits/AdmissionSettingsBuilder.cpp
+++ b/modules/admission/limits/AdmissionSettingsBuilder.cpp
@@ -45,7 +45,7 @@
 {
     AdmissionCapacity share = whole;
     const double count = std::max(1.0, instances);
-    const double freePart = std::min(1.0, 2 / count);
+    const double freePart = std::min(1.0, 4 / count);
     if (whole.slots > 0) {
         const double free = std::max(0.0, whole.slots - used.requests);
         share.slots = std::max(whole.slots / count, own.requests + freePart * free);
--- a/modules/policybench/engine/FakeEngine.cpp
+++ b/modules/policybench/engine/FakeEngine.cpp
@@ -32,14 +32,26 @@
     }
     order_.push_front({hash, tokens});
     entries_[hash] = order_.begin();
+    note(hash, true);
     used_ += tokens;
     while (used_ > capacity_ && order_.size() > 1) {
         used_ -= order_.back().tokens;
         entries_.erase(order_.back().hash);
+        note(order_.back().hash, false);
         order_.pop_back();
     }
 }
 
+void PrefixCache::note(std::uint64_t hash, bool stored)
+{
+    events_.push_back({nextEvent_++, hash, stored});
+}
+
+std::vector<CacheEvent> PrefixCache::takeEvents()
+{
+    return std::exchange(events_, {});
+}
+
 void PrefixCache::clear()
 {
     order_.clear();
@@ -90,6 +102,8 @@
         waiting_.erase(waiting_.begin());
         if (active.job.readsPrompt) {
             const double held = cache_.use(*active.job.prefixes);
+            work_.promptTokens += active.job.promptTokens;
+            work_.cachedTokens += held;
             active.unread = std::max(1.0, active.job.promptTokens - held);
         }
         running_.push_back(active);
@@ -118,7 +132,11 @@
     const auto writing = static_cast<double>(std::count_if(
         running_.begin(), running_.end(), [](const Active &active) { return active.unread <= 0; }));
     const double write = writing > 0 ? EngineModel::stepMs(writing) : 2;
-    return write + reading * EngineModel::msPerPromptToken;
+    const double time = write + reading * EngineModel::msPerPromptToken;
+    work_.busyMs += time;
+    work_.steps += 1;
+    work_.answersInSteps += writing;
+    return time;
 }
 
 std::vector<JobEvent> FakeEngine::endStep()
--- a/modules/policybench/engine/FakeEngine.h
+++ b/modules/policybench/engine/FakeEngine.h
@@ -33,6 +33,14 @@
     }
 };
 
+/** A change of an engine's cache, as it publishes it. */
+struct CacheEvent
+{
+    std::uint64_t number = 0;
+    std::uint64_t hash = 0;
+    bool stored = true;
+};
+
 /** Which prefixes an engine holds: limited memory, the least recently used goes first. */
 class PrefixCache
 {
@@ -43,6 +51,9 @@
     double use(const PrefixChain &chain);
     void clear();
 
+    /** Returns the changes since the last call. */
+    std::vector<CacheEvent> takeEvents();
+
 private:
     struct Entry
     {
@@ -51,6 +62,10 @@
     };
     void touch(std::uint64_t hash, double tokens);
 
+    void note(std::uint64_t hash, bool stored);
+
+    std::vector<CacheEvent> events_;
+    std::uint64_t nextEvent_ = 1;
     double capacity_;
     double used_ = 0;
     std::list<Entry> order_;
@@ -99,6 +114,18 @@
     std::vector<JobEvent> endStep();
 
     LoadReport report() const;
+    std::vector<CacheEvent> takeCacheEvents() { return cache_.takeEvents(); }
+    /** What it has done so far. */
+    struct Work
+    {
+        double busyMs = 0;
+        double promptTokens = 0;
+        double cachedTokens = 0;
+        double steps = 0;
+        double answersInSteps = 0;
+    };
+    const Work &work() const { return work_; }
+
     EngineRole role = EngineRole::Mixed;
     bool alive = true;
     bool stepping = false;
@@ -115,6 +142,7 @@
     void startWaiting();
     double planReading();
 
+    Work work_;
     PrefixCache cache_;
     std::vector<EngineJob> waiting_;
     std::vector<Active> running_;
--- a/modules/policybench/policy/InstancePolicy.cpp
+++ b/modules/policybench/policy/InstancePolicy.cpp
@@ -3,6 +3,7 @@
 #include "policybench/policy/BaselinePolicy.h"
 #include "policybench/policy/CuminrailPolicy.h"
 
+#include <string>
 #include <utility>
 
 namespace cuminrail::policybench {
@@ -17,9 +18,22 @@
 
 InstancePolicy::InstancePolicy(PolicySetup setup)
     : setup_(std::move(setup)), loads_(upstreamCapacity, teamCapacity), hints_(hintEntries),
-      router_(loads_, hints_)
+      router_(loads_, hints_, {}, customerSeed("instance " + std::to_string(setup_.instance)))
 { }
 
+void InstancePolicy::cacheEvents(UpstreamIndex upstream, const std::vector<CacheEvent> &events,
+                                 Millis now)
+{
+    for (const CacheEvent &event : events) {
+        if (!cursors_[upstream].accept(event.number))
+            hints_.forgetUpstream(upstream);
+        if (event.stored)
+            hints_.stored(event.hash, upstream, now);
+        else
+            hints_.evicted(event.hash, upstream);
+    }
+}
+
 AdmissionCapacity InstancePolicy::capacity(const PoolUse &own) const
 {
     const PoolCapacity whole = table_->capacity(setup_.pool);
--- a/modules/policybench/policy/InstancePolicy.h
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission.h"
 #include "core/names/NameTable.h"
+#include "policybench/engine/FakeEngine.h"
 #include "routing/routing.h"
 
 #include <cstdint>
@@ -71,6 +72,8 @@
     void setTable(std::shared_ptr<const RoutingTable> table) { table_ = std::move(table); }
     const RoutingTable &table() const { return *table_; }
     Router &router() { return router_; }
+    /** Cache events of one engine arrived, late and perhaps not all. */
+    void cacheEvents(UpstreamIndex upstream, const std::vector<CacheEvent> &events, Millis now);
     void attemptFailed(UpstreamIndex upstream, Millis now) { failedAt_[upstream] = now; }
 
 protected:
@@ -82,6 +85,7 @@
     LiveLoads loads_;
     PrefixHints hints_;
     Router router_;
+    std::unordered_map<UpstreamIndex, CacheEventCursor> cursors_;
     std::unordered_map<UpstreamIndex, Millis> failedAt_;
 };
 
--- a/modules/policybench/score/Score.cpp
+++ b/modules/policybench/score/Score.cpp
@@ -82,6 +82,12 @@
 
 } // namespace
 
+bool isLate(const WorkloadRequest &request, const RequestRecord &record)
+{
+    return request.priority != Priority::Batch
+        && record.firstTokenAt - request.arrival > firstTokenLimit(request);
+}
+
 bool isGood(const WorkloadRequest &request, const RequestRecord &record)
 {
     if (record.ending != Ending::Answered)
@@ -90,8 +96,7 @@
         return false;
     if (request.priority == Priority::Batch)
         return true;
-    return record.firstTokenAt - request.arrival <= firstTokenLimit(request)
-        && tokenTime(request, record) <= tokenTargetMs;
+    return !isLate(request, record) && tokenTime(request, record) <= tokenTargetMs;
 }
 
 double goodputBound(const Workload &workload)
@@ -159,6 +164,9 @@
         const double tokens = request.promptTokens + request.outputTokens;
         allTokens += tokens;
         cheapTokens += record.onReclaimable ? tokens : 0;
+        const bool late = isLate(request, record);
+        score.lateFirstToken += late ? 1 : 0;
+        score.slowAnswer += !late && !isGood(request, record) ? 1 : 0;
         if (request.priority == Priority::Batch)
             continue;
         firstTokens.push_back(record.firstTokenAt - request.arrival);
@@ -197,9 +205,14 @@
             {"cost", score.cost},
             {"cheap_share", score.cheapShare},
             {"refused_not_run", score.refusedNotRun},
+            {"late_first_token", score.lateFirstToken},
+            {"slow_answer", score.slowAnswer},
             {"failed", score.failed},
             {"lost", score.lost},
-            {"requests", score.requests}};
+            {"requests", score.requests},
+            {"engine_busy", score.engineBusy},
+            {"cached_share", score.cachedShare},
+            {"mean_batch", score.meanBatch}};
 }
 
 } // namespace cuminrail::policybench
--- a/modules/policybench/score/Score.h
+++ b/modules/policybench/score/Score.h
@@ -47,11 +47,23 @@
     /** Share of the tokens that ran on reclaimable engines. */
     double cheapShare = 0;
     std::size_t refusedNotRun = 0;
+    /** Answered whole, but the first token came late. */
+    std::size_t lateFirstToken = 0;
+    /** Answered whole, but tokens came too slowly, or the answer after its deadline. */
+    std::size_t slowAnswer = 0;
     std::size_t failed = 0;
     std::size_t lost = 0;
     std::size_t requests = 0;
+    /** Share of the time that engines worked, of prompt tokens that were cached. */
+    double engineBusy = 0;
+    double cachedShare = 0;
+    /** Mean number of answers written in one step. */
+    double meanBatch = 0;
 };
 
+/** Returns true when the first token came after its target. */
+bool isLate(const WorkloadRequest &request, const RequestRecord &record);
+
 /** Returns true when the answer came whole and within its targets. */
 bool isGood(const WorkloadRequest &request, const RequestRecord &record);
 
--- a/modules/policybench/simulation/PolicyBench.cpp
+++ b/modules/policybench/simulation/PolicyBench.cpp
@@ -11,7 +11,9 @@
     const std::vector<RequestRecord> &seen = simulation.run();
     if (records != nullptr)
         *records = seen;
-    return scoreOf(workload, seen);
+    Score score = scoreOf(workload, seen);
+    simulation.describeEngines(score);
+    return score;
 }
 
 } // namespace cuminrail::policybench
--- a/modules/policybench/simulation/Simulation.cpp
+++ b/modules/policybench/simulation/Simulation.cpp
@@ -20,6 +20,8 @@
 /** How long after the last arrival requests may take to end. */
 constexpr double afterwards = 200000;
 constexpr std::uint32_t mostAttempts = 4;
+/** Of so many batches of cache events one is lost. */
+constexpr std::uint64_t lostEvents = 101;
 constexpr double kvMsPerToken = 0.0131;
 
 } // namespace
@@ -103,10 +105,15 @@
         if (!engines_[engine].alive)
             continue;
         const LoadReport report = engines_[engine].report();
-        queue_.after(workload_.reportLag, [this, engine, report] {
+        std::vector<CacheEvent> events = engines_[engine].takeCacheEvents();
+        if (++reports_ % lostEvents == 0)
+            events.clear();
+        queue_.after(workload_.reportLag, [this, engine, report, events] {
             const Millis age(static_cast<std::int64_t>(workload_.reportLag));
-            for (auto &instance : instances_)
+            for (auto &instance : instances_) {
                 instance->router().loads().report(engine, report, age, now());
+                instance->cacheEvents(engine, events, now());
+            }
         });
     }
 }
@@ -370,4 +377,19 @@
     return records_;
 }
 
+void Simulation::describeEngines(Score &score) const
+{
+    FakeEngine::Work sum;
+    for (const FakeEngine &engine : engines_) {
+        sum.busyMs += engine.work().busyMs;
+        sum.promptTokens += engine.work().promptTokens;
+        sum.cachedTokens += engine.work().cachedTokens;
+        sum.steps += engine.work().steps;
+        sum.answersInSteps += engine.work().answersInSteps;
+    }
+    score.engineBusy = sum.busyMs / (workload_.duration * double(engines_.size()));
+    score.cachedShare = sum.cachedTokens / std::max(1.0, sum.promptTokens);
+    score.meanBatch = sum.answersInSteps / std::max(1.0, sum.steps);
+}
+
 } // namespace cuminrail::policybench
--- a/modules/policybench/simulation/Simulation.h
+++ b/modules/policybench/simulation/Simulation.h
@@ -25,6 +25,9 @@
     /** Runs to the end, and until all requests have ended. */
     const std::vector<RequestRecord> &run();
 
+    /** Adds what the engines did to a score. */
+    void describeEngines(Score &score) const;
+
 private:
     /** A request between submit and its end. */
     struct Flight
@@ -77,6 +80,7 @@
     std::vector<std::unordered_map<AdmissionTicket, std::size_t>> byTicket_;
     std::unordered_map<std::uint64_t, std::size_t> byJob_;
     std::uint64_t nextJob_ = 1;
+    std::uint64_t reports_ = 0;
     std::size_t open_ = 0;
 };
 
--- a/modules/routing/Router.cpp
+++ b/modules/routing/Router.cpp
@@ -38,8 +38,9 @@
 
 } // namespace
 
-Router::Router(LiveLoads &loads, PrefixHints &hints, RouterOptions options)
-    : loads_(loads), hints_(hints), options_(options)
+Router::Router(LiveLoads &loads, PrefixHints &hints, RouterOptions options,
+               std::uint64_t preferenceSeed)
+    : loads_(loads), hints_(hints), options_(options), preferenceSeed_(preferenceSeed)
 { }
 
 std::optional<RoutingChoice> Router::choose(const RoutingRequest &request,
@@ -50,7 +51,7 @@
         fail(lastReason, "no_upstream", "nothing serves it that takes new work");
         return std::nullopt;
     }
-    detail::Selection selection(request, table, loads_, options_, now);
+    detail::Selection selection(request, table, loads_, options_, preferenceSeed_, now);
     if (request.prefixes != nullptr && !table.pool(request.pool).isService)
         selection.addHolders(hints_.find(*request.prefixes, now));
 
@@ -114,7 +115,7 @@
         learnRate(reader, ticket, now);
 }
 
-void Router::finished(RoutingTicket &ticket, UpstreamOutcome outcome, Millis)
+void Router::finished(RoutingTicket &ticket, UpstreamOutcome outcome, Millis now)
 {
     const bool apart = ticket.prefill != noIndex;
     if (!ticket.sawFirstToken) {
@@ -130,6 +131,7 @@
         live.successes.fetch_add(1, std::memory_order_relaxed);
         live.consecutiveFailures.store(0, std::memory_order_relaxed);
     } else if (outcome == UpstreamOutcome::Failure) {
+        live.failedAt.store(now.count(), std::memory_order_relaxed);
         live.failures.fetch_add(1, std::memory_order_relaxed);
         live.consecutiveFailures.fetch_add(1, std::memory_order_relaxed);
     }
--- a/modules/routing/Router.h
+++ b/modules/routing/Router.h
@@ -16,13 +16,21 @@
 struct RouterOptions
 {
     /** Upstreams sampled at random for each request, beside the holders of its prefix. */
-    std::uint32_t samples = 4;
+    std::uint32_t samples = 8;
     /** A holder of the prefix is passed over above this multiple of the sampled load. */
     double affinityLoadBound = 1.5;
     /** How fast a load report loses its weight. */
     Millis reportHalfLife = Millis(500);
     /** Added to the predicted time of an upstream in another failure domain. */
     Millis otherDomainCost = Millis(2);
+    /**
+        Each instance likes some upstreams better, by up to this much predicted time. Instances
+        then differ in their order of preference, and each knows best the load of those it likes.
+    */
+    Millis preferenceSpread = Millis(300);
+    /** Added for a while to the predicted time of an upstream whose last request failed. */
+    Millis failureCost = Millis::seconds(2);
+    Millis failureMemory = Millis::seconds(5);
     /** Share of a decode engine's slots below which it may also read prompts. */
     double decodeHeadroom = 0.6;
     /** Size of the KV cache of one token, and speed between engines. */
@@ -62,7 +70,10 @@
 class Router
 {
 public:
-    Router(LiveLoads &loads, PrefixHints &hints, RouterOptions options = {});
+    /** @param preferenceSeed  differs between instances; 0 for no preferences */
+    /** @param preferenceSeed  differs between instances; 0 for no preferences */
+    Router(LiveLoads &loads, PrefixHints &hints, RouterOptions options = RouterOptions(),
+           std::uint64_t preferenceSeed = 0);
 
     /**
         Returns where the request should go, or nothing with the reason ("no_upstream").
@@ -90,6 +101,7 @@
     LiveLoads &loads_;
     PrefixHints &hints_;
     RouterOptions options_;
+    std::uint64_t preferenceSeed_;
 };
 
 } // namespace cuminrail
--- a/modules/routing/detail/Selection.cpp
+++ b/modules/routing/detail/Selection.cpp
@@ -15,6 +15,8 @@
 constexpr double answerTimeWeight = 0.1;
 /** Added when the time between tokens is predicted above its target. */
 constexpr double tokenTargetPenalty = 1.0;
+/** How much a second of reading costs those who come later, whoever they are. */
+constexpr double workWeight = 1.0;
 /** How much a second of reading costs the answers being written at the same engine. */
 constexpr double interferenceWeight = 0.5;
 /** Share of a home's prefix taken as cached when no hint says so. */
@@ -39,9 +41,10 @@
 } // namespace
 
 Selection::Selection(const RoutingRequest &request, const RoutingTable &table,
-                     const LiveLoads &loads, const RouterOptions &options, Millis now)
+                     const LiveLoads &loads, const RouterOptions &options,
+                     std::uint64_t preferenceSeed, Millis now)
     : request_(request), table_(table), pool_(table.pool(request.pool)), loads_(loads),
-      options_(options), now_(now)
+      options_(options), preferenceSeed_(preferenceSeed), now_(now)
 { }
 
 void Selection::addHolders(const PrefixHolders &holders)
@@ -229,6 +232,25 @@
     return view;
 }
 
+/** What speaks against an upstream whatever its load: failures, cost class, preference. */
+double Selection::standingCost(UpstreamIndex index) const
+{
+    const UpstreamLive &live = loads_.upstream(index);
+    double cost = 0;
+    const std::int64_t failedAt = live.failedAt.load(std::memory_order_relaxed);
+    // Until it is ejected or answers again: a dead engine looks idle and would draw all retries.
+    if (now_.count() - failedAt < options_.failureMemory.count()
+        && live.consecutiveFailures.load(std::memory_order_relaxed) > 0)
+        cost += options_.failureCost.toSeconds();
+    if (table_.upstream(index).costClass == CostClass::Reclaimable)
+        cost -= options_.reclaimableBonus.toSeconds();
+    if (preferenceSeed_ != 0) {
+        const std::uint64_t place = mixHash(preferenceSeed_, index + 1) >> 11U;
+        cost += static_cast<double>(place) * 0x1.0p-53 * options_.preferenceSpread.toSeconds();
+    }
+    return cost;
+}
+
 Prediction Selection::predict(const Candidate &candidate, bool readsPrompt, bool writesAnswer) const
 {
     const RoutedUpstream &upstream = table_.upstream(candidate.upstream);
@@ -238,7 +260,7 @@
         prediction.firstToken += options_.otherDomainCost.toSeconds();
     if (upstream.slots == 0) {
         prediction.firstToken += load.requests * secondsPerServiceRequest;
-        prediction.score = prediction.firstToken;
+        prediction.score = prediction.firstToken + standingCost(candidate.upstream);
         return prediction;
     }
     const double slots = upstream.slots;
@@ -249,7 +271,7 @@
         const double uncached =
             std::max(minimumUncached, request_.promptTokens - candidate.cachedTokens);
         prediction.firstToken += (load.promptTokens + uncached) / rate;
-        prediction.score += interferenceWeight * used * uncached / rate;
+        prediction.score += (workWeight + interferenceWeight * used) * uncached / rate;
     }
     if (writesAnswer) {
         const double over = load.requests + 1 - slots;
@@ -259,9 +281,7 @@
         if (used * tokenSeconds > pool_.tokenTarget.toSeconds())
             prediction.score += tokenTargetPenalty;
     }
-    if (upstream.costClass == CostClass::Reclaimable)
-        prediction.score -= options_.reclaimableBonus.toSeconds();
-    prediction.score += prediction.firstToken;
+    prediction.score += prediction.firstToken + standingCost(candidate.upstream);
     return prediction;
 }
 
--- a/modules/routing/detail/Selection.h
+++ b/modules/routing/detail/Selection.h
@@ -48,7 +48,7 @@
 {
 public:
     Selection(const RoutingRequest &request, const RoutingTable &table, const LiveLoads &loads,
-              const RouterOptions &options, Millis now);
+              const RouterOptions &options, std::uint64_t preferenceSeed, Millis now);
 
     /** Adds the engines that probably hold a prefix of the prompt. */
     void addHolders(const PrefixHolders &holders);
@@ -67,6 +67,7 @@
     void addAffinity();
     void add(const Candidate &candidate);
     void findMeans();
+    double standingCost(UpstreamIndex upstream) const;
     LoadView viewOf(UpstreamIndex upstream) const;
     bool overAffinityBound(const Candidate &candidate) const;
     Prediction predict(const Candidate &candidate, bool readsPrompt, bool writesAnswer) const;
@@ -80,6 +81,7 @@
     const RoutingPool &pool_;
     const LiveLoads &loads_;
     const RouterOptions &options_;
+    std::uint64_t preferenceSeed_;
     Millis now_;
     SelectionRules rules_;
 
--- a/modules/routing/live/LiveLoads.h
+++ b/modules/routing/live/LiveLoads.h
@@ -51,6 +51,8 @@
     std::atomic<std::uint32_t> successes{0};
     std::atomic<std::uint32_t> failures{0};
     std::atomic<std::uint32_t> consecutiveFailures{0};
+    /** When the last failure was seen; a long time ago for none. */
+    std::atomic<std::int64_t> failedAt{-1000000000};
     /** No new work before this instant; set by OutlierEjector. */
     std::atomic<std::int64_t> ejectedUntil{0};
     /** How often it was ejected in a row; lengthens the next ejection. */
