--- a/modules/admission/AdmissionController.h
+++ b/modules/admission/AdmissionController.h
@@ -26,7 +26,7 @@
     /** ... but each may wait for this share of its target. */
     double smallestWait = 0.1;
     /** Share of the target that a request may spend between admission and first token. */
-    double engineShare = 0.8;
+    double engineShare = 1.0;
     /** A batch request without a deadline waits this long. */
     Millis batchPatience = Millis::minutes(5);
     /** Where a prompt alone takes long to read, its target is this multiple of that time. */
--- a/modules/admission/detail/AdmissionState.cpp
+++ b/modules/admission/detail/AdmissionState.cpp
@@ -211,7 +211,8 @@
     const double rate = pool.capacity.prefillTokensPerSecond;
     if (rate <= 0 || pool.readingTokens <= 0)
         return true;
-    const double window = rate * pool.row.firstTokenTarget.toSeconds() * options_.prefillWindow;
+    const double window = rate * pool.row.firstTokenTarget.toSeconds() * options_.prefillWindow
+        * pool.window.factor();
     return pool.readingTokens + held.request.promptTokens <= window;
 }
 
--- a/modules/admission/queue/WindowController.cpp
+++ b/modules/admission/queue/WindowController.cpp
@@ -8,7 +8,7 @@
 
 constexpr Millis interval = Millis(250);
 constexpr std::uint32_t enoughSamples = 8;
-constexpr double lateShare = 0.08;
+constexpr double lateShare = 0.35;
 constexpr double shrink = 0.9;
 constexpr double grow = 1.06;
 constexpr double smallest = 0.3;
--- a/modules/policybench/policy/CuminrailPolicy.cpp
+++ b/modules/policybench/policy/CuminrailPolicy.cpp
@@ -28,6 +28,12 @@
         members.push_back(instanceName(i));
     ledger_->setMembers(members, now_);
     ledger_->setCustomers(setup_.settings->customers, now_);
+    exchange_ = std::make_unique<LoadExchange>(
+        instanceName(setup_.instance), 1, LoadExchangeOptions(),
+        [this](const InstanceId &to, const std::string &frame) {
+            setup_.sendLoads(static_cast<std::size_t>(std::stoul(to.text())), frame);
+        });
+    exchange_->setPeers(members);
 }
 
 BudgetHooks CuminrailPolicy::budgetHooks()
@@ -72,6 +78,7 @@
 
 AdmissionChanges CuminrailPolicy::tick(Millis now)
 {
+    exchange_->poll(loads_, now);
     return admission_.tick(now);
 }
 
@@ -92,6 +99,11 @@
     return router_.choose(request, *table_, now, setup_.random);
 }
 
+void CuminrailPolicy::receiveLoads(const std::string &frame, Millis now)
+{
+    exchange_->receive(frame, loads_, now);
+}
+
 void CuminrailPolicy::receive(const std::string &frame, Millis now)
 {
     now_ = now;
--- a/modules/policybench/policy/CuminrailPolicy.h
+++ b/modules/policybench/policy/CuminrailPolicy.h
@@ -19,6 +19,8 @@
     void control(Millis now) override;
     std::optional<RoutingChoice> choose(const RoutingRequest &request, Millis now) override;
     void receive(const std::string &frame, Millis now) override;
+    void receiveLoads(const std::string &frame, Millis now) override;
+    void tableChanged() override { exchange_->setTable(*table_); }
 
 private:
     BudgetHooks budgetHooks();
@@ -26,6 +28,7 @@
     AdmissionController admission_;
     OutlierEjector ejector_;
     std::unique_ptr<BudgetLedger> ledger_;
+    std::unique_ptr<LoadExchange> exchange_;
     Millis now_;
     Millis decayedAt_;
 };
--- a/modules/policybench/policy/InstancePolicy.h
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -44,6 +44,8 @@
     std::vector<CustomerLimiter> *sharedLimiters = nullptr;
     /** Messages of the budget ledgers. */
     std::function<void(std::size_t to, const std::string &frame)> send;
+    /** Messages of the load exchange. */
+    std::function<void(std::size_t to, const std::string &frame)> sendLoads;
     /** What a poll of the ledger admitted or refused. */
     std::function<void(const AdmissionChanges &)> changed;
     RandomHook random;
@@ -68,8 +70,14 @@
     virtual void control(Millis now) = 0;
     virtual std::optional<RoutingChoice> choose(const RoutingRequest &request, Millis now) = 0;
     virtual void receive(const std::string &, Millis) { }
+    virtual void receiveLoads(const std::string &, Millis) { }
+    virtual void tableChanged() { }
 
-    void setTable(std::shared_ptr<const RoutingTable> table) { table_ = std::move(table); }
+    void setTable(std::shared_ptr<const RoutingTable> table)
+    {
+        table_ = std::move(table);
+        tableChanged();
+    }
     const RoutingTable &table() const { return *table_; }
     Router &router() { return router_; }
     /** Cache events of one engine arrived, late and perhaps not all. */
--- a/modules/policybench/simulation/Simulation.cpp
+++ b/modules/policybench/simulation/Simulation.cpp
@@ -62,6 +62,10 @@
         setup.send = [this](std::size_t to, const std::string &frame) {
             queue_.after(peerDelay, [this, to, frame] { instances_[to]->receive(frame, now()); });
         };
+        setup.sendLoads = [this](std::size_t to, const std::string &frame) {
+            queue_.after(peerDelay,
+                         [this, to, frame] { instances_[to]->receiveLoads(frame, now()); });
+        };
         setup.changed = [this, i](const AdmissionChanges &changes) { apply(i, changes); };
         setup.random = seededRandom(seed * 100 + i);
         instances_.push_back(makeInstancePolicy(std::move(setup)));
--- a/modules/routing/detail/Selection.cpp
+++ b/modules/routing/detail/Selection.cpp
@@ -16,7 +16,7 @@
 /** Added when the time between tokens is predicted above its target. */
 constexpr double tokenTargetPenalty = 1.0;
 /** How much a second of reading costs those who come later, whoever they are. */
-constexpr double workWeight = 1.0;
+constexpr double workWeight = 1;
 /** How much a second of reading costs the answers being written at the same engine. */
 constexpr double interferenceWeight = 0.5;
 /** Share of a home's prefix taken as cached when no hint says so. */
--- a/modules/routing/live/LiveLoads.cpp
+++ b/modules/routing/live/LiveLoads.cpp
@@ -29,6 +29,8 @@
 void LiveLoads::report(UpstreamIndex index, const LoadReport &report, Millis age, Millis now)
 {
     UpstreamLive &live = upstreams_[index];
+    if (load(live.sharedUntil) > now.count())
+        return;
     const auto requests = static_cast<std::int64_t>(report.running) + report.waiting;
     const std::int64_t waitingTokens = report.waitingPromptTokens > 0
         ? static_cast<std::int64_t>(report.waitingPromptTokens)
@@ -41,6 +43,16 @@
     live.reportedAt.store((now - age).count(), std::memory_order_relaxed);
 }
 
+void LiveLoads::sharedByPeers(UpstreamIndex index, std::int64_t requests, std::int64_t promptTokens,
+                              Millis now, Millis fresh)
+{
+    UpstreamLive &live = upstreams_[index];
+    live.othersRequests.store(requests, std::memory_order_relaxed);
+    live.othersPromptTokens.store(promptTokens, std::memory_order_relaxed);
+    live.reportedAt.store(now.count(), std::memory_order_relaxed);
+    live.sharedUntil.store((now + fresh).count(), std::memory_order_relaxed);
+}
+
 void LiveLoads::decayTeams()
 {
     for (std::size_t i = 0; i < teamCapacity_; ++i) {
--- a/modules/routing/live/LiveLoads.h
+++ b/modules/routing/live/LiveLoads.h
@@ -41,6 +41,8 @@
     /** Load of others, from the last report, less what of it was this instance's own. */
     std::atomic<std::int64_t> othersRequests{0};
     std::atomic<std::int64_t> othersPromptTokens{0};
+    /** Until when peers' own words replace the reports. */
+    std::atomic<std::int64_t> sharedUntil{-1};
     /** When the report was sampled, on this machine's clock; -1 for never. */
     std::atomic<std::int64_t> reportedAt{-1};
 
@@ -93,6 +95,10 @@
     /** Takes a load report. @param age how long ago the engine sampled it. Control thread. */
     void report(UpstreamIndex index, const LoadReport &report, Millis age, Millis now);
 
+    /** Takes what all peers together have in progress; counts more than reports for a while. */
+    void sharedByPeers(UpstreamIndex index, std::int64_t requests, std::int64_t promptTokens,
+                       Millis now, Millis fresh);
+
     /** Halves the teams' counters: call about once a minute. Control thread. */
     void decayTeams();
 
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -17,6 +17,7 @@
 #include "routing/leaving/LeavingSet.h"
 #include "routing/live/LiveLoads.h"
 #include "routing/live/PoolLoad.h"
+#include "routing/peers/LoadExchange.h"
 #include "routing/prefix/PrefixChain.h"
 #include "routing/prefix/PrefixHints.h"
 #include "routing/table/LiveFacts.h"
