--- a/modules/admission/queue/WindowController.cpp
+++ b/modules/admission/queue/WindowController.cpp
@@ -9,6 +9,7 @@
 constexpr Millis interval = Millis(250);
 constexpr std::uint32_t enoughSamples = 8;
 constexpr double lateShare = 0.35;
+constexpr double slowShare = 0.2;
 constexpr double shrink = 0.9;
 constexpr double grow = 1.06;
 constexpr double smallest = 0.3;
@@ -36,7 +37,7 @@
         return;
     evaluatedAt_ = now;
     const bool tooLate = late_ > lateShare * samples_;
-    const bool tooSlow = slow_ > lateShare * answers_;
+    const bool tooSlow = slow_ > slowShare * answers_;
     if (tooLate || tooSlow)
         factor_ *= shrink;
     else if (heldBack_)
--- a/modules/policybench/simulation/Simulation.cpp
+++ b/modules/policybench/simulation/Simulation.cpp
@@ -19,7 +19,7 @@
 constexpr double returnLag = 1000;
 /** How long after the last arrival requests may take to end. */
 constexpr double afterwards = 200000;
-constexpr std::uint32_t mostAttempts = 4;
+constexpr std::uint32_t mostAttempts = 6;
 /** Of so many batches of cache events one is lost. */
 constexpr std::uint64_t lostEvents = 101;
 constexpr double kvMsPerToken = 0.0131;
--- a/modules/routing/Router.cpp
+++ b/modules/routing/Router.cpp
@@ -130,6 +130,7 @@
     if (outcome == UpstreamOutcome::Success) {
         live.successes.fetch_add(1, std::memory_order_relaxed);
         live.consecutiveFailures.store(0, std::memory_order_relaxed);
+        live.failedAt.store(UpstreamLive::noFailure, std::memory_order_relaxed);
     } else if (outcome == UpstreamOutcome::Failure) {
         live.failedAt.store(now.count(), std::memory_order_relaxed);
         live.failures.fetch_add(1, std::memory_order_relaxed);
--- a/modules/routing/Router.h
+++ b/modules/routing/Router.h
@@ -27,7 +27,7 @@
         Each instance likes some upstreams better, by up to this much predicted time. Instances
         then differ in their order of preference, and each knows best the load of those it likes.
     */
-    Millis preferenceSpread = Millis(300);
+    Millis preferenceSpread = Millis(100);
     /** Added for a while to the predicted time of an upstream whose last request failed. */
     Millis failureCost = Millis::seconds(2);
     Millis failureMemory = Millis::seconds(5);
--- a/modules/routing/Router_test.cpp
+++ b/modules/routing/Router_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -243,18 +244,25 @@
     std::vector<Event> seen;
     OutlierEjector ejector({}, [&](const Event &event) { seen.push_back(event); });
     RoutingRequest request = fleet.request();
-    for (int i = 0; i < 200; ++i) {
-        const RoutingChoice choice = fleet.choose(request);
-        RoutingTicket ticket = fleet.router.started(request, choice, fleet.table, start);
-        fleet.router.finished(
-            ticket, choice.upstream == 3 ? UpstreamOutcome::Failure : UpstreamOutcome::Success,
-            start);
+    int failures = 0;
+    Millis now = start;
+    for (int i = 0; i < 400; ++i, now += Millis(100)) {
+        const RoutingChoice choice = fleet.choose(request, now);
+        RoutingTicket ticket = fleet.router.started(request, choice, fleet.table, now);
+        const bool fails = choice.upstream == 3;
+        failures += fails ? 1 : 0;
+        fleet.router.finished(ticket, fails ? UpstreamOutcome::Failure : UpstreamOutcome::Success,
+                              now);
+        ejector.evaluate(fleet.table, fleet.loads, now);
     }
-    ejector.evaluate(fleet.table, fleet.loads, start);
     REQUIRE(seen.size() == 1);
     CHECK(seen[0].fields[0].second == "e3");
-    CHECK(fleet.spread(request, 60).count(3) == 0);
-    CHECK(fleet.spread(request, 60, start + Millis::seconds(6)).count(3) == 1);
+    // After each failure it is left alone for a while, also before it is ejected.
+    CHECK(failures <= 10);
+    const Millis ejectedUntil(fleet.loads.upstream(3).ejectedUntil.load());
+    CHECK(fleet.spread(request, 60, ejectedUntil - Millis(1)).count(3) == 0);
+    const Millis later = std::max(now, ejectedUntil) + Millis::seconds(6);
+    CHECK(fleet.spread(request, 60, later).count(3) == 1);
 }
 
 TEST_CASE("when everything fails only a bounded share is ejected")
--- a/modules/routing/decision/RoutingChoice.h
+++ b/modules/routing/decision/RoutingChoice.h
@@ -37,8 +37,8 @@
     bool kvTransfer = false;
 
     /** Upstreams already tried for this request; choose() avoids them. */
-    static constexpr std::size_t maxTried = 4;
-    std::array<UpstreamIndex, maxTried> tried{noIndex, noIndex, noIndex, noIndex};
+    static constexpr std::size_t maxTried = 6;
+    std::array<UpstreamIndex, maxTried> tried{noIndex, noIndex, noIndex, noIndex, noIndex, noIndex};
 };
 
 /** Why a request went where it went. */
--- a/modules/routing/detail/Selection.cpp
+++ b/modules/routing/detail/Selection.cpp
@@ -52,8 +52,8 @@
     for (std::size_t i = 0; i < holders.count; ++i) {
         const PrefixHolder &holder = holders.holders[i];
         if (holder.upstream < table_.upstreamCount())
-            affinity_[affinityCount_++] = {holder.upstream, holder.tokens * holder.confidence,
-                                           RoutingReason::PrefixHeld};
+            affinity_[affinityCount_++] = {
+                holder.upstream, holder.tokens * holder.confidence, RoutingReason::PrefixHeld, {}};
     }
     if (request_.prefixes == nullptr || request_.prefixes->empty() || affinityCount_ > 1)
         return;
@@ -66,8 +66,8 @@
     for (std::uint64_t salt = 0; salt < 2; ++salt) {
         const UpstreamIndex home = pool_.home(mixHash(point->hash, salt));
         if (home != noIndex)
-            affinity_[affinityCount_++] = {home, point->tokens * assumedHomeShare,
-                                           RoutingReason::PrefixHome};
+            affinity_[affinityCount_++] = {
+                home, point->tokens * assumedHomeShare, RoutingReason::PrefixHome, {}};
     }
 }
 
@@ -156,7 +156,7 @@
         for (std::size_t i = 0; i < members.all.size(); ++i) {
             const UpstreamIndex index = members.all[(start + i) % members.all.size()];
             if (mayUse(index))
-                add({index, 0, RoutingReason::LeastPredictedTime});
+                add({index, 0, RoutingReason::LeastPredictedTime, {}});
         }
         return;
     }
@@ -169,7 +169,7 @@
         const UpstreamIndex index = from[random() % from.size()];
         if (!mayUse(index))
             continue;
-        add({index, 0, RoutingReason::LeastPredictedTime});
+        add({index, 0, RoutingReason::LeastPredictedTime, {}});
         ++taken;
     }
 }
@@ -192,21 +192,24 @@
         meanOthers_ += loadRelaxed(loads_.upstream(candidates_[i].upstream).othersRequests);
     meanOthers_ /= static_cast<double>(count_);
     for (std::size_t i = 0; i < count_; ++i)
-        meanRequests_ += viewOf(candidates_[i].upstream).requests;
+        meanRequests_ += (candidates_[i].load = viewOf(candidates_[i].upstream)).requests;
     meanRequests_ /= static_cast<double>(count_);
 }
 
 void Selection::addAffinity()
 {
     for (std::size_t i = 0; i < affinityCount_; ++i) {
-        if (mayUse(affinity_[i].upstream) && !overAffinityBound(affinity_[i]))
+        if (!mayUse(affinity_[i].upstream))
+            continue;
+        affinity_[i].load = viewOf(affinity_[i].upstream);
+        if (!overAffinityBound(affinity_[i]))
             add(affinity_[i]);
     }
 }
 
 bool Selection::overAffinityBound(const Candidate &candidate) const
 {
-    return viewOf(candidate.upstream).requests > options_.affinityLoadBound * (meanRequests_ + 1);
+    return candidate.load.requests > options_.affinityLoadBound * (meanRequests_ + 1);
 }
 
 /**
@@ -239,8 +242,7 @@
     double cost = 0;
     const std::int64_t failedAt = live.failedAt.load(std::memory_order_relaxed);
     // Until it is ejected or answers again: a dead engine looks idle and would draw all retries.
-    if (now_.count() - failedAt < options_.failureMemory.count()
-        && live.consecutiveFailures.load(std::memory_order_relaxed) > 0)
+    if (now_.count() - failedAt < options_.failureMemory.count())
         cost += options_.failureCost.toSeconds();
     if (table_.upstream(index).costClass == CostClass::Reclaimable)
         cost -= options_.reclaimableBonus.toSeconds();
@@ -254,7 +256,7 @@
 Prediction Selection::predict(const Candidate &candidate, bool readsPrompt, bool writesAnswer) const
 {
     const RoutedUpstream &upstream = table_.upstream(candidate.upstream);
-    const LoadView load = viewOf(candidate.upstream);
+    const LoadView &load = candidate.load;
     Prediction prediction;
     if (upstream.domain != request_.domain)
         prediction.firstToken += options_.otherDomainCost.toSeconds();
@@ -296,7 +298,7 @@
             continue;
         RoutingReason reason = candidate.reason;
         if (upstream.role == EngineRole::Decode) {
-            const double used = viewOf(candidate.upstream).requests / std::max(1U, upstream.slots);
+            const double used = candidate.load.requests / std::max(1U, upstream.slots);
             if (!decodeMustRead && used >= options_.decodeHeadroom)
                 continue;
             reason = RoutingReason::PrefillOnDecode;
--- a/modules/routing/detail/Selection.h
+++ b/modules/routing/detail/Selection.h
@@ -10,6 +10,13 @@
 
 namespace cuminrail::detail {
 
+/** What is believed of an upstream's load at this moment. */
+struct LoadView
+{
+    double requests = 0;
+    double promptTokens = 0;
+};
+
 /** An upstream that is compared for one request. */
 struct Candidate
 {
@@ -17,13 +24,7 @@
     /** Tokens of the prompt that it probably has cached. */
     double cachedTokens = 0;
     RoutingReason reason = RoutingReason::LeastPredictedTime;
-};
-
-/** What is believed of an upstream's load at this moment. */
-struct LoadView
-{
-    double requests = 0;
-    double promptTokens = 0;
+    LoadView load;
 };
 
 /** What a candidate would mean for the request, in seconds. */
--- a/modules/routing/live/LiveLoads.h
+++ b/modules/routing/live/LiveLoads.h
@@ -28,37 +28,41 @@
     Neutral,
 };
 
-/** Live state of one upstream. All members are atomics: any thread may read and add. */
-struct UpstreamLive
+/**
+    Live state of one upstream. All members are atomics: any thread may read and add.
+
+    What every decision reads comes first and fills one cache line.
+*/
+struct alignas(64) UpstreamLive
 {
     /** This instance's own requests there, from dispatch to end. */
     std::atomic<std::int64_t> requests{0};
     /** Prompt tokens of own requests whose first token has not come. */
     std::atomic<std::int64_t> promptTokens{0};
-    /** Output tokens that own requests are still expected to produce. */
-    std::atomic<std::int64_t> outputTokens{0};
-
     /** Load of others, from the last report, less what of it was this instance's own. */
     std::atomic<std::int64_t> othersRequests{0};
     std::atomic<std::int64_t> othersPromptTokens{0};
-    /** Until when peers' own words replace the reports. */
-    std::atomic<std::int64_t> sharedUntil{-1};
     /** When the report was sampled, on this machine's clock; -1 for never. */
     std::atomic<std::int64_t> reportedAt{-1};
-
     /** Measured speed of reading prompts, in tokens a second; 0 until measured. */
     std::atomic<std::int64_t> prefillRate{0};
+    /** No new work before this instant; set by OutlierEjector. */
+    std::atomic<std::int64_t> ejectedUntil{0};
+    /** When the last failure was seen that no success followed; a long time ago for none. */
+    std::atomic<std::int64_t> failedAt{noFailure};
 
+    /** Output tokens that own requests are still expected to produce. */
+    std::atomic<std::int64_t> outputTokens{0};
+    /** Until when peers' own words replace the reports. */
+    std::atomic<std::int64_t> sharedUntil{-1};
     /** Outcomes since the last evaluation. */
     std::atomic<std::uint32_t> successes{0};
     std::atomic<std::uint32_t> failures{0};
     std::atomic<std::uint32_t> consecutiveFailures{0};
-    /** When the last failure was seen; a long time ago for none. */
-    std::atomic<std::int64_t> failedAt{-1000000000};
-    /** No new work before this instant; set by OutlierEjector. */
-    std::atomic<std::int64_t> ejectedUntil{0};
     /** How often it was ejected in a row; lengthens the next ejection. */
     std::atomic<std::uint32_t> ejections{0};
+
+    static constexpr std::int64_t noFailure = -1000000000;
 };
 
 /** A team's work on reclaimable upstreams against all its work, in tokens, decaying. */
--- a/modules/routing/table/RoutingTable.h
+++ b/modules/routing/table/RoutingTable.h
@@ -20,22 +20,22 @@
 
 namespace cuminrail {
 
-/** An upstream as routing sees it. */
+/** An upstream as routing sees it. What every decision reads comes first. */
 struct RoutedUpstream
 {
-    UpstreamId id;
-    std::string address;
     DomainIndex domain = noIndex;
-    EngineRole role = EngineRole::Mixed;
-    CostClass costClass = CostClass::Regular;
-    Incarnation incarnation = 0;
     /** Requests that it runs at once; 0 for no limit (plain services). */
     std::uint32_t slots = 0;
+    EngineRole role = EngineRole::Mixed;
+    CostClass costClass = CostClass::Regular;
+    /** False while it leaves, changes role, or is not configured any more. */
+    bool takesNewWork = false;
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
     std::vector<AdapterIndex> adapters;
-    /** False while it leaves, changes role, or is not configured any more. */
-    bool takesNewWork = false;
+    Incarnation incarnation = 0;
+    UpstreamId id;
+    std::string address;
 };
 
 /** Upstreams of one kind within a pool. */
