--- a/modules/policybench/policy/CuminrailPolicy.cpp
+++ b/modules/policybench/policy/CuminrailPolicy.cpp
@@ -33,7 +33,8 @@
         [this](const InstanceId &to, const std::string &frame) {
             setup_.sendLoads(static_cast<std::size_t>(std::stoul(to.text())), frame);
         });
-    exchange_->setPeers(members);
+    if (setup_.kind == PolicyKind::Cuminrail)
+        exchange_->setPeers(members);
 }
 
 BudgetHooks CuminrailPolicy::budgetHooks()
--- a/modules/policybench/policy/InstancePolicy.h
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -20,14 +20,17 @@
     PrefixAffinity,
     /** Least outstanding behind the same bound on prompts in progress as cuminrail has. */
     LeastOutstandingWindow,
+    /** Cuminrail as in a large deployment, where instances do not tell each other their load. */
+    CuminrailReportsOnly,
     Cuminrail,
 };
 
-inline constexpr NameTable<PolicyKind, 5> policyNames{{{
+inline constexpr NameTable<PolicyKind, 6> policyNames{{{
     {PolicyKind::RoundRobin, "round-robin"},
     {PolicyKind::LeastOutstanding, "least-outstanding"},
     {PolicyKind::PrefixAffinity, "prefix-affinity"},
     {PolicyKind::LeastOutstandingWindow, "least-outstanding-window"},
+    {PolicyKind::CuminrailReportsOnly, "cuminrail-reports-only"},
     {PolicyKind::Cuminrail, "cuminrail"},
 }}};
 
