--- a/modules/policybench/policy/BaselinePolicy.cpp
+++ b/modules/policybench/policy/BaselinePolicy.cpp
@@ -1,6 +1,7 @@
 #include "policybench/policy/BaselinePolicy.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cuminrail::policybench {
@@ -171,9 +172,11 @@
 {
     for (bool lastResort : {false, true}) {
         std::vector<UpstreamIndex> found;
-        for (UpstreamIndex index : table_->pool(request.pool).mixed.all) {
-            if (mayUse(index, request, now, lastResort))
-                found.push_back(index);
+        const RoutingPool &pool = table_->pool(request.pool);
+        for (const PoolMembers *members : {&pool.mixed, &pool.prefill, &pool.decode}) {
+            std::copy_if(
+                members->all.begin(), members->all.end(), std::back_inserter(found),
+                [&](UpstreamIndex index) { return mayUse(index, request, now, lastResort); });
         }
         if (!found.empty())
             return found;
--- a/modules/policybench/simulation/Simulation.cpp
+++ b/modules/policybench/simulation/Simulation.cpp
@@ -32,8 +32,10 @@
 {
     for (const EngineSettings &engine : workload.settings.fleet.engines) {
         indexes_.upstreams.indexOf(engine.id);
-        engines_.emplace_back(EngineRole::Mixed, workload.cacheTokens);
+        const EngineRole role = engineRoleNames.value(engine.role).value_or(EngineRole::Mixed);
+        engines_.emplace_back(role, workload.cacheTokens);
         facts_.engines[engine.id].incarnation = 1;
+        facts_.engines[engine.id].role = role;
     }
     setUpInstances(policy, seed);
     publishTable();
--- a/modules/policybench/workload/Workload.cpp
+++ b/modules/policybench/workload/Workload.cpp
@@ -89,6 +89,16 @@
     return builder.take();
 }
 
+/** The same on a fleet that is divided: prefill, decode and mixed engines. */
+Workload mixSwingDivided(WorkloadBuilder builder)
+{
+    Workload workload = mixSwing(std::move(builder));
+    auto &engines = workload.settings.fleet.engines;
+    for (std::size_t i = 0; i < engines.size(); ++i)
+        engines[i].role = i < 3 ? "prefill" : i < 8 ? "decode" : "mixed";
+    return workload;
+}
+
 /** One customer sends three times its limit, through two of the six instances. */
 Workload whale(WorkloadBuilder builder)
 {
@@ -165,10 +175,15 @@
 const std::vector<Named> &allWorkloads()
 {
     static const std::vector<Named> all = {
-        {"inteko-court-day", courtDay},  {"kerlann-festival", festival},
-        {"mix-swing", mixSwing},         {"whale-customer", whale},
-        {"domain-loss", domainLoss},     {"cheap-reclaim", cheapReclaim},
-        {"stale-reports", staleReports}, {"prefix-heavy", prefixHeavy},
+        {"inteko-court-day", courtDay},
+        {"kerlann-festival", festival},
+        {"mix-swing", mixSwing},
+        {"whale-customer", whale},
+        {"domain-loss", domainLoss},
+        {"cheap-reclaim", cheapReclaim},
+        {"stale-reports", staleReports},
+        {"prefix-heavy", prefixHeavy},
+        {"mix-swing-divided", mixSwingDivided},
     };
     return all;
 }
--- a/modules/routing/peers/LoadExchange_test.cpp
+++ b/modules/routing/peers/LoadExchange_test.cpp
@@ -125,6 +125,7 @@
 {
     Trio trio;
     std::vector<InstanceId> many;
+    many.reserve(40);
     for (int i = 0; i < 40; ++i)
         many.emplace_back("peer-" + std::to_string(i));
     trio.instances[0]->exchange.setPeers(many);
