Guards of fair queueing and of loans are noticed by tests; an engine's reading speed in capacity

Two guards could be taken out unnoticed: the correction of a charge hid idle credit, and the trials with late messages renewed each loan.

--- a/modules/admission/budget/BudgetLedger_test.cpp
+++ b/modules/admission/budget/BudgetLedger_test.cpp
@@ -207,6 +207,27 @@
     }
 }
 
+TEST_CASE("a grant that was long on its way ends no later than the lender's part of it")
+{
+    // The network holds a grant back for four seconds. Counted from its arrival, the loan would
+    // go on for three seconds after the lender had taken it back, and both would use it.
+    Group group(2, {0, 40, 0});
+    group.network = [](std::size_t from, std::size_t) {
+        return std::vector<Millis>{from == 0 ? Millis(2) : Millis(4000)};
+    };
+    group.instances[0]->use = {20, 15, 0, 0, true};
+    group.run(Millis(150));
+    group.instances[0]->use = {};
+    double worst = 0;
+    double most = 0;
+    group.run(Millis::seconds(12), [&] {
+        worst = std::max(worst, group.sum(concurrency));
+        most = std::max(most, group.instances[0]->share.concurrentRequests);
+    });
+    CHECK(most > 30);
+    CHECK(worst <= 40);
+}
+
 TEST_CASE("a small rate is handed over request by request")
 {
     // Two requests a second cannot be cut into 24 useful parts. They lie at one instance, and the
--- a/modules/admission/queue/FairQueue.cpp
+++ b/modules/admission/queue/FairQueue.cpp
@@ -20,13 +20,17 @@
     if (flow.active)
         return;
     flow.active = true;
-    // A flow that was idle for an hour would otherwise be served alone until it has caught up.
-    const double earliest = guardEnabled(Guard::NoIdleCredit) ? virtualTime_ : 0;
-    flow.start = std::max(earliest, flow.finish);
+    flow.start = std::max(earliestStart(), flow.finish);
     active_.emplace(flow.start, index);
     activeWeight_ += flow.weight;
 }
 
+/** A flow that was idle for an hour would otherwise be served alone until it has caught up. */
+double FairQueue::earliestStart() const
+{
+    return guardEnabled(Guard::NoIdleCredit) ? virtualTime_ : 0;
+}
+
 void FairQueue::deactivate(FlowIndex index)
 {
     Flow &flow = flows_[index];
@@ -59,7 +63,7 @@
     Flow &flow = flows_[index];
     flow.finish += difference / flow.weight;
     if (flow.active)
-        move(index, std::max(virtualTime_, flow.start + difference / flow.weight));
+        move(index, std::max(earliestStart(), flow.start + difference / flow.weight));
 }
 
 void FairQueue::move(FlowIndex index, double start)
--- a/modules/admission/queue/FairQueue.h
+++ b/modules/admission/queue/FairQueue.h
@@ -59,6 +59,7 @@
         bool active = false;
     };
 
+    double earliestStart() const;
     void move(FlowIndex flow, double start);
 
     std::vector<Flow> flows_;
--- a/modules/routing/table/RoutingTable.cpp
+++ b/modules/routing/table/RoutingTable.cpp
@@ -119,22 +119,24 @@
     const RoutingPool &members = pools_[pool];
     if (members.isService)
         return sum;
-    for (UpstreamIndex index : members.mixed.all) {
-        sum.slots += upstreams_[index].slots;
-        sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
-        sum.decodeTokensPerSecond += upstreams_[index].decodeTokensPerSecond;
-    }
-    for (UpstreamIndex index : members.prefill.all)
-        sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
-    for (UpstreamIndex index : members.decode.all) {
-        sum.slots += upstreams_[index].slots;
-        sum.decodeTokensPerSecond += upstreams_[index].decodeTokensPerSecond;
-    }
-    // Decode engines read prompts only within their headroom, but must do so when nobody else does.
-    if (members.prefill.empty() && members.mixed.empty()) {
-        for (UpstreamIndex index : members.decode.all)
-            sum.prefillTokensPerSecond += upstreams_[index].prefillTokensPerSecond;
-    }
+    // Decode engines read prompts only within their headroom, but must when nobody else does.
+    const bool decodeReads = members.prefill.empty() && members.mixed.empty();
+    std::size_t readers = 0;
+    const auto add = [&](const PoolMembers &kind, bool reads, bool writes) {
+        for (UpstreamIndex index : kind.all) {
+            const RoutedUpstream &upstream = upstreams_[index];
+            sum.slots += writes ? upstream.slots : 0;
+            sum.decodeTokensPerSecond += writes ? upstream.decodeTokensPerSecond : 0;
+            sum.prefillTokensPerSecond += reads ? upstream.prefillTokensPerSecond : 0;
+            readers += reads ? 1 : 0;
+        }
+    };
+    add(members.mixed, true, true);
+    add(members.prefill, true, false);
+    add(members.decode, decodeReads, true);
+    if (readers > 0)
+        sum.enginePrefillTokensPerSecond =
+            sum.prefillTokensPerSecond / static_cast<double>(readers);
     return sum;
 }
 
--- a/modules/routing/table/RoutingTable.h
+++ b/modules/routing/table/RoutingTable.h
@@ -75,6 +75,8 @@
     double slots = 0;
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
+    /** Speed at which one of them reads one prompt. */
+    double enginePrefillTokensPerSecond = 0;
 };
 
 /** Where a call of a plain service goes, and whether it may be repeated. */
