--- a/modules/policybench/policy/InstancePolicy.h
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission.h"
 #include "core/names/NameTable.h"
+#include "policybench/engine/FakeEngine.h"
 #include "routing/routing.h"
 
 #include <cstdint>
@@ -19,14 +20,17 @@
     PrefixAffinity,
     /** Least outstanding behind the same bound on prompts in progress as cuminrail has. */
     LeastOutstandingWindow,
+    /** Cuminrail as in a large deployment, where instances do not tell each other their load. */
+    CuminrailReportsOnly,
     Cuminrail,
 };
 
-inline constexpr NameTable<PolicyKind, 5> policyNames{{{
+inline constexpr NameTable<PolicyKind, 6> policyNames{{{
     {PolicyKind::RoundRobin, "round-robin"},
     {PolicyKind::LeastOutstanding, "least-outstanding"},
     {PolicyKind::PrefixAffinity, "prefix-affinity"},
     {PolicyKind::LeastOutstandingWindow, "least-outstanding-window"},
+    {PolicyKind::CuminrailReportsOnly, "cuminrail-reports-only"},
     {PolicyKind::Cuminrail, "cuminrail"},
 }}};
 
@@ -43,6 +47,8 @@
     std::vector<CustomerLimiter> *sharedLimiters = nullptr;
     /** Messages of the budget ledgers. */
     std::function<void(std::size_t to, const std::string &frame)> send;
+    /** Messages of the load exchange. */
+    std::function<void(std::size_t to, const std::string &frame)> sendLoads;
     /** What a poll of the ledger admitted or refused. */
     std::function<void(const AdmissionChanges &)> changed;
     RandomHook random;
@@ -67,10 +73,18 @@
     virtual void control(Millis now) = 0;
     virtual std::optional<RoutingChoice> choose(const RoutingRequest &request, Millis now) = 0;
     virtual void receive(const std::string &, Millis) { }
+    virtual void receiveLoads(const std::string &, Millis) { }
+    virtual void tableChanged() { }
 
-    void setTable(std::shared_ptr<const RoutingTable> table) { table_ = std::move(table); }
+    void setTable(std::shared_ptr<const RoutingTable> table)
+    {
+        table_ = std::move(table);
+        tableChanged();
+    }
     const RoutingTable &table() const { return *table_; }
     Router &router() { return router_; }
+    /** Cache events of one engine arrived, late and perhaps not all. */
+    void cacheEvents(UpstreamIndex upstream, const std::vector<CacheEvent> &events, Millis now);
     void attemptFailed(UpstreamIndex upstream, Millis now) { failedAt_[upstream] = now; }
 
 protected:
@@ -82,6 +96,7 @@
     LiveLoads loads_;
     PrefixHints hints_;
     Router router_;
+    std::unordered_map<UpstreamIndex, CacheEventCursor> cursors_;
     std::unordered_map<UpstreamIndex, Millis> failedAt_;
 };
 
--- a/modules/routing/detail/Selection.cpp
+++ b/modules/routing/detail/Selection.cpp
@@ -15,6 +15,8 @@
 constexpr double answerTimeWeight = 0.1;
 /** Added when the time between tokens is predicted above its target. */
 constexpr double tokenTargetPenalty = 1.0;
+/** How much a second of reading costs those who come later, whoever they are. */
+constexpr double workWeight = 1;
 /** How much a second of reading costs the answers being written at the same engine. */
 constexpr double interferenceWeight = 0.5;
 /** Share of a home's prefix taken as cached when no hint says so. */
@@ -39,9 +41,10 @@
 } // namespace
 
 Selection::Selection(const RoutingRequest &request, const RoutingTable &table,
-                     const LiveLoads &loads, const RouterOptions &options, Millis now)
+                     const LiveLoads &loads, const RouterOptions &options,
+                     std::uint64_t preferenceSeed, Millis now)
     : request_(request), table_(table), pool_(table.pool(request.pool)), loads_(loads),
-      options_(options), now_(now)
+      options_(options), preferenceSeed_(preferenceSeed), now_(now)
 { }
 
 void Selection::addHolders(const PrefixHolders &holders)
@@ -49,8 +52,8 @@
     for (std::size_t i = 0; i < holders.count; ++i) {
         const PrefixHolder &holder = holders.holders[i];
         if (holder.upstream < table_.upstreamCount())
-            affinity_[affinityCount_++] = {holder.upstream, holder.tokens * holder.confidence,
-                                           RoutingReason::PrefixHeld};
+            affinity_[affinityCount_++] = {
+                holder.upstream, holder.tokens * holder.confidence, RoutingReason::PrefixHeld, {}};
     }
     if (request_.prefixes == nullptr || request_.prefixes->empty() || affinityCount_ > 1)
         return;
@@ -63,8 +66,8 @@
     for (std::uint64_t salt = 0; salt < 2; ++salt) {
         const UpstreamIndex home = pool_.home(mixHash(point->hash, salt));
         if (home != noIndex)
-            affinity_[affinityCount_++] = {home, point->tokens * assumedHomeShare,
-                                           RoutingReason::PrefixHome};
+            affinity_[affinityCount_++] = {
+                home, point->tokens * assumedHomeShare, RoutingReason::PrefixHome, {}};
     }
 }
 
@@ -153,7 +156,7 @@
         for (std::size_t i = 0; i < members.all.size(); ++i) {
             const UpstreamIndex index = members.all[(start + i) % members.all.size()];
             if (mayUse(index))
-                add({index, 0, RoutingReason::LeastPredictedTime});
+                add({index, 0, RoutingReason::LeastPredictedTime, {}});
         }
         return;
     }
@@ -166,7 +169,7 @@
         const UpstreamIndex index = from[random() % from.size()];
         if (!mayUse(index))
             continue;
-        add({index, 0, RoutingReason::LeastPredictedTime});
+        add({index, 0, RoutingReason::LeastPredictedTime, {}});
         ++taken;
     }
 }
@@ -189,21 +192,24 @@
         meanOthers_ += loadRelaxed(loads_.upstream(candidates_[i].upstream).othersRequests);
     meanOthers_ /= static_cast<double>(count_);
     for (std::size_t i = 0; i < count_; ++i)
-        meanRequests_ += viewOf(candidates_[i].upstream).requests;
+        meanRequests_ += (candidates_[i].load = viewOf(candidates_[i].upstream)).requests;
     meanRequests_ /= static_cast<double>(count_);
 }
 
 void Selection::addAffinity()
 {
     for (std::size_t i = 0; i < affinityCount_; ++i) {
-        if (mayUse(affinity_[i].upstream) && !overAffinityBound(affinity_[i]))
+        if (!mayUse(affinity_[i].upstream))
+            continue;
+        affinity_[i].load = viewOf(affinity_[i].upstream);
+        if (!overAffinityBound(affinity_[i]))
             add(affinity_[i]);
     }
 }
 
 bool Selection::overAffinityBound(const Candidate &candidate) const
 {
-    return viewOf(candidate.upstream).requests > options_.affinityLoadBound * (meanRequests_ + 1);
+    return candidate.load.requests > options_.affinityLoadBound * (meanRequests_ + 1);
 }
 
 /**
@@ -229,16 +235,34 @@
     return view;
 }
 
+/** What speaks against an upstream whatever its load: failures, cost class, preference. */
+double Selection::standingCost(UpstreamIndex index) const
+{
+    const UpstreamLive &live = loads_.upstream(index);
+    double cost = 0;
+    const std::int64_t failedAt = live.failedAt.load(std::memory_order_relaxed);
+    // Until it is ejected or answers again: a dead engine looks idle and would draw all retries.
+    if (now_.count() - failedAt < options_.failureMemory.count())
+        cost += options_.failureCost.toSeconds();
+    if (table_.upstream(index).costClass == CostClass::Reclaimable)
+        cost -= options_.reclaimableBonus.toSeconds();
+    if (preferenceSeed_ != 0) {
+        const std::uint64_t place = mixHash(preferenceSeed_, index + 1) >> 11U;
+        cost += static_cast<double>(place) * 0x1.0p-53 * options_.preferenceSpread.toSeconds();
+    }
+    return cost;
+}
+
 Prediction Selection::predict(const Candidate &candidate, bool readsPrompt, bool writesAnswer) const
 {
     const RoutedUpstream &upstream = table_.upstream(candidate.upstream);
-    const LoadView load = viewOf(candidate.upstream);
+    const LoadView &load = candidate.load;
     Prediction prediction;
     if (upstream.domain != request_.domain)
         prediction.firstToken += options_.otherDomainCost.toSeconds();
     if (upstream.slots == 0) {
         prediction.firstToken += load.requests * secondsPerServiceRequest;
-        prediction.score = prediction.firstToken;
+        prediction.score = prediction.firstToken + standingCost(candidate.upstream);
         return prediction;
     }
     const double slots = upstream.slots;
@@ -249,7 +273,7 @@
         const double uncached =
             std::max(minimumUncached, request_.promptTokens - candidate.cachedTokens);
         prediction.firstToken += (load.promptTokens + uncached) / rate;
-        prediction.score += interferenceWeight * used * uncached / rate;
+        prediction.score += (workWeight + interferenceWeight * used) * uncached / rate;
     }
     if (writesAnswer) {
         const double over = load.requests + 1 - slots;
@@ -259,9 +283,7 @@
         if (used * tokenSeconds > pool_.tokenTarget.toSeconds())
             prediction.score += tokenTargetPenalty;
     }
-    if (upstream.costClass == CostClass::Reclaimable)
-        prediction.score -= options_.reclaimableBonus.toSeconds();
-    prediction.score += prediction.firstToken;
+    prediction.score += prediction.firstToken + standingCost(candidate.upstream);
     return prediction;
 }
 
@@ -276,7 +298,7 @@
             continue;
         RoutingReason reason = candidate.reason;
         if (upstream.role == EngineRole::Decode) {
-            const double used = viewOf(candidate.upstream).requests / std::max(1U, upstream.slots);
+            const double used = candidate.load.requests / std::max(1U, upstream.slots);
             if (!decodeMustRead && used >= options_.decodeHeadroom)
                 continue;
             reason = RoutingReason::PrefillOnDecode;
--- a/modules/routing/detail/Selection.h
+++ b/modules/routing/detail/Selection.h
@@ -10,6 +10,13 @@
 
 namespace cuminrail::detail {
 
+/** What is believed of an upstream's load at this moment. */
+struct LoadView
+{
+    double requests = 0;
+    double promptTokens = 0;
+};
+
 /** An upstream that is compared for one request. */
 struct Candidate
 {
@@ -17,13 +24,7 @@
     /** Tokens of the prompt that it probably has cached. */
     double cachedTokens = 0;
     RoutingReason reason = RoutingReason::LeastPredictedTime;
-};
-
-/** What is believed of an upstream's load at this moment. */
-struct LoadView
-{
-    double requests = 0;
-    double promptTokens = 0;
+    LoadView load;
 };
 
 /** What a candidate would mean for the request, in seconds. */
@@ -48,7 +49,7 @@
 {
 public:
     Selection(const RoutingRequest &request, const RoutingTable &table, const LiveLoads &loads,
-              const RouterOptions &options, Millis now);
+              const RouterOptions &options, std::uint64_t preferenceSeed, Millis now);
 
     /** Adds the engines that probably hold a prefix of the prompt. */
     void addHolders(const PrefixHolders &holders);
@@ -67,6 +68,7 @@
     void addAffinity();
     void add(const Candidate &candidate);
     void findMeans();
+    double standingCost(UpstreamIndex upstream) const;
     LoadView viewOf(UpstreamIndex upstream) const;
     bool overAffinityBound(const Candidate &candidate) const;
     Prediction predict(const Candidate &candidate, bool readsPrompt, bool writesAnswer) const;
@@ -80,6 +82,7 @@
     const RoutingPool &pool_;
     const LiveLoads &loads_;
     const RouterOptions &options_;
+    std::uint64_t preferenceSeed_;
     Millis now_;
     SelectionRules rules_;
 
