Scenario language, judge, fault matrix and mutants

Cause: every promise is to be tried with every fault at every step, in virtual time. Change: scenarios of one statement a line with errors that name line and reason; instances put together from leases, orders and usage on the fakes; a judge that reads only what engines, platform and usage receiver recorded; a matrix whose steps are the messages of an undisturbed run; mutants.

--- /dev/null
+++ b/modules/scenario/judge/BilledUse.cpp
@@ -0,0 +1,30 @@
+#include "scenario/judge/BilledUse.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace cuminrail {
+
+CustomerUsage billedUse(const FakeUsageReceiver &receiver)
+{
+    std::map<std::string, std::string> windows;
+    for (const ReceivedReport &received : receiver.received()) {
+        if (received.accepted)
+            windows[received.report.windowId] = received.report.sealedFigures;
+    }
+    CustomerUsage billed;
+    for (const auto &[id, figures] : windows) {
+        const auto json = nlohmann::json::parse(figures);
+        for (const auto &[customer, used] : json.at("customers").items())
+            billed[CustomerId(customer)] +=
+                UsageFigures{used.at("prompt_tokens").get<std::uint64_t>(),
+                             used.at("output_tokens").get<std::uint64_t>(),
+                             used.at("requests").get<std::uint64_t>(),
+                             used.at("reclaimable_tokens").get<std::uint64_t>()};
+    }
+    return billed;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/scenario/judge/BilledUse.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "ports/testing/FakeUsageReceiver.h"
+#include "usage/figures/UsageFigures.h"
+
+namespace cuminrail {
+
+/** Returns what the platform would bill by the reports it took, each window once. */
+CustomerUsage billedUse(const FakeUsageReceiver &receiver);
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/scenario/language/ScenarioChecks.cpp
@@ -0,0 +1,82 @@
+#include "scenario/judge/BilledUse.h"
+#include "scenario/language/ScenarioParser.h"
+
+namespace cuminrail {
+namespace detail {
+
+namespace {
+
+using Check = std::function<std::optional<std::string>(ScenarioWorld &)>;
+
+std::optional<std::string> unlessEqual(const std::string &expected, const std::string &found)
+{
+    if (expected == found)
+        return std::nullopt;
+    return "expected " + expected + ", found " + found;
+}
+
+Check engineCheck(StatementReader &words)
+{
+    const UpstreamId engine(words.word("an engine"));
+    if (words.accept("role")) {
+        const std::string role = words.word("a role");
+        return [=](ScenarioWorld &w) {
+            return unlessEqual(
+                role, std::string(engineRoleNames.name(w.engines.engine(engine).state.role)));
+        };
+    }
+    words.require("received");
+    const std::uint64_t count = words.number("a number of orders");
+    return [=](ScenarioWorld &w) {
+        return unlessEqual(std::to_string(count),
+                           std::to_string(w.engines.engine(engine).received.size()));
+    };
+}
+
+Check holderCheck(StatementReader &words)
+{
+    const std::string duty = words.word("a duty");
+    const std::string expected = words.word("one, none or an instance");
+    return [=](ScenarioWorld &w) {
+        const auto holders = w.holders(duty);
+        if (expected == "one")
+            return unlessEqual("1", std::to_string(holders.size()));
+        if (expected == "none")
+            return unlessEqual("0", std::to_string(holders.size()));
+        return unlessEqual(expected, holders.empty() ? "none" : holders.front());
+    };
+}
+
+Check billedCheck(StatementReader &words)
+{
+    const CustomerId customer(words.word("a customer"));
+    const bool atMost = words.accept("at-most");
+    const bool atLeast = !atMost && words.accept("at-least");
+    const std::uint64_t tokens = words.number("prompt tokens");
+    return [=](ScenarioWorld &w) -> std::optional<std::string> {
+        const std::uint64_t billed = usageOf(billedUse(w.usage), customer).promptTokens;
+        const bool holds = atMost ? billed <= tokens
+            : atLeast             ? billed >= tokens
+                                  : billed == tokens;
+        if (holds)
+            return std::nullopt;
+        return "billed " + std::to_string(billed) + " prompt tokens";
+    };
+}
+
+} // namespace
+
+Check readCheck(StatementReader &words)
+{
+    const std::string subject = words.word("what is expected");
+    if (subject == "engine")
+        return engineCheck(words);
+    if (subject == "holder")
+        return holderCheck(words);
+    if (subject == "billed")
+        return billedCheck(words);
+    throw StatementError("unknown expectation '" + subject + "'");
+}
+
+} // namespace detail
+} // namespace cuminrail
--- /dev/null
+++ b/modules/scenario/matrix/FaultMatrix.cpp
@@ -0,0 +1,182 @@
+#include "scenario/matrix/FaultMatrix.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr Millis pauseLength = Millis::seconds(25);
+constexpr Millis cutLength = Millis::seconds(20);
+constexpr Millis outageLength = Millis::seconds(20);
+constexpr Millis slowness{900};
+/** Nearly the longest time that a send may still be in flight. */
+constexpr Millis lateness{4500};
+
+constexpr MessageFate lostMessage{true, Millis(0)};
+
+bool isEngineMessage(const FakeMessage &message)
+{
+    return message.endpoint.rfind("engine:", 0) == 0;
+}
+
+MatrixFault crashFault(const std::string &name, CrashOutcome outcome)
+{
+    return {name,
+            [outcome](ScenarioWorld &world, const FakeMessage &message) {
+                world.engines.crash(UpstreamId(message.endpoint.substr(7)), outcome);
+                return MessageFate{};
+            },
+            isEngineMessage};
+}
+
+std::vector<MatrixFault> makeFaults()
+{
+    const auto always = [](const FakeMessage &) { return true; };
+    const auto isReply = [](const FakeMessage &m) { return m.leg == MessageLeg::Reply; };
+    const auto isRequest = [](const FakeMessage &m) { return m.leg == MessageLeg::Request; };
+    std::vector<MatrixFault> faults;
+    faults.push_back({"kill",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.kill(message.process);
+                          return lostMessage;
+                      },
+                      always});
+    faults.push_back({"pause",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.pause(message.process, pauseLength);
+                          return MessageFate{};
+                      },
+                      always});
+    faults.push_back({"cut",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.cut(message.process, "*", cutLength);
+                          return lostMessage;
+                      },
+                      always});
+    faults.push_back(
+        {"lose-answer", [](ScenarioWorld &, const FakeMessage &) { return lostMessage; }, isReply});
+    faults.push_back({"lose-request",
+                      [](ScenarioWorld &, const FakeMessage &) { return lostMessage; }, isRequest});
+    faults.push_back({"late",
+                      [](ScenarioWorld &, const FakeMessage &) {
+                          return MessageFate{false, lateness};
+                      },
+                      isRequest});
+    faults.push_back({"silence",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.network.silence(message.process, message.endpoint);
+                          return lostMessage;
+                      },
+                      always});
+    faults.push_back({"store-down",
+                      [](ScenarioWorld &world, const FakeMessage &) {
+                          world.storeDown(outageLength);
+                          return MessageFate{};
+                      },
+                      always});
+    faults.push_back({"store-slow",
+                      [](ScenarioWorld &world, const FakeMessage &) {
+                          world.storeSlow(slowness, outageLength);
+                          return MessageFate{};
+                      },
+                      always});
+    faults.push_back(crashFault("crash-old-role", CrashOutcome::OldRole));
+    faults.push_back(crashFault("crash-new-role", CrashOutcome::NewRole));
+    faults.push_back(crashFault("crash-no-role", CrashOutcome::NoRole));
+    return faults;
+}
+
+std::vector<FakeMessage> stepsOf(const ScenarioScript &operation, std::uint64_t seed)
+{
+    ScenarioOptions options;
+    options.seed = seed;
+    std::vector<FakeMessage> steps = runScenario(operation, options).messages;
+    steps.erase(std::remove_if(steps.begin(), steps.end(),
+                               [&](const FakeMessage &step) {
+                                   return step.when < operation.stepsFrom
+                                       || step.when > operation.stepsTo;
+                               }),
+                steps.end());
+    return steps;
+}
+
+} // namespace
+
+std::string MatrixRow::name() const
+{
+    std::string text = fault->name + "/" + operation->name + ":" + std::to_string(step.number);
+    if (secondFault != nullptr)
+        text += "+" + secondFault->name + ":" + std::to_string(secondStep->number);
+    return text;
+}
+
+const std::vector<MatrixFault> &FaultMatrix::faults()
+{
+    static const std::vector<MatrixFault> all = makeFaults();
+    return all;
+}
+
+std::vector<MatrixRow> FaultMatrix::singles(std::uint64_t seed)
+{
+    std::vector<MatrixRow> rows;
+    for (const ScenarioScript &operation : operations()) {
+        for (const FakeMessage &step : stepsOf(operation, seed)) {
+            for (const MatrixFault &fault : faults()) {
+                if (!fault.applies(step))
+                    continue;
+                MatrixRow row;
+                row.operation = &operation;
+                row.fault = &fault;
+                row.step = step;
+                rows.push_back(row);
+            }
+        }
+    }
+    return rows;
+}
+
+std::vector<MatrixRow> FaultMatrix::pairs(std::uint64_t seed, std::size_t limit)
+{
+    std::vector<MatrixRow> all;
+    const std::vector<MatrixRow> first = singles(seed);
+    // The second fault strikes at a step after the first; its number counts in the disturbed run.
+    constexpr std::size_t gaps[] = {1, 2, 5, 12, 30};
+    for (const MatrixRow &row : first) {
+        for (const MatrixFault &fault : faults()) {
+            for (const std::size_t gap : gaps) {
+                MatrixRow pair = row;
+                pair.secondFault = &fault;
+                pair.secondStep = row.step;
+                pair.secondStep->number += gap;
+                all.push_back(pair);
+            }
+        }
+    }
+    if (all.size() <= limit || limit == 0)
+        return all;
+    std::vector<MatrixRow> thinned;
+    for (std::size_t i = 0; i < limit; ++i)
+        thinned.push_back(all[i * all.size() / limit]);
+    return thinned;
+}
+
+ScenarioResult FaultMatrix::run(const MatrixRow &row, std::uint64_t seed)
+{
+    ScenarioOptions options;
+    options.seed = seed;
+    options.prepare = [&row](ScenarioWorld &world) {
+        world.setMatrixHook([&row, &world](const FakeMessage &message) {
+            if (message.number == row.step.number)
+                return row.fault->strike(world, message);
+            const bool isSecond =
+                row.secondFault != nullptr && message.number == row.secondStep->number;
+            if (isSecond && row.secondFault->applies(message))
+                return row.secondFault->strike(world, message);
+            return MessageFate{};
+        });
+    };
+    return runScenario(*row.operation, options);
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/scenario/matrix/Operations.cpp
@@ -0,0 +1,120 @@
+#include "scenario/matrix/FaultMatrix.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace cuminrail {
+
+namespace {
+
+struct OperationText
+{
+    const char *name;
+    const char *text;
+};
+
+const char *const orderToPlainEngine = R"(
+# Three orders in a row to an engine that takes whatever comes.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+engine e1 domain kgl-a checks-fence no order-takes 2s
+at 10s order e1 change-role decode
+at 14s order e1 change-role prefill
+at 40s order e1 change-role mixed
+end 90s
+steps from 10s to 19s
+expect engine e1 role mixed
+expect holder domain/kgl-a one
+)";
+
+const char *const orderToCheckingEngine = R"(
+# Three orders in a row to an engine that refuses lower fences.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+engine e1 domain kgl-a checks-fence yes order-takes 2s
+at 10s order e1 change-role decode
+at 14s order e1 change-role prefill
+at 40s order e1 change-role mixed
+end 90s
+steps from 10s to 19s
+expect engine e1 role mixed
+expect holder domain/kgl-a one
+)";
+
+const char *const leaseTaken = R"(
+# Three instances start and one of them takes the duty.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+engine e1 domain kgl-a checks-fence no
+at 1s order e1 change-role decode
+end 60s
+steps from 0s to 3s
+expect engine e1 role decode
+expect holder domain/kgl-a one
+)";
+
+const char *const leaseHandedOver = R"(
+# Two of four instances stop as planned, one after the other, in the middle of orders.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+instance d domain kgl-c
+engine e1 domain kgl-a checks-fence no
+at 8s order e1 change-role decode
+at 10s stop a
+at 14s order e1 change-role prefill
+at 15s stop b
+at 45s order e1 change-role mixed
+end 90s
+steps from 10s to 22s
+expect engine e1 role mixed
+expect holder domain/kgl-a one
+)";
+
+const char *const usageWindow = R"(
+# Two windows from the first count to the last report.
+instance a domain kgl-a
+instance b domain kgl-b
+team north
+usage-window 10s
+at 11s count a north chamber prompt 100 output 10
+at 12s count b north chamber prompt 50 output 5
+at 18s count a north chamber prompt 7 output 1
+at 21s count b north chamber prompt 3 output 1
+at 60s count a north chamber prompt 1000 output 1
+at 60s count b north chamber prompt 1000 output 1
+end 120s
+steps from 11s to 32s
+expect billed chamber at-most 2160
+expect billed chamber at-least 1000
+expect holder team/north one
+)";
+
+ScenarioScript compiled(const OperationText &operation)
+{
+    Reason lastReason;
+    auto script = readScenario(operation.name, operation.text, &lastReason);
+    if (script)
+        return *script;
+    std::cerr << lastReason.toString() << "\n";
+    std::abort();
+}
+
+} // namespace
+
+const std::vector<ScenarioScript> &FaultMatrix::operations()
+{
+    static const std::vector<ScenarioScript> all = {
+        compiled({"order-plain", orderToPlainEngine}),
+        compiled({"order-checking", orderToCheckingEngine}),
+        compiled({"lease-taken", leaseTaken}),
+        compiled({"lease-handed-over", leaseHandedOver}),
+        compiled({"usage-window", usageWindow}),
+    };
+    return all;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/scenario/world/ScenarioInstance.cpp
@@ -0,0 +1,144 @@
+#include "scenario/world/ScenarioInstance.h"
+
+#include "scenario/world/ScenarioWorld.h"
+
+namespace cuminrail {
+
+ScenarioInstance::ScenarioInstance(ScenarioWorld &world, const std::string &name,
+                                   Incarnation incarnation, const FailureDomainId &domain,
+                                   Millis clockOffset)
+    : world_(world), life_{InstanceId(name), incarnation}, domain_(domain),
+      clockOffset_(clockOffset), process_(std::make_shared<FakeProcess>(name))
+{
+    buildOrders();
+    buildUsage();
+    buildLeases();
+}
+
+Clock ScenarioInstance::clock() const
+{
+    return Clock([this] { return world_.scheduler.now() + clockOffset_; });
+}
+
+std::string ScenarioInstance::lifeName() const
+{
+    return name() + "-" + std::to_string(life_.incarnation);
+}
+
+std::function<std::optional<Authority>()>
+ScenarioInstance::authorityFor(const std::string &duty) const
+{
+    return [this, duty] { return leases_->authority(duty, clock().now()); };
+}
+
+void ScenarioInstance::buildLeases()
+{
+    LeaseKeeper::Hooks hooks{
+        world_.store.port(process_),
+        clock(),
+        world_.scheduler.random(),
+        ignoreEvents(),
+        [this] { return world_.duties(); },
+        [this] { return world_.liveMembers(); },
+        [this](const std::string &duty, const Authority &) { changeDuty(duty, true); },
+        [this](const std::string &duty) { changeDuty(duty, false); }};
+    leases_ = std::make_unique<LeaseKeeper>(life_, LeaseTiming{}, std::move(hooks));
+}
+
+void ScenarioInstance::buildOrders()
+{
+    for (const auto &[domain, engines] : world_.enginesByDomain()) {
+        EngineOrderTrack::Hooks track{world_.store.port(process_),
+                                      world_.enginePort(*this),
+                                      clock(),
+                                      world_.scheduler.random(),
+                                      ignoreEvents(),
+                                      authorityFor(ScenarioWorld::domainDuty(domain)),
+                                      {},
+                                      name()};
+        auto keeper =
+            std::make_unique<OrderKeeper>(OrderTiming{}, OrderKeeper::Hooks{std::move(track), {}});
+        keeper->setEngines(engines);
+        orders_[domain] = std::move(keeper);
+    }
+}
+
+void ScenarioInstance::buildUsage()
+{
+    for (const TeamId &team : world_.teams()) {
+        UsageFlusher::Hooks flush{world_.store.port(process_), clock(), world_.scheduler.random(),
+                                  [this] { return world_.currentWindow(); },
+                                  [] { return shortestFlushPeriod / 2; }};
+        flushers_[team] = std::make_unique<UsageFlusher>(team, life_, std::move(flush));
+        UsageTiming timing;
+        timing.windowLength = world_.windowLength;
+        timing.grace = shortestFlushPeriod / 2;
+        UsageReporter::Hooks hooks{world_.store.port(process_),
+                                   world_.usagePort(*this),
+                                   clock(),
+                                   world_.scheduler.random(),
+                                   ignoreEvents(),
+                                   authorityFor(ScenarioWorld::teamDuty(team)),
+                                   [this] { return world_.scheduler.now(); },
+                                   [this](const std::string &life) { return world_.isLive(life); }};
+        reporters_[team] = std::make_unique<UsageReporter>(team, timing, std::move(hooks));
+    }
+}
+
+void ScenarioInstance::changeDuty(const std::string &duty, bool isHeld)
+{
+    for (auto &[domain, keeper] : orders_) {
+        if (duty == ScenarioWorld::domainDuty(domain))
+            isHeld ? keeper->taken() : keeper->lost();
+    }
+    for (auto &[team, reporter] : reporters_) {
+        if (duty == ScenarioWorld::teamDuty(team))
+            isHeld ? reporter->taken() : reporter->lost();
+    }
+}
+
+void ScenarioInstance::tick()
+{
+    if (!process_->isRunning(world_.scheduler.now()))
+        return;
+    leases_->tick();
+    for (auto &[domain, keeper] : orders_)
+        keeper->tick();
+    for (auto &[team, flusher] : flushers_)
+        flusher->tick();
+    for (auto &[team, reporter] : reporters_)
+        reporter->tick();
+    pursueWishes();
+    if (!stopping_ || !leases_->isStopped())
+        return;
+    for (auto &[team, flusher] : flushers_) {
+        if (!flusher->isFlushed())
+            return;
+    }
+    process_->kill();
+}
+
+void ScenarioInstance::pursueWishes()
+{
+    for (const auto &[engine, wish] : world_.wishes()) {
+        for (auto &[domain, keeper] : orders_) {
+            if (!keeper->isIdle(engine))
+                continue;
+            const auto last = keeper->lastSettled(engine);
+            const bool isMet = last && last->phase == OrderPhase::Done
+                && last->order.target == wish.target && last->order.kind == wish.kind;
+            if (!isMet)
+                keeper->request(wish, nullptr);
+        }
+    }
+}
+
+void ScenarioInstance::stop()
+{
+    stopping_ = true;
+    leases_->stop();
+    for (auto &[team, flusher] : flushers_)
+        flusher->stop();
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/programs/cuminrail-scenario/main.cpp
@@ -0,0 +1,189 @@
+#include "core/guards/Guards.h"
+#include "scenario/scenario.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr std::size_t mostPairs = 20000;
+constexpr const char *scenarioFolder = "examples/scenarios";
+
+std::optional<ScenarioScript> load(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    Reason lastReason;
+    auto script = readScenario(path, text.str(), &lastReason);
+    if (!script)
+        std::cerr << lastReason.toString() << "\n";
+    return script;
+}
+
+std::vector<std::string> scenarioFiles()
+{
+    std::vector<std::string> files;
+    if (!std::filesystem::is_directory(scenarioFolder))
+        return files;
+    for (const auto &entry : std::filesystem::directory_iterator(scenarioFolder)) {
+        if (entry.path().extension() == ".scenario")
+            files.push_back(entry.path().string());
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+void printProblems(const ScenarioResult &result)
+{
+    for (const Breach &breach : result.breaches)
+        std::cout << "    " << breach.promise << ": " << breach.evidence << "\n";
+    for (const std::string &unmet : result.unmet)
+        std::cout << "    " << unmet << "\n";
+}
+
+int finish(const MatrixTotals &totals)
+{
+    std::cout << totals.passed << " passed, " << totals.failed << " failed\n";
+    return totals.failed == 0 ? 0 : 1;
+}
+
+int runFiles(const std::vector<std::string> &named, std::uint64_t seed, bool trace)
+{
+    const std::vector<std::string> files = named.empty() ? scenarioFiles() : named;
+    MatrixTotals totals;
+    for (const std::string &path : files) {
+        const auto script = load(path);
+        if (!script)
+            return exitUsage;
+        ScenarioOptions options;
+        options.seed = seed;
+        const ScenarioResult result = runScenario(*script, options);
+        if (trace)
+            std::cout << traceOf(result);
+        std::cout << (result.isGood() ? "ok    " : "FAIL  ") << path << "\n";
+        printProblems(result);
+        ++(result.isGood() ? totals.passed : totals.failed);
+    }
+    return finish(totals);
+}
+
+int listFiles()
+{
+    for (const std::string &path : scenarioFiles()) {
+        const auto script = load(path);
+        if (!script)
+            return exitUsage;
+        std::cout << path << "  " << script->title << "\n";
+    }
+    return 0;
+}
+
+int runMatrix(const cxxopts::ParseResult &options)
+{
+    const auto only = options["only"].as<std::string>();
+    const auto seeds = options["seeds"].as<std::uint64_t>();
+    MatrixTotals totals;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto rows = options.count("pairs") != 0 ? FaultMatrix::pairs(seed, mostPairs)
+                                                      : FaultMatrix::singles(seed);
+        for (const MatrixRow &row : rows) {
+            const std::string name = row.name();
+            if (!only.empty() && name.rfind(only, 0) != 0)
+                continue;
+            if (options.count("list") != 0) {
+                std::cout << name << "  " << row.step.toString() << "\n";
+                continue;
+            }
+            const ScenarioResult result = FaultMatrix::run(row, seed);
+            ++(result.isGood() ? totals.passed : totals.failed);
+            if (result.isGood())
+                continue;
+            std::cout << "FAIL  seed " << seed << "  " << name << "  " << row.step.toString()
+                      << "\n";
+            printProblems(result);
+        }
+    }
+    return options.count("list") != 0 ? 0 : finish(totals);
+}
+
+int runMutants(std::uint64_t seeds)
+{
+    MatrixTotals totals;
+    for (const auto &[guard, name] : guardNames.entries) {
+        const DisabledGuard disabled(guard);
+        std::size_t red = 0;
+        std::string first;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            for (const MatrixRow &row : FaultMatrix::singles(seed)) {
+                if (FaultMatrix::run(row, seed).isGood())
+                    continue;
+                ++red;
+                if (first.empty())
+                    first = row.name();
+            }
+        }
+        ++(red > 0 ? totals.passed : totals.failed);
+        std::cout << (red > 0 ? "noticed    " : "UNNOTICED  ") << name << "  " << red
+                  << " rows turn red" << (first.empty() ? "" : ", first " + first) << "\n";
+    }
+    return finish(totals);
+}
+
+int dispatch(const cxxopts::ParseResult &parsed, const std::string &help)
+{
+    const auto words = parsed["words"].as<std::vector<std::string>>();
+    const std::string command = words.empty() ? "" : words.front();
+    if (command == "run")
+        return runFiles({words.begin() + 1, words.end()}, parsed["seed"].as<std::uint64_t>(),
+                        parsed.count("trace") != 0);
+    if (command == "list")
+        return listFiles();
+    if (command == "matrix")
+        return runMatrix(parsed);
+    if (command == "mutants")
+        return runMutants(parsed["seeds"].as<std::uint64_t>());
+    std::cerr << help << "\n";
+    return exitUsage;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("cuminrail-scenario",
+                             "Plays scenarios in virtual time and judges them.\n"
+                             "Commands: run [FILE…], list, matrix, mutants");
+    options.add_options()("seed", "seed of run",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "trace", "print the whole history")("list", "print the matrix's rows, run nothing")(
+        "only", "run the matrix's rows whose name begins so: FAULT/STEP",
+        cxxopts::value<std::string>()->default_value(""))("pairs", "two faults in one run")(
+        "seeds", "run with seeds 1 to K", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "help", "print this")("words", "command and files",
+                              cxxopts::value<std::vector<std::string>>()->default_value(""));
+    options.parse_positional({"words"});
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") != 0) {
+            std::cout << options.help() << "\n";
+            return 0;
+        }
+        return dispatch(parsed, options.help());
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << "\n";
+        return exitUsage;
+    }
+}
