--- a/modules/orders/track/EngineOrderTrack.cpp
+++ b/modules/orders/track/EngineOrderTrack.cpp
@@ -29,6 +29,7 @@
     takenAt_ = hooks_.clock.now();
     nextAt_ = takenAt_;
     unsentOrderId_.clear();
+    sequence_ = 0;
     record_ = OrderRecord{};
 }
 
@@ -74,6 +75,18 @@
     return false;
 }
 
+/**
+    A holder's own order can be delayed on the way until the holder has taken it for lost and given
+    the next one. Under one number for both the engine would take the older one last, so the
+    number rises with each order: the lease's fence in the upper bits, a count in the lower ones.
+*/
+FenceNumber EngineOrderTrack::nextFence(const Authority &authority)
+{
+    if (guardEnabled(Guard::FenceRisesWithOrder))
+        ++sequence_;
+    return authority.fence * ordersPerHolder + sequence_;
+}
+
 void EngineOrderTrack::wait(Millis span)
 {
     const auto width = static_cast<std::uint64_t>(span.count() / 2 + 1);
@@ -91,7 +104,7 @@
     record_.order.engine = engine_.id;
     record_.order.orderId = engine_.id.text() + "-" + std::to_string(authority->fence) + "-"
         + std::to_string(hooks_.random());
-    record_.order.fence = authority->fence;
+    record_.order.fence = nextFence(*authority);
     record_.order.kind = kind;
     record_.order.target = target;
     record_.phase = OrderPhase::Intended;
@@ -189,8 +202,9 @@
     nextAt_ = hooks_.clock.now();
     // An engine that checks fences is given the same order again under the new fence: from then
     // on it refuses the former holder, and a repeat of the same order does no harm.
-    if (engine_.checksFence && authority && record_.order.fence < authority->fence) {
-        record_.order.fence = authority->fence;
+    if (engine_.checksFence && authority
+        && record_.order.fence < authority->fence * ordersPerHolder) {
+        record_.order.fence = nextFence(*authority);
         write(Stage::Recording);
     }
 }
--- a/modules/orders/track/EngineOrderTrack.h
+++ b/modules/orders/track/EngineOrderTrack.h
@@ -24,6 +24,9 @@
     Millis retryEvery{500};
 };
 
+/** How many orders one holder may give an engine; the lower bits of an order's fence. */
+inline constexpr FenceNumber ordersPerHolder = 1U << 20U;
+
 /** An engine as orders see it. */
 struct OrderedEngine
 {
@@ -111,6 +114,7 @@
     void settle(OrderPhase phase);
     void wait(Millis span);
     bool hasAuthority() const;
+    FenceNumber nextFence(const Authority &authority);
 
     OrderedEngine engine_;
     OrderTiming timing_;
@@ -121,6 +125,8 @@
     Millis nextAt_;
     Millis takenAt_;
     Millis sentAt_;
+    /** Counts the orders given under one lease fence. */
+    FenceNumber sequence_ = 0;
     /** The order in record_ came from a former holder, who may have sent it. */
     bool inherited_ = false;
     ObjectVersion version_ = 0;
--- a/modules/scenario/language/ScenarioParser.cpp
+++ b/modules/scenario/language/ScenarioParser.cpp
@@ -105,6 +105,8 @@
     const Millis takes = words.accept("order-takes") ? words.span("order-takes") : Millis(2000);
     if (!engines_.insert(id.text()).second)
         throw StatementError("engine '" + id.text() + "' is there already");
+    if (checks)
+        script_.checkingEngines.insert(id.text());
     script_.setups.push_back({[=](ScenarioWorld &w) { w.addEngine(id, domain, checks, takes); }});
 }
 
@@ -118,7 +120,7 @@
 
 std::string ScenarioParser::instanceName(StatementReader &words)
 {
-    const std::string name = words.word("an instance");
+    std::string name = words.word("an instance");
     if (instances_.count(name) == 0)
         throw StatementError("unknown instance '" + name + "'");
     return name;
@@ -143,7 +145,11 @@
 void ScenarioParser::readAction(Millis at, StatementReader &words, const std::string &line)
 {
     const std::string keyword = words.word("an action");
-    script_.actions.push_back(ScenarioAction{at, line, action(keyword, words)});
+    ScenarioAction read;
+    read.at = at;
+    read.text = line;
+    read.apply = action(keyword, words);
+    script_.actions.push_back(std::move(read));
 }
 
 std::function<void(ScenarioWorld &)> ScenarioParser::action(const std::string &keyword,
@@ -251,7 +257,12 @@
 void ScenarioParser::readExpectation(Millis at, StatementReader &words, const std::string &line,
                                      int number)
 {
-    script_.expectations.push_back(ScenarioExpectation{at, number, line, readCheck(words)});
+    ScenarioExpectation read;
+    read.at = at;
+    read.line = number;
+    read.text = line;
+    read.check = readCheck(words);
+    script_.expectations.push_back(std::move(read));
 }
 
 } // namespace detail
--- a/modules/scenario/language/ScenarioScript.h
+++ b/modules/scenario/language/ScenarioScript.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
     std::vector<ScenarioSetup> setups;
     std::vector<ScenarioAction> actions;
     std::vector<ScenarioExpectation> expectations;
+    /** Names of the engines that check fences. */
+    std::set<std::string> checkingEngines;
     Millis end = Millis::seconds(60);
     /** The part of the run whose messages are the fault matrix's steps. */
     Millis stepsFrom;
--- a/modules/scenario/matrix/FaultMatrix.cpp
+++ b/modules/scenario/matrix/FaultMatrix.cpp
@@ -15,11 +15,27 @@
 
 constexpr MessageFate lostMessage{true, Millis(0)};
 
-bool isEngineMessage(const FakeMessage &message)
+/** Longer than any send can be under way by the assumptions of docs/ORDERS.md. */
+constexpr Millis beyondFlight = Millis::seconds(30);
+
+bool isEngineMessage(const ScenarioScript &, const FakeMessage &message)
 {
     return message.endpoint.rfind("engine:", 0) == 0;
 }
 
+/**
+    A request may be late without bound where its receiver checks a condition or a fence. An
+    engine that checks nothing is safe only within the longest flight.
+*/
+bool mayBeLateWithoutBound(const ScenarioScript &operation, const FakeMessage &message)
+{
+    if (message.leg != MessageLeg::Request)
+        return false;
+    const bool isPlainEngine = isEngineMessage(operation, message)
+        && operation.checkingEngines.count(message.endpoint.substr(7)) == 0;
+    return !isPlainEngine;
+}
+
 MatrixFault crashFault(const std::string &name, CrashOutcome outcome)
 {
     return {name,
@@ -32,9 +48,13 @@
 
 std::vector<MatrixFault> makeFaults()
 {
-    const auto always = [](const FakeMessage &) { return true; };
-    const auto isReply = [](const FakeMessage &m) { return m.leg == MessageLeg::Reply; };
-    const auto isRequest = [](const FakeMessage &m) { return m.leg == MessageLeg::Request; };
+    const auto always = [](const ScenarioScript &, const FakeMessage &) { return true; };
+    const auto isReply = [](const ScenarioScript &, const FakeMessage &m) {
+        return m.leg == MessageLeg::Reply;
+    };
+    const auto isRequest = [](const ScenarioScript &, const FakeMessage &m) {
+        return m.leg == MessageLeg::Request;
+    };
     std::vector<MatrixFault> faults;
     faults.push_back({"kill",
                       [](ScenarioWorld &world, const FakeMessage &message) {
@@ -63,6 +83,23 @@
                           return MessageFate{false, lateness};
                       },
                       isRequest});
+    faults.push_back({"late-beyond",
+                      [](ScenarioWorld &, const FakeMessage &) {
+                          return MessageFate{false, beyondFlight};
+                      },
+                      mayBeLateWithoutBound});
+    faults.push_back({"kill-late",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.killAfterSending(message.process);
+                          return MessageFate{false, lateness};
+                      },
+                      isRequest});
+    faults.push_back({"kill-late-beyond",
+                      [](ScenarioWorld &world, const FakeMessage &message) {
+                          world.killAfterSending(message.process);
+                          return MessageFate{false, beyondFlight};
+                      },
+                      mayBeLateWithoutBound});
     faults.push_back({"silence",
                       [](ScenarioWorld &world, const FakeMessage &message) {
                           world.network.silence(message.process, message.endpoint);
@@ -123,7 +160,7 @@
     for (const ScenarioScript &operation : operations()) {
         for (const FakeMessage &step : stepsOf(operation, seed)) {
             for (const MatrixFault &fault : faults()) {
-                if (!fault.applies(step))
+                if (!fault.applies(operation, step))
                     continue;
                 MatrixRow row;
                 row.operation = &operation;
@@ -171,7 +208,7 @@
                 return row.fault->strike(world, message);
             const bool isSecond =
                 row.secondFault != nullptr && message.number == row.secondStep->number;
-            if (isSecond && row.secondFault->applies(message))
+            if (isSecond && row.secondFault->applies(*row.operation, message))
                 return row.secondFault->strike(world, message);
             return MessageFate{};
         });
--- a/modules/scenario/matrix/FaultMatrix.h
+++ b/modules/scenario/matrix/FaultMatrix.h
@@ -17,7 +17,7 @@
     /** Breaks the world at this message and says what becomes of the message. */
     std::function<MessageFate(ScenarioWorld &, const FakeMessage &)> strike;
     /** Whether the fault can strike there at all. */
-    std::function<bool(const FakeMessage &)> applies;
+    std::function<bool(const ScenarioScript &, const FakeMessage &)> applies;
 };
 
 /** One row: this fault at this step of this operation. */
--- a/modules/scenario/matrix/Operations.cpp
+++ b/modules/scenario/matrix/Operations.cpp
@@ -43,6 +43,23 @@
 expect holder domain/kgl-a one
 )";
 
+const char *const slowOrder = R"(
+# An order that takes longer than a change of holder, and another wish in the middle of it.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+engine e1 domain kgl-a checks-fence no order-takes 15s
+engine e2 domain kgl-a checks-fence yes order-takes 15s
+at 10s order e1 change-role decode
+at 10s order e2 change-role decode
+at 12s order e1 change-role prefill
+at 12s order e2 change-role prefill
+end 120s
+steps from 10s to 13s
+expect engine e1 role prefill
+expect engine e2 role prefill
+)";
+
 const char *const leaseTaken = R"(
 # Three instances start and one of them takes the duty.
 instance a domain kgl-a
@@ -110,6 +127,7 @@
     static const std::vector<ScenarioScript> all = {
         compiled({"order-plain", orderToPlainEngine}),
         compiled({"order-checking", orderToCheckingEngine}),
+        compiled({"order-slow", slowOrder}),
         compiled({"lease-taken", leaseTaken}),
         compiled({"lease-handed-over", leaseHandedOver}),
         compiled({"usage-window", usageWindow}),
--- a/modules/scenario/world/ScenarioWorld.cpp
+++ b/modules/scenario/world/ScenarioWorld.cpp
@@ -127,6 +127,11 @@
     silentSince_[name] = scheduler.now();
 }
 
+void ScenarioWorld::killAfterSending(const std::string &name)
+{
+    scheduler.after(Millis(0), [this, name] { kill(name); });
+}
+
 void ScenarioWorld::restart(const std::string &name)
 {
     kill(name);
--- a/modules/scenario/world/ScenarioWorld.h
+++ b/modules/scenario/world/ScenarioWorld.h
@@ -75,6 +75,8 @@
     void wish(const WantedOrder &order) { wishes_[order.engine] = order; }
     void count(const CountedUse &use);
     void kill(const std::string &name);
+    /** Kills it in the next moment, when what it is just sending is on its way. */
+    void killAfterSending(const std::string &name);
     void restart(const std::string &name);
     void pause(const std::string &name, Millis span);
     void cut(const std::string &name, const std::string &endpoint, Millis span);
--- a/programs/cuminrail-scenario/main.cpp
+++ b/programs/cuminrail-scenario/main.cpp
@@ -4,10 +4,12 @@
 #include <cxxopts.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 using namespace cuminrail;
 
@@ -91,35 +93,62 @@
     return 0;
 }
 
+/** Runs rows on several threads; each run has a world of its own. */
+std::vector<ScenarioResult> runRows(const std::vector<MatrixRow> &rows, std::uint64_t seed,
+                                    unsigned jobs)
+{
+    std::vector<ScenarioResult> results(rows.size());
+    std::atomic<std::size_t> next{0};
+    const auto work = [&] {
+        for (std::size_t i = next++; i < rows.size(); i = next++) {
+            results[i] = FaultMatrix::run(rows[i], seed);
+            results[i].messages.clear();
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned i = 1; i < jobs; ++i)
+        threads.emplace_back(work);
+    work();
+    for (std::thread &thread : threads)
+        thread.join();
+    return results;
+}
+
+std::vector<MatrixRow> selected(std::vector<MatrixRow> rows, const std::string &only)
+{
+    const auto isOther = [&](const MatrixRow &row) { return row.name().rfind(only, 0) != 0; };
+    rows.erase(std::remove_if(rows.begin(), rows.end(), isOther), rows.end());
+    return rows;
+}
+
 int runMatrix(const cxxopts::ParseResult &options)
 {
     const auto only = options["only"].as<std::string>();
     const auto seeds = options["seeds"].as<std::uint64_t>();
     MatrixTotals totals;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        const auto rows = options.count("pairs") != 0 ? FaultMatrix::pairs(seed, mostPairs)
-                                                      : FaultMatrix::singles(seed);
-        for (const MatrixRow &row : rows) {
-            const std::string name = row.name();
-            if (!only.empty() && name.rfind(only, 0) != 0)
-                continue;
-            if (options.count("list") != 0) {
-                std::cout << name << "  " << row.step.toString() << "\n";
-                continue;
-            }
-            const ScenarioResult result = FaultMatrix::run(row, seed);
-            ++(result.isGood() ? totals.passed : totals.failed);
-            if (result.isGood())
+        const bool pairs = options.count("pairs") != 0;
+        const auto rows = selected(
+            pairs ? FaultMatrix::pairs(seed, mostPairs) : FaultMatrix::singles(seed), only);
+        if (options.count("list") != 0) {
+            for (const MatrixRow &row : rows)
+                std::cout << row.name() << "  " << row.step.toString() << "\n";
+            continue;
+        }
+        const auto results = runRows(rows, seed, options["jobs"].as<unsigned>());
+        for (std::size_t i = 0; i < rows.size(); ++i) {
+            ++(results[i].isGood() ? totals.passed : totals.failed);
+            if (results[i].isGood())
                 continue;
-            std::cout << "FAIL  seed " << seed << "  " << name << "  " << row.step.toString()
-                      << "\n";
-            printProblems(result);
+            std::cout << "FAIL  seed " << seed << "  " << rows[i].name() << "  "
+                      << rows[i].step.toString() << "\n";
+            printProblems(results[i]);
         }
     }
     return options.count("list") != 0 ? 0 : finish(totals);
 }
 
-int runMutants(std::uint64_t seeds)
+int runMutants(std::uint64_t seeds, unsigned jobs)
 {
     MatrixTotals totals;
     for (const auto &[guard, name] : guardNames.entries) {
@@ -127,12 +156,14 @@
         std::size_t red = 0;
         std::string first;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            for (const MatrixRow &row : FaultMatrix::singles(seed)) {
-                if (FaultMatrix::run(row, seed).isGood())
+            const auto rows = FaultMatrix::singles(seed);
+            const auto results = runRows(rows, seed, jobs);
+            for (std::size_t i = 0; i < rows.size(); ++i) {
+                if (results[i].isGood())
                     continue;
                 ++red;
                 if (first.empty())
-                    first = row.name();
+                    first = rows[i].name();
             }
         }
         ++(red > 0 ? totals.passed : totals.failed);
@@ -154,7 +185,7 @@
     if (command == "matrix")
         return runMatrix(parsed);
     if (command == "mutants")
-        return runMutants(parsed["seeds"].as<std::uint64_t>());
+        return runMutants(parsed["seeds"].as<std::uint64_t>(), parsed["jobs"].as<unsigned>());
     std::cerr << help << "\n";
     return exitUsage;
 }
@@ -166,14 +197,18 @@
     cxxopts::Options options("cuminrail-scenario",
                              "Plays scenarios in virtual time and judges them.\n"
                              "Commands: run [FILE…], list, matrix, mutants");
-    options.add_options()("seed", "seed of run",
-                          cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "trace", "print the whole history")("list", "print the matrix's rows, run nothing")(
-        "only", "run the matrix's rows whose name begins so: FAULT/STEP",
-        cxxopts::value<std::string>()->default_value(""))("pairs", "two faults in one run")(
-        "seeds", "run with seeds 1 to K", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "help", "print this")("words", "command and files",
-                              cxxopts::value<std::vector<std::string>>()->default_value(""));
+    auto add = options.add_options();
+    add("seed", "seed of run", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seeds", "run with seeds 1 to K", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("trace", "print the whole history");
+    add("list", "print the matrix's rows, run nothing");
+    add("only", "run the matrix's rows whose name begins so: FAULT/STEP",
+        cxxopts::value<std::string>()->default_value(""));
+    add("pairs", "two faults in one run");
+    add("jobs", "threads", cxxopts::value<unsigned>()->default_value("4"));
+    add("help", "print this");
+    add("words", "command and files",
+        cxxopts::value<std::vector<std::string>>()->default_value(""));
     options.parse_positional({"words"});
     try {
         const auto parsed = options.parse(argc, argv);
