Upstream ordering in scenarios and in the fault matrix

Cause: the platform must never hear two who believe to be in charge, at any fault. Change: zones, fleet targets and their expectations in the scenario language; operation fleet-target.

--- a/modules/scenario/language/ScenarioChecks.cpp
+++ b/modules/scenario/language/ScenarioChecks.cpp
@@ -47,6 +47,16 @@
     };
 }
 
+Check fleetCheck(StatementReader &words)
+{
+    const Zone zone = readZoneName(words);
+    const std::uint64_t count = words.number("the number of upstreams");
+    return [=](ScenarioWorld &w) {
+        const FleetStatus &status = w.fleet.status(zone.domain, zone.costClass);
+        return unlessEqual(std::to_string(count), std::to_string(status.target.count));
+    };
+}
+
 Check billedCheck(StatementReader &words)
 {
     const CustomerId customer(words.word("a customer"));
@@ -73,6 +83,8 @@
         return engineCheck(words);
     if (subject == "holder")
         return holderCheck(words);
+    if (subject == "fleet")
+        return fleetCheck(words);
     if (subject == "billed")
         return billedCheck(words);
     throw StatementError("unknown expectation '" + subject + "'");
--- a/modules/scenario/language/ScenarioParser.cpp
+++ b/modules/scenario/language/ScenarioParser.cpp
@@ -70,6 +70,8 @@
         readInstance(words);
     } else if (keyword == "engine") {
         readEngine(words);
+    } else if (keyword == "zone") {
+        readZone(words);
     } else if (keyword == "team") {
         const std::string team = words.word("the team's name");
         teams_.insert(team);
@@ -110,6 +112,23 @@
     script_.setups.push_back({[=](ScenarioWorld &w) { w.addEngine(id, domain, checks, takes); }});
 }
 
+Zone readZoneName(StatementReader &words)
+{
+    const FailureDomainId domain(words.word("a failure domain"));
+    const std::string costClass = words.word("a cost class");
+    const auto known = costClassNames.value(costClass);
+    if (!known)
+        throw StatementError("unknown cost class '" + costClass + "'");
+    return Zone{domain, *known};
+}
+
+void ScenarioParser::readZone(StatementReader &words)
+{
+    const Zone zone = readZoneName(words);
+    zones_.insert(zone);
+    script_.setups.push_back({[zone](ScenarioWorld &w) { w.addZone(zone); }});
+}
+
 void ScenarioParser::readSteps(StatementReader &words)
 {
     words.require("from");
@@ -159,6 +178,8 @@
         return orderAction(words);
     if (keyword == "count")
         return countAction(words);
+    if (keyword == "fleet")
+        return fleetAction(words);
     if (keyword == "store")
         return storeAction(words);
     if (keyword == "lose-answer")
@@ -202,6 +223,15 @@
     return [use](ScenarioWorld &w) { w.count(use); };
 }
 
+std::function<void(ScenarioWorld &)> ScenarioParser::fleetAction(StatementReader &words)
+{
+    const Zone zone = readZoneName(words);
+    if (zones_.count(zone) == 0)
+        throw StatementError("unknown zone '" + zone.domain.text() + "'");
+    const auto count = static_cast<std::uint32_t>(words.number("the number of upstreams"));
+    return [=](ScenarioWorld &w) { w.want(zone, count); };
+}
+
 std::function<void(ScenarioWorld &)> ScenarioParser::storeAction(StatementReader &words)
 {
     if (words.accept("down")) {
--- a/modules/scenario/language/ScenarioParser.h
+++ b/modules/scenario/language/ScenarioParser.h
@@ -23,11 +23,13 @@
     void readSetup(const std::string &keyword, StatementReader &words);
     void readInstance(StatementReader &words);
     void readEngine(StatementReader &words);
+    void readZone(StatementReader &words);
     void readSteps(StatementReader &words);
     void readAction(Millis at, StatementReader &words, const std::string &line);
     std::function<void(ScenarioWorld &)> action(const std::string &keyword, StatementReader &words);
     std::function<void(ScenarioWorld &)> orderAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> countAction(StatementReader &words);
+    std::function<void(ScenarioWorld &)> fleetAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> storeAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> lossAction(MessageLeg leg, StatementReader &words);
     std::function<void(ScenarioWorld &)> instanceAction(const std::string &keyword,
@@ -41,8 +43,12 @@
     std::set<std::string> instances_;
     std::set<std::string> engines_;
     std::set<std::string> teams_;
+    std::set<Zone> zones_;
 };
 
+/** Reads a failure domain and a cost class. */
+Zone readZoneName(StatementReader &words);
+
 /** Reads what follows "expect". */
 std::function<std::optional<std::string>(ScenarioWorld &)> readCheck(StatementReader &words);
 
--- a/modules/scenario/matrix/Operations.cpp
+++ b/modules/scenario/matrix/Operations.cpp
@@ -91,6 +91,21 @@
 expect holder domain/kgl-a one
 )";
 
+const char *const fleetTarget = R"(
+# Three targets for one zone, the second while the first is hardly declared.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+zone kgl-a reclaimable
+at 10s fleet kgl-a reclaimable 4
+at 10300ms fleet kgl-a reclaimable 6
+at 45s fleet kgl-a reclaimable 2
+end 90s
+steps from 10s to 13s
+expect fleet kgl-a reclaimable 2
+expect holder domain/kgl-a one
+)";
+
 const char *const usageWindow = R"(
 # Two windows from the first count to the last report.
 instance a domain kgl-a
@@ -130,6 +145,7 @@
         compiled({"order-slow", slowOrder}),
         compiled({"lease-taken", leaseTaken}),
         compiled({"lease-handed-over", leaseHandedOver}),
+        compiled({"fleet-target", fleetTarget}),
         compiled({"usage-window", usageWindow}),
     };
     return all;
--- a/modules/scenario/world/ScenarioInstance.cpp
+++ b/modules/scenario/world/ScenarioInstance.cpp
@@ -11,6 +11,7 @@
       clockOffset_(clockOffset), process_(std::make_shared<FakeProcess>(name))
 {
     buildOrders();
+    buildFleet();
     buildUsage();
     buildLeases();
 }
@@ -63,6 +64,19 @@
     }
 }
 
+void ScenarioInstance::buildFleet()
+{
+    for (const Zone &zone : world_.zones()) {
+        FleetKeeper::Hooks hooks{world_.store.port(process_),
+                                 world_.fleetPort(*this),
+                                 clock(),
+                                 world_.scheduler.random(),
+                                 ignoreEvents(),
+                                 authorityFor(ScenarioWorld::domainDuty(zone.domain))};
+        zones_[zone] = std::make_unique<FleetKeeper>(zone, std::move(hooks));
+    }
+}
+
 void ScenarioInstance::buildUsage()
 {
     for (const TeamId &team : world_.teams()) {
@@ -91,6 +105,10 @@
         if (duty == ScenarioWorld::domainDuty(domain))
             isHeld ? keeper->taken() : keeper->lost();
     }
+    for (auto &[zone, keeper] : zones_) {
+        if (duty == ScenarioWorld::domainDuty(zone.domain))
+            isHeld ? keeper->taken() : keeper->lost();
+    }
     for (auto &[team, reporter] : reporters_) {
         if (duty == ScenarioWorld::teamDuty(team))
             isHeld ? reporter->taken() : reporter->lost();
@@ -104,11 +122,14 @@
     leases_->tick();
     for (auto &[domain, keeper] : orders_)
         keeper->tick();
+    for (auto &[zone, keeper] : zones_)
+        keeper->tick();
     for (auto &[team, flusher] : flushers_)
         flusher->tick();
     for (auto &[team, reporter] : reporters_)
         reporter->tick();
     pursueWishes();
+    pursueTargets();
     if (!stopping_ || !leases_->isStopped())
         return;
     for (auto &[team, flusher] : flushers_) {
@@ -133,6 +154,16 @@
     }
 }
 
+void ScenarioInstance::pursueTargets()
+{
+    for (const auto &[zone, count] : world_.wantedTargets()) {
+        FleetKeeper &keeper = *zones_.at(zone);
+        const auto last = keeper.last();
+        if (keeper.isIdle() && (!last || last->count != count))
+            keeper.request(count, nullptr);
+    }
+}
+
 void ScenarioInstance::stop()
 {
     stopping_ = true;
--- a/modules/scenario/world/ScenarioInstance.h
+++ b/modules/scenario/world/ScenarioInstance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/capacity.h"
 #include "lease/lease.h"
 #include "orders/orders.h"
 #include "ports/testing/testing.h"
@@ -50,9 +51,11 @@
     std::function<std::optional<Authority>()> authorityFor(const std::string &duty) const;
     void buildLeases();
     void buildOrders();
+    void buildFleet();
     void buildUsage();
     void changeDuty(const std::string &duty, bool isHeld);
     void pursueWishes();
+    void pursueTargets();
 
     ScenarioWorld &world_;
     InstanceLife life_;
@@ -61,6 +64,7 @@
     FakeProcessPtr process_;
     std::unique_ptr<LeaseKeeper> leases_;
     std::map<FailureDomainId, std::unique_ptr<OrderKeeper>> orders_;
+    std::map<Zone, std::unique_ptr<FleetKeeper>> zones_;
     std::map<TeamId, std::unique_ptr<UsageFlusher>> flushers_;
     std::map<TeamId, std::unique_ptr<UsageReporter>> reporters_;
     bool stopping_ = false;
--- a/modules/scenario/world/ScenarioWorld.cpp
+++ b/modules/scenario/world/ScenarioWorld.cpp
@@ -46,12 +46,14 @@
 
 std::vector<std::string> ScenarioWorld::duties() const
 {
-    std::vector<std::string> duties;
+    std::set<std::string> duties;
     for (const auto &[domain, engineList] : enginesByDomain_)
-        duties.push_back(domainDuty(domain));
+        duties.insert(domainDuty(domain));
+    for (const Zone &zone : zones_)
+        duties.insert(domainDuty(zone.domain));
     for (const TeamId &team : teams_)
-        duties.push_back(teamDuty(team));
-    return duties;
+        duties.insert(teamDuty(team));
+    return {duties.begin(), duties.end()};
 }
 
 std::vector<InstanceId> ScenarioWorld::liveMembers() const
@@ -89,6 +91,17 @@
     return port;
 }
 
+FleetOrdering ScenarioWorld::fleetPort(const ScenarioInstance &instance)
+{
+    FleetOrdering port = fleet.port(instance.processPtr());
+    port.setTarget = [setTarget = port.setTarget, &instance](
+                         FleetTarget target, const std::function<void(const OrderReply &)> &done) {
+        target.notAfter = target.notAfter - instance.clockOffset();
+        setTarget(target, done);
+    };
+    return port;
+}
+
 UsageReceiver ScenarioWorld::usagePort(const ScenarioInstance &instance)
 {
     UsageReceiver port = usage.port(instance.processPtr());
--- a/modules/scenario/world/ScenarioWorld.h
+++ b/modules/scenario/world/ScenarioWorld.h
@@ -45,6 +45,7 @@
     void addInstance(const std::string &name, const FailureDomainId &domain);
     void addEngine(const UpstreamId &id, const FailureDomainId &domain, bool checksFence,
                    Millis orderDuration);
+    void addZone(const Zone &zone) { zones_.push_back(zone); }
     void addTeam(const TeamId &team) { teams_.push_back(team); }
     /** Starts all instances and their ticks. */
     void start();
@@ -58,10 +59,13 @@
     {
         return enginesByDomain_;
     }
+    const std::vector<Zone> &zones() const { return zones_; }
+    const std::map<Zone, std::uint32_t> &wantedTargets() const { return targets_; }
     const std::vector<TeamId> &teams() const { return teams_; }
     const std::map<UpstreamId, WantedOrder> &wishes() const { return wishes_; }
     /** The ports compare notAfter with the clock of the instance that uses them. */
     EngineControl enginePort(const ScenarioInstance &instance);
+    FleetOrdering fleetPort(const ScenarioInstance &instance);
     UsageReceiver usagePort(const ScenarioInstance &instance);
     static std::string domainDuty(const FailureDomainId &domain)
     {
@@ -73,6 +77,7 @@
     ScenarioInstance *instance(const std::string &name);
     bool hasInstance(const std::string &name) const { return domains_.count(name) != 0; }
     void wish(const WantedOrder &order) { wishes_[order.engine] = order; }
+    void want(const Zone &zone, std::uint32_t count) { targets_[zone] = count; }
     void count(const CountedUse &use);
     void kill(const std::string &name);
     /** Kills it in the next moment, when what it is just sending is on its way. */
@@ -109,6 +114,8 @@
     std::map<std::string, Incarnation> incarnations_;
     std::vector<std::unique_ptr<ScenarioInstance>> instances_;
     std::map<FailureDomainId, std::vector<OrderedEngine>> enginesByDomain_;
+    std::vector<Zone> zones_;
+    std::map<Zone, std::uint32_t> targets_;
     std::vector<TeamId> teams_;
     std::map<UpstreamId, WantedOrder> wishes_;
     std::vector<CountedUse> counted_;
