Calls in scenarios and in the matrix: at most once, truthful, answered, not cut

Cause: the promises that callers feel were not in the matrix. The planned-stop operation has four instances, because with three the matrix kills the only one left.

--- a/modules/ports/testing/testing.h
+++ b/modules/ports/testing/testing.h
@@ -14,4 +14,5 @@
 #include "ports/testing/FakeObjectStore.h"
 #include "ports/testing/FakeProcess.h"
 #include "ports/testing/FakeScheduler.h"
+#include "ports/testing/FakeService.h"
 #include "ports/testing/FakeUsageReceiver.h"
--- a/modules/scenario/judge/Judge.cpp
+++ b/modules/scenario/judge/Judge.cpp
@@ -106,6 +106,73 @@
     }
 }
 
+/** The calls that callers marked as not to be run twice. */
+std::set<std::string> nonIdempotentWork(const ScenarioWorld &world)
+{
+    std::set<std::string> work;
+    for (const ScenarioCall &call : world.calls()) {
+        if (!call.isIdempotent)
+            work.insert(call.work);
+    }
+    return work;
+}
+
+void judgeAtMostOnce(const ScenarioWorld &world, const Report &report)
+{
+    const std::set<std::string> once = nonIdempotentWork(world);
+    std::set<std::string> seen;
+    for (const ServiceRun &run : world.service.runs()) {
+        if (once.count(run.work) != 0 && !seen.insert(run.work).second)
+            report(run.work + " ran again, sent by " + run.from);
+    }
+}
+
+void judgeNotRun(const ScenarioWorld &world, const Report &report)
+{
+    for (const CallerAnswer &answer : world.answers()) {
+        if (answer.verdict != Verdict::NotRun)
+            continue;
+        for (const ServiceRun &run : world.service.runs()) {
+            if (run.attempt == answer.call.attempt)
+                report(answer.call.attempt + " was told not run, and ran");
+        }
+    }
+}
+
+void judgeAnswers(const ScenarioWorld &world, const Report &report)
+{
+    std::map<std::string, int> answered;
+    for (const CallerAnswer &answer : world.answers()) {
+        if (++answered[answer.call.attempt] > 1)
+            report(answer.call.attempt + " was answered twice");
+        if (answer.verdict == Verdict::Ran && answer.body != "done: " + answer.call.work)
+            report(answer.call.attempt + " got '" + answer.body + "'");
+    }
+}
+
+/** Only an instance that dies leaves its callers without an answer; a planned stop does not. */
+void judgeCutCalls(const ScenarioWorld &world, const Report &report)
+{
+    std::set<std::string> answered;
+    for (const CallerAnswer &answer : world.answers())
+        answered.insert(answer.call.attempt);
+    for (const ScenarioCall &call : world.calls()) {
+        if (answered.count(call.attempt) == 0 && !world.wasKilled(call.life))
+            report(call.attempt + " was never answered by " + call.life);
+    }
+}
+
+void judgeCustomers(const ScenarioWorld &world, const Report &report)
+{
+    std::map<std::string, std::string> owner;
+    for (const ScenarioCall &call : world.calls())
+        owner[call.work] = call.customer;
+    for (const ServiceRun &run : world.service.runs()) {
+        if (owner[run.work] != run.customer)
+            report(run.work + " ran for " + run.customer);
+    }
+}
+
 /** By the store's own history a lease's fence only rises, and rises with every new holder. */
 void judgeLeases(const ScenarioWorld &world, const Report &report)
 {
@@ -140,6 +207,11 @@
         {"no usage window is reported with different figures", judgeUsageFigures},
         {"no usage window is reported by two who believe to be in charge", judgeUsageHolder},
         {"nobody is billed for more than was used", judgeBill},
+        {"a non-idempotent request runs at most once", judgeAtMostOnce},
+        {"a refusal saying not run is true", judgeNotRun},
+        {"a caller gets the whole answer to its own request", judgeAnswers},
+        {"no request is cut by a planned change", judgeCutCalls},
+        {"a request runs only for the customer whose key came with it", judgeCustomers},
         {"a lease's fence rises with every holder", judgeLeases},
     };
     return all;
--- a/modules/scenario/language/ScenarioChecks.cpp
+++ b/modules/scenario/language/ScenarioChecks.cpp
@@ -1,6 +1,8 @@
 #include "scenario/judge/BilledUse.h"
 #include "scenario/language/ScenarioParser.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 namespace detail {
 
@@ -57,6 +59,38 @@
     };
 }
 
+std::size_t countAnswers(const ScenarioWorld &world, const std::string &work, Verdict verdict)
+{
+    const auto &answers = world.answers();
+    const auto matches = [&](const CallerAnswer &answer) {
+        return answer.call.work == work && answer.verdict == verdict;
+    };
+    return static_cast<std::size_t>(std::count_if(answers.begin(), answers.end(), matches));
+}
+
+Check callCheck(StatementReader &words)
+{
+    const std::string work = words.word("a call");
+    if (words.accept("runs")) {
+        const std::uint64_t count = words.number("the number of runs");
+        return [=](ScenarioWorld &w) {
+            const auto &runs = w.service.runs();
+            const auto found = std::count_if(
+                runs.begin(), runs.end(), [&](const ServiceRun &run) { return run.work == work; });
+            return unlessEqual(std::to_string(count), std::to_string(found));
+        };
+    }
+    words.require("answers");
+    const std::string name = words.word("a verdict");
+    const auto verdict = verdictNames.value(name);
+    if (!verdict)
+        throw StatementError("unknown verdict '" + name + "'");
+    const std::uint64_t count = words.number("the number of answers");
+    return [=](ScenarioWorld &w) {
+        return unlessEqual(std::to_string(count), std::to_string(countAnswers(w, work, *verdict)));
+    };
+}
+
 Check billedCheck(StatementReader &words)
 {
     const CustomerId customer(words.word("a customer"));
@@ -83,6 +117,8 @@
         return engineCheck(words);
     if (subject == "holder")
         return holderCheck(words);
+    if (subject == "call")
+        return callCheck(words);
     if (subject == "fleet")
         return fleetCheck(words);
     if (subject == "billed")
--- a/modules/scenario/language/ScenarioParser.cpp
+++ b/modules/scenario/language/ScenarioParser.cpp
@@ -178,6 +178,8 @@
         return orderAction(words);
     if (keyword == "count")
         return countAction(words);
+    if (keyword == "ask" || keyword == "lodge")
+        return callAction(keyword == "ask", words);
     if (keyword == "fleet")
         return fleetAction(words);
     if (keyword == "store")
@@ -223,6 +225,17 @@
     return [use](ScenarioWorld &w) { w.count(use); };
 }
 
+std::function<void(ScenarioWorld &)> ScenarioParser::callAction(bool isIdempotent,
+                                                                StatementReader &words)
+{
+    ScenarioCall call;
+    call.instance = instanceName(words);
+    call.customer = words.word("a customer");
+    call.work = words.word("the call's name");
+    call.isIdempotent = isIdempotent;
+    return [call](ScenarioWorld &w) { w.call(call); };
+}
+
 std::function<void(ScenarioWorld &)> ScenarioParser::fleetAction(StatementReader &words)
 {
     const Zone zone = readZoneName(words);
--- a/modules/scenario/language/ScenarioParser.h
+++ b/modules/scenario/language/ScenarioParser.h
@@ -29,6 +29,7 @@
     std::function<void(ScenarioWorld &)> action(const std::string &keyword, StatementReader &words);
     std::function<void(ScenarioWorld &)> orderAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> countAction(StatementReader &words);
+    std::function<void(ScenarioWorld &)> callAction(bool isIdempotent, StatementReader &words);
     std::function<void(ScenarioWorld &)> fleetAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> storeAction(StatementReader &words);
     std::function<void(ScenarioWorld &)> lossAction(MessageLeg leg, StatementReader &words);
--- a/modules/scenario/matrix/Operations.cpp
+++ b/modules/scenario/matrix/Operations.cpp
@@ -145,6 +145,59 @@
 expect holder team/north one
 )";
 
+const char *const idempotentCall = R"(
+# Calls that may be repeated, at three instances.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+at 10s ask a chamber summary-1
+at 10050ms ask b chamber summary-2
+at 30s ask a chamber summary-3
+at 30s ask b chamber summary-3
+at 30s ask c chamber summary-3
+end 60s
+steps from 10s to 12s
+)";
+
+const char *const lodging = R"(
+# A lodging, and its caller's repeats at other instances.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+at 10s lodge a chamber bundle-7
+at 10001ms lodge b chamber bundle-7
+at 11500ms lodge b chamber bundle-7
+at 16s lodge c chamber bundle-7
+at 90s lodge c chamber bundle-7
+at 91s lodge b chamber bundle-7
+at 90s lodge c chamber bundle-8
+at 90s lodge b chamber bundle-8
+end 180s
+steps from 10s to 17s
+expect call bundle-8 runs 1
+)";
+
+const char *const gracefulStop = R"(
+# Two of four instances stop as planned with calls in progress.
+instance a domain kgl-a
+instance b domain kgl-b
+instance c domain kgl-c
+instance d domain kgl-c
+team north
+usage-window 10s
+at 10s count a north chamber prompt 100 output 10
+at 10s ask a chamber summary-1
+at 10s lodge a chamber bundle-1
+at 10001ms stop a
+at 11s lodge b chamber bundle-1
+at 11s ask b chamber summary-2
+at 11001ms stop b
+at 14s lodge c chamber bundle-1
+end 90s
+steps from 10s to 14s
+expect holder team/north one
+)";
+
 ScenarioScript compiled(const OperationText &operation)
 {
     Reason lastReason;
@@ -166,6 +219,9 @@
         compiled({"lease-taken", leaseTaken}),
         compiled({"lease-handed-over", leaseHandedOver}),
         compiled({"fleet-target", fleetTarget}),
+        compiled({"idempotent-call", idempotentCall}),
+        compiled({"lodging", lodging}),
+        compiled({"graceful-stop", gracefulStop}),
         compiled({"usage-window", usageWindow}),
         compiled({"usage-restarts", usageRestarts}),
     };
--- a/modules/scenario/world/ScenarioInstance.cpp
+++ b/modules/scenario/world/ScenarioInstance.cpp
@@ -13,6 +13,7 @@
     buildOrders();
     buildFleet();
     buildUsage();
+    buildCalls();
     buildLeases();
 }
 
@@ -104,6 +105,21 @@
     }
 }
 
+void ScenarioInstance::buildCalls()
+{
+    ScenarioCalls::Hooks hooks{
+        world_.store.port(process_), world_.scheduler.random(), clock(), {}, {}, {}};
+    hooks.isGone = [this](const InstanceId &instance, Incarnation life) {
+        return world_.isKnownGone(instance.text() + "-" + std::to_string(life));
+    };
+    hooks.send = [this](const ServiceRun &run,
+                        const std::function<void(const ServiceReply &)> &done) {
+        world_.service.send(process_, run, done);
+    };
+    hooks.answer = [this](const CallerAnswer &answer) { world_.answerCaller(answer); };
+    calls_ = std::make_unique<ScenarioCalls>(life_, std::move(hooks));
+}
+
 void ScenarioInstance::changeDuty(const std::string &duty, bool isHeld)
 {
     for (auto &[domain, keeper] : orders_) {
@@ -125,6 +141,7 @@
     if (!process_->isRunning(world_.scheduler.now()))
         return;
     leases_->tick();
+    calls_->tick();
     for (auto &[domain, keeper] : orders_)
         keeper->tick();
     for (auto &[zone, keeper] : zones_)
@@ -135,7 +152,7 @@
         reporter->tick();
     pursueWishes();
     pursueTargets();
-    if (!stopping_ || !leases_->isStopped())
+    if (!stopping_ || !leases_->isStopped() || !calls_->isQuiet())
         return;
     for (auto &[team, flusher] : flushers_) {
         if (!flusher->isFlushed())
--- a/modules/scenario/world/ScenarioInstance.h
+++ b/modules/scenario/world/ScenarioInstance.h
@@ -4,6 +4,7 @@
 #include "lease/lease.h"
 #include "orders/orders.h"
 #include "ports/testing/testing.h"
+#include "scenario/world/ScenarioCalls.h"
 #include "usage/usage.h"
 
 #include <functional>
@@ -43,6 +44,7 @@
     /** Returns the name of this life as usage counters have it. */
     std::string lifeName() const;
     bool isStopping() const { return stopping_; }
+    ScenarioCalls &calls() { return *calls_; }
     LeaseKeeper &leases() { return *leases_; }
     UsageFlusher &usage(const TeamId &team) { return *flushers_.at(team); }
 
@@ -53,6 +55,7 @@
     void buildOrders();
     void buildFleet();
     void buildUsage();
+    void buildCalls();
     void changeDuty(const std::string &duty, bool isHeld);
     void pursueWishes();
     void pursueTargets();
@@ -65,6 +68,7 @@
     std::unique_ptr<LeaseKeeper> leases_;
     std::map<FailureDomainId, std::unique_ptr<OrderKeeper>> orders_;
     std::map<Zone, std::unique_ptr<FleetKeeper>> zones_;
+    std::unique_ptr<ScenarioCalls> calls_;
     std::map<TeamId, std::unique_ptr<UsageFlusher>> flushers_;
     std::map<TeamId, std::unique_ptr<UsageReporter>> reporters_;
     bool stopping_ = false;
--- a/modules/scenario/world/ScenarioWorld.cpp
+++ b/modules/scenario/world/ScenarioWorld.cpp
@@ -130,13 +130,31 @@
     counted_.push_back(use);
 }
 
+bool ScenarioWorld::isKnownGone(const std::string &life) const
+{
+    const auto stopped = stopped_.find(life);
+    return stopped != stopped_.end() && scheduler.now() >= stopped->second + membershipLag;
+}
+
+void ScenarioWorld::call(const ScenarioCall &call)
+{
+    ScenarioInstance *at = instance(call.instance);
+    if (at == nullptr || !at->process().isRunning(scheduler.now()) || at->isStopping())
+        return;
+    ScenarioCall taken = call;
+    taken.life = at->lifeName();
+    taken.attempt = call.work + "#" + std::to_string(calls_.size());
+    calls_.push_back(taken);
+    at->calls().begin(taken);
+}
+
 void ScenarioWorld::kill(const std::string &name)
 {
     ScenarioInstance *victim = instance(name);
     if (victim == nullptr || !victim->process().isAlive())
         return;
     victim->process().kill();
-    stopped_.insert(victim->lifeName());
+    stopped_[victim->lifeName()] = scheduler.now();
     silentSince_[name] = scheduler.now();
 }
 
--- a/modules/scenario/world/ScenarioWorld.h
+++ b/modules/scenario/world/ScenarioWorld.h
@@ -39,6 +39,7 @@
     FakeEngines engines{network};
     FakeFleet fleet{network};
     FakeUsageReceiver usage{network};
+    FakeService service{network};
     Millis windowLength = Millis::seconds(20);
 
     // Setting up, before start()
@@ -54,6 +55,8 @@
     std::vector<std::string> duties() const;
     std::vector<InstanceId> liveMembers() const;
     bool isLive(const std::string &life) const;
+    /** Says whether a life is over, as far as the members know. */
+    bool isKnownGone(const std::string &life) const;
     WindowIndex currentWindow() const;
     const std::map<FailureDomainId, std::vector<OrderedEngine>> &enginesByDomain() const
     {
@@ -79,6 +82,9 @@
     void wish(const WantedOrder &order) { wishes_[order.engine] = order; }
     void want(const Zone &zone, std::uint32_t count) { targets_[zone] = count; }
     void count(const CountedUse &use);
+    /** A caller asks something of an instance. */
+    void call(const ScenarioCall &call);
+    void answerCaller(const CallerAnswer &answer) { answers_.push_back(answer); }
     void kill(const std::string &name);
     /** Kills it in the next moment, when what it is just sending is on its way. */
     void killAfterSending(const std::string &name);
@@ -96,7 +102,11 @@
     // Looking
     std::vector<std::string> holders(const std::string &duty);
     const std::vector<CountedUse> &countedUse() const { return counted_; }
-    const std::set<std::string> &everStopped() const { return stopped_; }
+    const std::vector<CallerAnswer> &answers() const { return answers_; }
+    /** Returns true for a life that ended otherwise than by a planned stop. */
+    bool wasKilled(const std::string &life) const { return stopped_.count(life) != 0; }
+    /** Every call that reached a running instance. */
+    const std::vector<ScenarioCall> &calls() const { return calls_; }
 
 private:
     struct LossRule
@@ -121,7 +131,9 @@
     std::vector<CountedUse> counted_;
     std::vector<LossRule> losses_;
     std::map<std::string, Millis> silentSince_;
-    std::set<std::string> stopped_;
+    std::map<std::string, Millis> stopped_;
+    std::vector<CallerAnswer> answers_;
+    std::vector<ScenarioCall> calls_;
     MessageHook matrixHook_;
 };
 
