--- /dev/null
+++ b/modules/scenario/world/ScenarioInstance.cpp
@@ -0,0 +1,197 @@
+#include "scenario/world/ScenarioInstance.h"
+
+#include "scenario/world/ScenarioWorld.h"
+
+namespace cuminrail {
+
+ScenarioInstance::ScenarioInstance(ScenarioWorld &world, const std::string &name,
+                                   Incarnation incarnation, const FailureDomainId &domain,
+                                   Millis clockOffset)
+    : world_(world), life_{InstanceId(name), incarnation}, domain_(domain),
+      clockOffset_(clockOffset), process_(std::make_shared<FakeProcess>(name))
+{
+    buildOrders();
+    buildFleet();
+    buildUsage();
+    buildCalls();
+    buildLeases();
+}
+
+Clock ScenarioInstance::clock() const
+{
+    return Clock([this] { return world_.scheduler.now() + clockOffset_; });
+}
+
+std::string ScenarioInstance::lifeName() const
+{
+    return name() + "-" + std::to_string(life_.incarnation);
+}
+
+std::function<std::optional<Authority>()>
+ScenarioInstance::authorityFor(const std::string &duty) const
+{
+    return [this, duty] { return leases_->authority(duty, clock().now()); };
+}
+
+void ScenarioInstance::buildLeases()
+{
+    LeaseKeeper::Hooks hooks{world_.store.port(process_),
+                             clock(),
+                             world_.scheduler.random(),
+                             ignoreEvents(),
+                             {},
+                             {},
+                             {},
+                             {}};
+    hooks.duties = [this] { return world_.duties(); };
+    hooks.liveMembers = [this] { return world_.liveMembers(); };
+    hooks.onTaken = [this](const std::string &duty, const Authority &) { changeDuty(duty, true); };
+    hooks.onLost = [this](const std::string &duty) { changeDuty(duty, false); };
+    leases_ = std::make_unique<LeaseKeeper>(life_, LeaseTiming{}, std::move(hooks));
+}
+
+void ScenarioInstance::buildOrders()
+{
+    for (const auto &[domain, engines] : world_.enginesByDomain()) {
+        EngineOrderTrack::Hooks track{world_.store.port(process_),
+                                      world_.enginePort(*this),
+                                      clock(),
+                                      world_.scheduler.random(),
+                                      ignoreEvents(),
+                                      {},
+                                      {},
+                                      name()};
+        track.authority = authorityFor(ScenarioWorld::domainDuty(domain));
+        auto keeper =
+            std::make_unique<OrderKeeper>(OrderTiming{}, OrderKeeper::Hooks{std::move(track), {}});
+        keeper->setEngines(engines);
+        orders_[domain] = std::move(keeper);
+    }
+}
+
+void ScenarioInstance::buildFleet()
+{
+    for (const Zone &zone : world_.zones()) {
+        FleetKeeper::Hooks hooks{world_.store.port(process_), world_.fleetPort(*this), clock(),
+                                 world_.scheduler.random(),   ignoreEvents(),          {}};
+        hooks.authority = authorityFor(ScenarioWorld::domainDuty(zone.domain));
+        zones_[zone] = std::make_unique<FleetKeeper>(zone, std::move(hooks));
+    }
+}
+
+void ScenarioInstance::buildUsage()
+{
+    for (const TeamId &team : world_.teams()) {
+        UsageFlusher::Hooks flush{
+            world_.store.port(process_), clock(), world_.scheduler.random(), {}, {}};
+        flush.currentWindow = [this] { return world_.currentWindow(); };
+        flush.period = [] { return shortestFlushPeriod / 2; };
+        flushers_[team] = std::make_unique<UsageFlusher>(team, life_, std::move(flush));
+        UsageTiming timing;
+        timing.windowLength = world_.windowLength;
+        timing.grace = shortestFlushPeriod / 2;
+        UsageReporter::Hooks hooks{world_.store.port(process_),
+                                   world_.usagePort(*this),
+                                   clock(),
+                                   world_.scheduler.random(),
+                                   ignoreEvents(),
+                                   {},
+                                   {},
+                                   {}};
+        hooks.authority = authorityFor(ScenarioWorld::teamDuty(team));
+        hooks.calendar = [this] { return world_.scheduler.now(); };
+        hooks.isLive = [this](const std::string &life) { return world_.isLive(life); };
+        reporters_[team] = std::make_unique<UsageReporter>(team, timing, std::move(hooks));
+    }
+}
+
+void ScenarioInstance::buildCalls()
+{
+    ScenarioCalls::Hooks hooks{
+        world_.store.port(process_), world_.scheduler.random(), clock(), {}, {}, {}};
+    hooks.isGone = [this](const InstanceId &instance, Incarnation life) {
+        return world_.isKnownGone(instance.text() + "-" + std::to_string(life));
+    };
+    hooks.send = [this](const ServiceRun &run,
+                        const std::function<void(const ServiceReply &)> &done) {
+        world_.service.send(process_, run, done);
+    };
+    hooks.answer = [this](const CallerAnswer &answer) { world_.answerCaller(answer); };
+    calls_ = std::make_unique<ScenarioCalls>(life_, std::move(hooks));
+}
+
+void ScenarioInstance::changeDuty(const std::string &duty, bool isHeld)
+{
+    for (auto &[domain, keeper] : orders_) {
+        if (duty == ScenarioWorld::domainDuty(domain))
+            isHeld ? keeper->taken() : keeper->lost();
+    }
+    for (auto &[zone, keeper] : zones_) {
+        if (duty == ScenarioWorld::domainDuty(zone.domain))
+            isHeld ? keeper->taken() : keeper->lost();
+    }
+    for (auto &[team, reporter] : reporters_) {
+        if (duty == ScenarioWorld::teamDuty(team))
+            isHeld ? reporter->taken() : reporter->lost();
+    }
+}
+
+void ScenarioInstance::tick()
+{
+    if (!process_->isRunning(world_.scheduler.now()))
+        return;
+    leases_->tick();
+    calls_->tick();
+    for (auto &[domain, keeper] : orders_)
+        keeper->tick();
+    for (auto &[zone, keeper] : zones_)
+        keeper->tick();
+    for (auto &[team, flusher] : flushers_)
+        flusher->tick();
+    for (auto &[team, reporter] : reporters_)
+        reporter->tick();
+    pursueWishes();
+    pursueTargets();
+    if (!stopping_ || !leases_->isStopped() || !calls_->isQuiet())
+        return;
+    for (auto &[team, flusher] : flushers_) {
+        if (!flusher->isFlushed())
+            return;
+    }
+    process_->kill();
+}
+
+void ScenarioInstance::pursueWishes()
+{
+    for (const auto &[engine, wish] : world_.wishes()) {
+        for (auto &[domain, keeper] : orders_) {
+            if (!keeper->isIdle(engine))
+                continue;
+            const auto last = keeper->lastSettled(engine);
+            const bool isMet = last && last->phase == OrderPhase::Done
+                && last->order.target == wish.target && last->order.kind == wish.kind;
+            if (!isMet)
+                keeper->request(wish, nullptr);
+        }
+    }
+}
+
+void ScenarioInstance::pursueTargets()
+{
+    for (const auto &[zone, count] : world_.wantedTargets()) {
+        FleetKeeper &keeper = *zones_.at(zone);
+        const auto last = keeper.last();
+        if (keeper.isIdle() && (!last || last->count != count))
+            keeper.request(count, nullptr);
+    }
+}
+
+void ScenarioInstance::stop()
+{
+    stopping_ = true;
+    leases_->stop();
+    for (auto &[team, flusher] : flushers_)
+        flusher->stop();
+}
+
+} // namespace cuminrail
