--- a/modules/instance/Instance.cpp
+++ b/modules/instance/Instance.cpp
@@ -51,6 +51,10 @@
         worker->stop();
     control_.thread().stop();
     control_.thread().join();
+    // Operators' connections refer to the server, and their handlers wait in the loop: they go
+    // while both are there.
+    admin_.closeAll();
+    control_.thread().runLeftovers();
     control_.end();
 }
 
--- a/modules/instance/admin/AdminServer.h
+++ b/modules/instance/admin/AdminServer.h
@@ -20,6 +20,8 @@
     AdminServer &operator=(const AdminServer &) = delete;
 
     bool listen(const ListenAddress &address, Reason *lastReason);
+    /** After the control thread has ended: drops all connections. */
+    void closeAll() { server_.closeAll(); }
     std::uint16_t port() const { return server_.port(); }
 
 private:
--- a/modules/instance/request/BadRequests_test.cpp
+++ b/modules/instance/request/BadRequests_test.cpp
@@ -283,10 +283,13 @@
     config.maxAllBodyBytes = 60 * 1024;
     Signal finish;
     ScriptedUpstream engine([&](ScriptedUpstream::Connection &connection) {
-        const std::string id = connection.read().header("X-Request-Id");
-        finish.wait();
-        connection.socket.send(plainAnswer(id, "{}"));
-        connection.read();
+        for (;;) {
+            const ReceivedRequest request = connection.read();
+            if (request.text.empty())
+                return;
+            finish.wait();
+            connection.socket.send(plainAnswer(request.header("X-Request-Id"), "{}"));
+        }
     });
     RunningInstance running(testSettings({engine.address()}, {}), config);
     const std::string large = plainBody + std::string(40 * 1024, ' ');
