At most once with Idempotency-Keys, repeated at two instances

Found on the way: an instance reports ready for about 0.1 s, then not ready for about 1 s (current-keys), before it stays ready; the bench waits for that.

--- a/modules/pathbench/once/AtMostOnceRun.cpp
+++ b/modules/pathbench/once/AtMostOnceRun.cpp
@@ -1,6 +1,7 @@
 #include "pathbench/once/AtMostOnceRun.h"
 
 #include "pathbench/setup/BenchInstance.h"
+#include "settings/settings.h"
 #include "standin/standin.h"
 
 #include <nlohmann/json.hpp>
@@ -64,6 +65,14 @@
 
 constexpr unsigned lowestError = 300;
 
+constexpr std::uint32_t maxRepeats = 5;
+
+/** The platform's own troubles, met by claims. */
+const char *const platformFaults = R"({"rules":[
+    {"fault":"lose-answer","method":"PUT","path_prefix":"/objects/claims/","share":0.03},
+    {"fault":"slow","ms":50,"path_prefix":"/objects/claims/","share":0.03},
+    {"fault":"refuse","status":503,"path_prefix":"/objects/claims/","share":0.02}]})";
+
 /** What one caller was told; no verdict if it was told nothing. */
 struct Told
 {
@@ -71,6 +80,10 @@
     unsigned status = 0;
     /** The error's code; empty in a success. */
     std::string code;
+    bool isReplay = false;
+    std::uint32_t repeats = 0;
+
+    bool isSuccess() const { return verdict == Verdict::Ran && status < lowestError; }
 };
 
 std::string errorCode(const std::string &body)
@@ -80,13 +93,15 @@
     return json.is_object() && json.contains(code) ? json[code].get<std::string>() : "";
 }
 
-Told call(std::uint16_t port, std::uint32_t number)
+Told call(std::uint16_t port, std::uint32_t number, bool isKeyed)
 {
     standin::BlockingRequest request;
     request.method = "POST";
     request.target = "/services/once/lodge";
     request.body = bodyOf(number);
     request.headers = {{"Authorization", std::string("Bearer ") + benchKey}};
+    if (isKeyed)
+        request.headers.emplace_back("Idempotency-Key", "lodging-" + std::to_string(number));
     request.timeoutMs = callerPatienceMs;
     const auto answer = standin::callOnce(port, request);
     Told told;
@@ -95,10 +110,29 @@
     told.verdict = verdictNames.value(answer.header("x-cuminrail-verdict"));
     told.status = answer.status;
     told.code = errorCode(answer.body);
+    told.isReplay = answer.header("x-idempotent-replay") == "true";
     return told;
 }
 
-std::vector<Told> callAll(std::uint16_t port, const AtMostOnceOptions &options)
+/** What a caller takes from several answers: once it may have run, a later "not run" of a repeat
+    says nothing of the first. */
+Told callRepeatedly(const std::vector<std::uint16_t> &ports, std::uint32_t number)
+{
+    Told last;
+    bool mayHaveRun = false;
+    for (std::uint32_t repeat = 0; repeat <= maxRepeats; ++repeat) {
+        last = call(ports[(number + repeat) % ports.size()], number, true);
+        last.repeats = repeat;
+        if (!last.verdict || last.isSuccess())
+            return last;
+        mayHaveRun = mayHaveRun || last.verdict != Verdict::NotRun;
+    }
+    if (mayHaveRun)
+        last.verdict = Verdict::MayHaveRun;
+    return last;
+}
+
+std::vector<Told> callAll(const std::vector<std::uint16_t> &ports, const AtMostOnceOptions &options)
 {
     std::vector<Told> told(options.requests);
     std::atomic<std::uint32_t> next{0};
@@ -106,7 +140,8 @@
     for (std::uint32_t i = 0; i < options.callers; ++i) {
         callers.emplace_back([&] {
             for (std::uint32_t number = next++; number < options.requests; number = next++)
-                told[number] = call(port, number);
+                told[number] = options.isKeyed ? callRepeatedly(ports, number)
+                                               : call(ports.front(), number, false);
         });
     }
     for (std::thread &caller : callers)
@@ -138,6 +173,8 @@
         const std::uint32_t runs = found == arrivals.runs.end() ? 0 : found->second;
         result.ran += runs > 0 ? 1 : 0;
         result.ranTwice += runs > 1 ? 1 : 0;
+        result.repeats += told[number].repeats;
+        result.replays += told[number].isReplay ? 1 : 0;
         if (!told[number].code.empty())
             ++result.codes[told[number].code];
         if (!told[number].verdict) {
@@ -175,11 +212,49 @@
             {"false_not_run", falseNotRun},
             {"false_ran", falseRan},
             {"disturbed", disturbed},
+            {"repeats", repeats},
+            {"replays", replays},
             {"codes", codes},
             {"seconds", seconds},
             {"good", isGood()}};
 }
 
+namespace {
+
+/** Puts settings in force in a store that nobody else writes yet. */
+void putInForce(StandinHost<standin::StandinPlatform> &platform, const Settings &settings)
+{
+    SettingsHead head;
+    head.generation = 1;
+    head.token = "bench";
+    platform.run([&](standin::StandinPlatform &there) {
+        for (const auto &[name, text] : writeSettings(settings)) {
+            head.subtrees[name] = standin::sha256Hex(text);
+            there.store().put({settingsContentPath(head.subtrees[name]), text, std::nullopt});
+        }
+        there.store().put({kSettingsHeadPath, head.toText(), std::nullopt});
+    });
+}
+
+std::vector<Told> callThroughOne(const Settings &settings, const AtMostOnceOptions &options)
+{
+    const BenchInstance instance(settings, 2);
+    return callAll({instance.port()}, options);
+}
+
+std::vector<Told> callThroughTwo(const Settings &settings, const AtMostOnceOptions &options)
+{
+    StandinHost<standin::StandinPlatform> platform(standin::PlatformOptions{});
+    putInForce(platform, settings);
+    const BenchInstance first(platform.address(), "bench-a");
+    const BenchInstance second(platform.address(), "bench-b");
+    if (!platform.setFaults(platformFaults))
+        throw std::logic_error("bad fault plan");
+    return callAll({first.port(), second.port()}, options);
+}
+
+} // namespace
+
 AtMostOnceResult runAtMostOnce(const AtMostOnceOptions &options)
 {
     std::vector<std::unique_ptr<ServiceHost>> services;
@@ -193,13 +268,13 @@
     // Nobody listens here: connecting is refused, and nothing was sent.
     addresses.emplace_back("127.0.0.1:1");
     Settings settings = makeBenchSettings();
-    addOnceService(settings, addresses, serviceTimeout);
-    const BenchInstance instance(settings, 2);
+    addOnceService(settings, addresses, serviceTimeout, options.isKeyed);
 
     AtMostOnceResult result;
     result.requests = options.requests;
     const auto began = std::chrono::steady_clock::now();
-    const std::vector<Told> told = callAll(instance.port(), options);
+    const std::vector<Told> told =
+        options.isKeyed ? callThroughTwo(settings, options) : callThroughOne(settings, options);
     result.seconds =
         std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     // Requests that a service took up late still run after their callers were told.
--- a/modules/pathbench/once/AtMostOnceRun.h
+++ b/modules/pathbench/once/AtMostOnceRun.h
@@ -13,6 +13,11 @@
     std::uint64_t seed = 1;
     /** Callers at once. */
     std::uint32_t callers = 24;
+    /**
+        Every call has an Idempotency-Key, and its caller repeats it, at two instances in turns,
+        until it hears of success. The platform's answers about claims get lost too.
+    */
+    bool isKeyed = false;
 };
 
 /** What callers were told, held against what the services recorded. */
@@ -31,6 +36,9 @@
     std::uint32_t falseNotRun = 0;
     /** A success was given for one that did not run; none may be. */
     std::uint32_t falseRan = 0;
+    /** Repeats by callers, and answers that were the stored ones. */
+    std::uint32_t repeats = 0;
+    std::uint32_t replays = 0;
     /** Requests whose connection a service broke, stalled or delayed. */
     std::uint32_t disturbed = 0;
     /** How many answers had which error code. */
--- a/modules/pathbench/setup/BenchInstance.cpp
+++ b/modules/pathbench/setup/BenchInstance.cpp
@@ -1,6 +1,7 @@
 #include "pathbench/setup/BenchInstance.h"
 
 #include "identity/keys/KeyHash.h"
+#include "runtime/time/BootClock.h"
 
 #include <stdexcept>
 
@@ -14,6 +15,8 @@
 const char *const teamName = "bench-team";
 /** Short, since benches stall upstreams on purpose. */
 constexpr Millis stallTimeout{400};
+constexpr Millis readyWithin = Millis::seconds(20);
+constexpr Millis readyFor{300};
 
 } // namespace
 
@@ -53,7 +56,8 @@
     settings.fleet.engines.push_back(engine);
 }
 
-void addOnceService(Settings &settings, const std::vector<std::string> &addresses, Millis timeout)
+void addOnceService(Settings &settings, const std::vector<std::string> &addresses, Millis timeout,
+                    bool isKeyRequired)
 {
     ServiceSettings service;
     service.name = "once";
@@ -70,22 +74,79 @@
     call.method = "POST";
     call.path = "/";
     call.repeatable = false;
+    call.idempotencyKeyRequired = isKeyRequired;
     service.calls.push_back(call);
     settings.fleet.services.push_back(service);
 }
 
-BenchInstance::BenchInstance(const Settings &settings, std::uint32_t threads)
+namespace {
+
+InstanceConfig benchConfig(const std::string &name, std::uint32_t threads)
 {
     InstanceConfig config;
     config.threads = threads;
-    config.instanceId = InstanceId("bench");
+    config.instanceId = InstanceId(name);
     config.failureDomain = FailureDomainId(domainName);
     config.upstreamStallTimeout = stallTimeout;
+    return config;
+}
+
+} // namespace
+
+BenchInstance::BenchInstance(const Settings &settings, std::uint32_t threads)
+    : instance_(std::make_unique<Instance>(benchConfig("bench", threads), ignoreEvents()))
+{
+    start();
+    instance_->publish(settings);
+}
+
+BenchInstance::BenchInstance(const std::string &platform, const std::string &name)
+{
+    InstanceConfig config = benchConfig(name, 2);
+    config.platform = platform;
     instance_ = std::make_unique<Instance>(config, ignoreEvents());
+    peers_ = std::make_unique<PeerService>(instance_->control());
+    Reason reason;
+    if (!peers_->start(&reason))
+        throw std::runtime_error(reason.toString());
+    services_ = std::make_unique<ControlServices>(*instance_, *peers_, ControlTiming());
+    start();
+    waitUntilReady();
+}
+
+void BenchInstance::waitUntilReady()
+{
+    // Readiness comes and goes within the first second, until the age of the settings is known.
+    const Millis giveUp = bootTime() + readyWithin;
+    Millis readySince = Millis::never();
+    while (readySince == Millis::never() || bootTime() - readySince < readyFor) {
+        if (bootTime() > giveUp)
+            throw std::runtime_error("the instance does not become ready");
+        if (!isReady())
+            readySince = Millis::never();
+        else if (readySince == Millis::never())
+            readySince = bootTime();
+    }
+}
+
+BenchInstance::~BenchInstance()
+{
+    instance_->shutDown();
+}
+
+void BenchInstance::start()
+{
     Reason reason;
     if (!instance_->start(&reason))
         throw std::runtime_error(reason.toString());
-    instance_->publish(settings);
+}
+
+bool BenchInstance::isReady()
+{
+    bool ready = false;
+    instance_->control().thread().run(
+        [&] { ready = instance_->control().missingForReadiness().empty(); });
+    return ready;
 }
 
 } // namespace cuminrail::pathbench
--- a/modules/pathbench/setup/BenchInstance.h
+++ b/modules/pathbench/setup/BenchInstance.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "instance/Instance.h"
+#include "instance/services/ControlServices.h"
+#include "instance/services/PeerService.h"
 #include "settings/model/Settings.h"
 
 #include <memory>
@@ -18,20 +20,32 @@
 /** Adds an engine for the model "bench". */
 void addEngine(Settings &settings, const std::string &address);
 
-/** Adds a service below /services/once/ whose calls run at most once, without a key needed. */
-void addOnceService(Settings &settings, const std::vector<std::string> &addresses, Millis timeout);
+/** Adds a service below /services/once/ whose calls run at most once. */
+void addOnceService(Settings &settings, const std::vector<std::string> &addresses, Millis timeout,
+                    bool isKeyRequired);
 
 /** An instance in this process, on free ports of 127.0.0.1. */
 class BenchInstance
 {
 public:
-    /** Throws std::runtime_error when it cannot start. */
+    /** Without a platform. Throws std::runtime_error when it cannot start. */
     BenchInstance(const Settings &settings, std::uint32_t threads);
+    /** Takes its settings from a platform, and waits until it is ready. */
+    BenchInstance(const std::string &platform, const std::string &name);
+    ~BenchInstance();
+    BenchInstance(const BenchInstance &) = delete;
+    BenchInstance &operator=(const BenchInstance &) = delete;
 
     std::uint16_t port() const { return instance_->port(); }
 
 private:
+    void start();
+    bool isReady();
+    void waitUntilReady();
+
     std::unique_ptr<Instance> instance_;
+    std::unique_ptr<PeerService> peers_;
+    std::unique_ptr<ControlServices> services_;
 };
 
 } // namespace cuminrail::pathbench
--- a/programs/cuminrail-bench/AtMostOnceCommand.cpp
+++ b/programs/cuminrail-bench/AtMostOnceCommand.cpp
@@ -19,6 +19,7 @@
     add("requests", "how many calls", cxxopts::value<std::uint32_t>()->default_value("10000"));
     add("seed", "draws the faults", cxxopts::value<std::uint64_t>()->default_value("1"));
     add("callers", "callers at once", cxxopts::value<std::uint32_t>()->default_value("24"));
+    add("keyed", "with Idempotency-Keys, repeated by callers at two instances, over a platform");
     add("format", "text or json", cxxopts::value<std::string>()->default_value("text"));
     add("help", "print this");
     return options;
@@ -38,6 +39,7 @@
     run.requests = flags["requests"].as<std::uint32_t>();
     run.seed = flags["seed"].as<std::uint64_t>();
     run.callers = flags["callers"].as<std::uint32_t>();
+    run.isKeyed = flags.count("keyed") > 0;
     const std::string format = flags["format"].as<std::string>();
     if (run.requests == 0 || run.callers == 0 || (format != "text" && format != "json")) {
         std::cerr << "--requests and --callers must be positive, --format text or json\n";
--- a/programs/cuminrail-bench/AuthorityCommand.cpp
+++ b/programs/cuminrail-bench/AuthorityCommand.cpp
@@ -51,7 +51,7 @@
 nlohmann::json readJson(const std::string &path)
 {
     std::ifstream file(path);
-    const auto json = nlohmann::json::parse(file, nullptr, false);
+    auto json = nlohmann::json::parse(file, nullptr, false);
     if (!json.is_object() || !json.contains("records"))
         throw std::invalid_argument(path + ": holds no records");
     return json;
