--- a/modules/configsync/configsync.h
+++ b/modules/configsync/configsync.h
@@ -18,5 +18,4 @@
 #include "configsync/measure/ConfigCluster.h"
 #include "configsync/messages/ConfigCodec.h"
 #include "configsync/messages/ConfigMessages.h"
-#include "configsync/state/DescribeConfig.h"
 #include "configsync/store/HeadWatcher.h"
--- a/modules/membership/membership.h
+++ b/modules/membership/membership.h
@@ -23,4 +23,3 @@
 #include "membership/model/Member.h"
 #include "membership/model/MemberTable.h"
 #include "membership/ring/NeighbourRing.h"
-#include "membership/state/DescribeMembership.h"
