--- a/modules/policybench/policy/CuminrailPolicy.cpp
+++ b/modules/policybench/policy/CuminrailPolicy.cpp
@@ -33,7 +33,7 @@
         [this](const InstanceId &to, const std::string &frame) {
             setup_.sendLoads(static_cast<std::size_t>(std::stoul(to.text())), frame);
         });
-    if (setup_.kind == PolicyKind::Cuminrail)
+    if (setup_.kind != PolicyKind::CuminrailReportsOnly)
         exchange_->setPeers(members);
 }
 
--- a/modules/policybench/policy/InstancePolicy.cpp
+++ b/modules/policybench/policy/InstancePolicy.cpp
@@ -46,7 +46,7 @@
 
 std::unique_ptr<InstancePolicy> makeInstancePolicy(PolicySetup setup)
 {
-    if (setup.kind == PolicyKind::Cuminrail || setup.kind == PolicyKind::CuminrailReportsOnly)
+    if (isCuminrail(setup.kind))
         return std::make_unique<CuminrailPolicy>(std::move(setup));
     return std::make_unique<BaselinePolicy>(std::move(setup));
 }
--- a/modules/policybench/policy/InstancePolicy.h
+++ b/modules/policybench/policy/InstancePolicy.h
@@ -23,17 +23,29 @@
     /** Cuminrail as in a large deployment, where instances do not tell each other their load. */
     CuminrailReportsOnly,
     Cuminrail,
+    /** Cuminrail with roles that the capacity module changes. */
+    CuminrailRoles,
+    /** The same with roles that follow the mix directly: the baseline for role changes. */
+    CuminrailFollowMix,
 };
 
-inline constexpr NameTable<PolicyKind, 6> policyNames{{{
+inline constexpr NameTable<PolicyKind, 8> policyNames{{{
     {PolicyKind::RoundRobin, "round-robin"},
     {PolicyKind::LeastOutstanding, "least-outstanding"},
     {PolicyKind::PrefixAffinity, "prefix-affinity"},
     {PolicyKind::LeastOutstandingWindow, "least-outstanding-window"},
     {PolicyKind::CuminrailReportsOnly, "cuminrail-reports-only"},
     {PolicyKind::Cuminrail, "cuminrail"},
+    {PolicyKind::CuminrailRoles, "cuminrail-roles"},
+    {PolicyKind::CuminrailFollowMix, "cuminrail-follow-mix"},
 }}};
 
+/** Returns true for the policies that run this project's own decisions. */
+inline bool isCuminrail(PolicyKind kind)
+{
+    return kind >= PolicyKind::CuminrailReportsOnly;
+}
+
 /** What all instances of one run share, and what each is told. */
 struct PolicySetup
 {
--- /dev/null
+++ b/modules/policybench/roles/RoleControl.cpp
@@ -0,0 +1,64 @@
+#include "policybench/roles/RoleControl.h"
+
+#include "policybench/workload/WorkloadBuilder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminrail::policybench {
+
+RoleControl::RoleControl(RolePolicy policy, const Workload &workload)
+    : policy_(policy), workload_(workload)
+{ }
+
+void RoleControl::arrived(const WorkloadRequest &request)
+{
+    promptMs_ += WorkloadBuilder::engineMs(request.promptTokens, 0);
+    answerMs_ += WorkloadBuilder::engineMs(0, request.outputTokens);
+}
+
+std::vector<RoleChange> RoleControl::decide(const std::vector<RoleEngine> &engines, Millis now)
+{
+    const double passed = std::max(1.0, static_cast<double>((now - decidedAt_).count()));
+    const ModelMix mix{promptMs_ / passed, answerMs_ / passed};
+    promptMs_ = 0;
+    answerMs_ = 0;
+    decidedAt_ = now;
+    if (policy_ == RolePolicy::Fixed)
+        return {};
+    if (policy_ == RolePolicy::FollowMix)
+        return followMix(engines, mix);
+    RoleInput input;
+    input.engines = engines;
+    input.mix[workload_.settings.fleet.models[0].id] = mix;
+    return balancer_.decide(now, input);
+}
+
+std::vector<RoleChange> RoleControl::followMix(const std::vector<RoleEngine> &engines,
+                                               const ModelMix &mix) const
+{
+    const double sum = mix.prefillEngines + mix.decodeEngines;
+    if (sum <= 0)
+        return {};
+    const auto all = static_cast<double>(engines.size());
+    const double wanted = std::clamp(std::round(all * mix.prefillEngines / sum), 1.0, all - 1);
+    const auto prefill = static_cast<double>(
+        std::count_if(engines.begin(), engines.end(),
+                      [](const RoleEngine &engine) { return engine.role == EngineRole::Prefill; }));
+    const EngineRole to = prefill < wanted ? EngineRole::Prefill : EngineRole::Decode;
+    const bool changing = std::any_of(engines.begin(), engines.end(),
+                                      [](const RoleEngine &engine) { return engine.changing; });
+    if (changing || prefill == wanted)
+        return {};
+    const RoleEngine *idlest = nullptr;
+    for (const RoleEngine &engine : engines) {
+        const bool other = engine.role != to && engine.role != EngineRole::None;
+        if (other && (idlest == nullptr || engine.running < idlest->running))
+            idlest = &engine;
+    }
+    if (idlest == nullptr)
+        return {};
+    return {RoleChange{idlest->id, to, "the mix of the last second"}};
+}
+
+} // namespace cuminrail::policybench
--- a/modules/policybench/simulation/PolicyBench_test.cpp
+++ b/modules/policybench/simulation/PolicyBench_test.cpp
@@ -100,6 +100,18 @@
     CHECK(refused > 50);
 }
 
+TEST_CASE("roles under control change seldom, and serve better than roles that follow the mix")
+{
+    // The mix swings within a minute. Each change takes an engine away for seconds; were roles to
+    // follow every swing, engines would change all the time and callers would find them away.
+    const Workload workload = shortened("mix-swing-divided", 180000);
+    const Score balanced = runPolicy(workload, PolicyKind::CuminrailRoles, seed);
+    const Score following = runPolicy(workload, PolicyKind::CuminrailFollowMix, seed);
+    CHECK(balanced.roleChanges * 3 < following.roleChanges);
+    CHECK(balanced.goodput >= following.goodput);
+    CHECK(balanced.lost + balanced.failed == 0);
+}
+
 TEST_CASE("unknown workloads are refused")
 {
     CHECK_FALSE(makeWorkload("no-such", 1).has_value());
--- a/modules/policybench/simulation/Simulation.cpp
+++ b/modules/policybench/simulation/Simulation.cpp
@@ -24,11 +24,24 @@
 constexpr std::uint64_t lostEvents = 101;
 constexpr double kvMsPerToken = 0.0131;
 
+constexpr double rolesEvery = 1000;
+/** How long an empty engine takes to change role. */
+constexpr double roleChangeTime = 5000;
+constexpr double emptyLookEvery = 50;
+
+RolePolicy rolePolicyOf(PolicyKind kind)
+{
+    if (kind == PolicyKind::CuminrailRoles)
+        return RolePolicy::Balancer;
+    return kind == PolicyKind::CuminrailFollowMix ? RolePolicy::FollowMix : RolePolicy::Fixed;
+}
+
 } // namespace
 
 Simulation::Simulation(const Workload &workload, PolicyKind policy, std::uint64_t seed)
     : workload_(workload), flights_(workload.requests.size()), records_(workload.requests.size()),
-      byTicket_(workload.instances)
+      byTicket_(workload.instances), roles_(rolePolicyOf(policy), workload),
+      changing_(workload.settings.fleet.engines.size(), false)
 {
     for (const EngineSettings &engine : workload.settings.fleet.engines) {
         indexes_.upstreams.indexOf(engine.id);
@@ -103,6 +116,44 @@
     }
     for (double time = 0; time < workload_.duration + afterwards; time += workload_.reportEvery)
         queue_.at(time, [this] { reportLoads(); });
+    for (double time = rolesEvery; time < workload_.duration; time += rolesEvery)
+        queue_.at(time, [this] { changeRoles(); });
+}
+
+void Simulation::changeRoles()
+{
+    std::vector<RoleEngine> engines;
+    for (UpstreamIndex index = 0; index < engines_.size(); ++index) {
+        const EngineSettings &settings = workload_.settings.fleet.engines[index];
+        const LoadReport load = engines_[index].report();
+        if (engines_[index].alive)
+            engines.push_back({settings.id, settings.domain, settings.models[0],
+                               facts_.engines[settings.id].role, changing_[index],
+                               static_cast<double>(load.running + load.waiting)});
+    }
+    for (const RoleChange &change : roles_.decide(engines, now())) {
+        const UpstreamIndex engine = indexes_.upstreams.find(change.engine);
+        ++roleChanges_;
+        changing_[engine] = true;
+        facts_.engines[change.engine].role = EngineRole::None;
+        publishTable();
+        changeWhenEmpty(engine, change.to);
+    }
+}
+
+/** A planned change cuts no request: the engine gets no new work, and changes when it is empty. */
+void Simulation::changeWhenEmpty(UpstreamIndex engine, EngineRole to)
+{
+    if (engines_[engine].hasWork()) {
+        queue_.after(emptyLookEvery, [this, engine, to] { changeWhenEmpty(engine, to); });
+        return;
+    }
+    queue_.after(roleChangeTime, [this, engine, to] {
+        engines_[engine].role = to;
+        changing_[engine] = false;
+        facts_.engines[workload_.settings.fleet.engines[engine].id].role = to;
+        publishTable();
+    });
 }
 
 void Simulation::reportLoads()
@@ -172,6 +223,7 @@
 void Simulation::submit(std::size_t index)
 {
     const WorkloadRequest &asked = workload_.requests[index];
+    roles_.arrived(asked);
     Flight &flight = flights_[index];
     AdmissionRequest request;
     request.customer = indexes_.customers.find(workload_.customers[asked.customer]);
@@ -393,6 +445,7 @@
         sum.steps += engine.work().steps;
         sum.answersInSteps += engine.work().answersInSteps;
     }
+    score.roleChanges = roleChanges_;
     score.engineBusy = sum.busyMs / (workload_.duration * double(engines_.size()));
     score.cachedShare = sum.cachedTokens / std::max(1.0, sum.promptTokens);
     score.meanBatch = sum.answersInSteps / std::max(1.0, sum.steps);
--- a/modules/policybench/simulation/Simulation.h
+++ b/modules/policybench/simulation/Simulation.h
@@ -2,6 +2,7 @@
 
 #include "policybench/engine/FakeEngine.h"
 #include "policybench/policy/InstancePolicy.h"
+#include "policybench/roles/RoleControl.h"
 #include "policybench/score/Score.h"
 #include "policybench/simulation/EventQueue.h"
 #include "policybench/workload/Workload.h"
@@ -59,6 +60,8 @@
     void done(std::size_t index);
     void broke(std::uint64_t jobId, bool mayHaveRun);
     void end(std::size_t index, Ending ending);
+    void changeRoles();
+    void changeWhenEmpty(UpstreamIndex engine, EngineRole to);
     void crash(const Outage &outage);
     void comeBack(const Outage &outage);
     EngineJob jobFor(std::size_t index) const;
@@ -82,6 +85,9 @@
     std::uint64_t nextJob_ = 1;
     std::uint64_t reports_ = 0;
     std::size_t open_ = 0;
+    RoleControl roles_;
+    std::vector<bool> changing_;
+    std::size_t roleChanges_ = 0;
 };
 
 } // namespace cuminrail::policybench
