An order's fence does not fall when a lease comes back under the same number

Cause: pairs of faults in the matrix showed an engine's fence falling: a lease had lapsed and came back under the same number, because a renewal whose answer was lost was found to have taken effect, and the count in the fence's lower bits began again. Change: the count goes on under the same lease fence, for orders and fleet targets; a scenario file. Operations have instances to spare, so that two faults do not take the last one, and the lodging operation expects liveness of a call that comes after both faults; every promise is judged as before.

--- a/modules/capacity/fleet/FleetKeeper.cpp
+++ b/modules/capacity/fleet/FleetKeeper.cpp
@@ -71,7 +71,6 @@
 {
     ++epoch_;
     busy_ = false;
-    sequence_ = 0;
     record_ = FleetRecord{};
     stage_ = Stage::Off;
 }
@@ -91,6 +90,15 @@
     return authority;
 }
 
+/** As for orders to engines: rises with each target, also when a lease comes back as it was. */
+FenceNumber FleetKeeper::nextFence(const Authority &authority)
+{
+    if (authority.fence != sequenceFence_)
+        sequence_ = 0;
+    sequenceFence_ = authority.fence;
+    return authority.fence * ordersPerHolder + ++sequence_;
+}
+
 void FleetKeeper::retryLater()
 {
     const auto drawn = hooks_.random() % static_cast<std::uint64_t>(retryEvery.count());
@@ -122,7 +130,7 @@
     if (!authority)
         return fail(lastReason, where, "this instance is not in charge");
     record_.count = count;
-    record_.fence = authority->fence * ordersPerHolder + ++sequence_;
+    record_.fence = nextFence(*authority);
     record_.clientToken = std::to_string(authority->fence) + "-" + std::to_string(hooks_.random());
     record_.isSettled = false;
     if (!guardEnabled(Guard::RecordBeforeSend)) {
@@ -165,7 +173,7 @@
     // A former holder may have declared this target, or be about to. It is declared again as it
     // stands, under the new fence: the platform then refuses whatever the former holder sends.
     if (record_.fence < authority->fence * ordersPerHolder) {
-        record_.fence = authority->fence * ordersPerHolder + ++sequence_;
+        record_.fence = nextFence(*authority);
         write(Stage::Recording);
         return;
     }
--- a/modules/capacity/fleet/FleetKeeper.h
+++ b/modules/capacity/fleet/FleetKeeper.h
@@ -82,6 +82,7 @@
     std::function<void(const Reply &)> current(void (FleetKeeper::*method)(const Reply &));
 
     std::optional<Authority> usableAuthority() const;
+    FenceNumber nextFence(const Authority &authority);
     void read();
     void readDone(const StoreReply &reply);
     void write(Stage stage);
@@ -104,6 +105,7 @@
     ObjectVersion version_ = 0;
     FleetRecord record_;
     FenceNumber sequence_ = 0;
+    FenceNumber sequenceFence_ = 0;
 };
 
 } // namespace cuminrail
--- a/modules/orders/track/EngineOrderTrack.cpp
+++ b/modules/orders/track/EngineOrderTrack.cpp
@@ -29,7 +29,6 @@
     takenAt_ = hooks_.clock.now();
     nextAt_ = takenAt_;
     unsentOrderId_.clear();
-    sequence_ = 0;
     record_ = OrderRecord{};
 }
 
@@ -82,6 +81,11 @@
 */
 FenceNumber EngineOrderTrack::nextFence(const Authority &authority)
 {
+    // A lease that lapsed can come back under the same fence, when a renewal whose answer was lost
+    // is found to have taken effect. The count goes on then; from zero it would fall.
+    if (authority.fence != sequenceFence_)
+        sequence_ = 0;
+    sequenceFence_ = authority.fence;
     if (guardEnabled(Guard::FenceRisesWithOrder))
         ++sequence_;
     return authority.fence * ordersPerHolder + sequence_;
--- a/modules/orders/track/EngineOrderTrack.h
+++ b/modules/orders/track/EngineOrderTrack.h
@@ -127,6 +127,7 @@
     Millis sentAt_;
     /** Counts the orders given under one lease fence. */
     FenceNumber sequence_ = 0;
+    FenceNumber sequenceFence_ = 0;
     /** The order in record_ came from a former holder, who may have sent it. */
     bool inherited_ = false;
     ObjectVersion version_ = 0;
--- a/modules/scenario/matrix/Operations.cpp
+++ b/modules/scenario/matrix/Operations.cpp
@@ -74,11 +74,12 @@
 )";
 
 const char *const leaseHandedOver = R"(
-# Two of four instances stop as planned, one after the other, in the middle of orders.
+# Two of five instances stop as planned, one after the other, in the middle of orders.
 instance a domain kgl-a
 instance b domain kgl-b
 instance c domain kgl-c
 instance d domain kgl-c
+instance e domain kgl-a
 engine e1 domain kgl-a checks-fence no
 at 8s order e1 change-role decode
 at 10s stop a
@@ -110,6 +111,8 @@
 # Two windows from the first count to the last report.
 instance a domain kgl-a
 instance b domain kgl-b
+instance c domain kgl-c
+instance d domain kgl-c
 team north
 usage-window 10s
 at 11s count a north chamber prompt 100 output 10
@@ -118,10 +121,12 @@
 at 21s count b north chamber prompt 3 output 1
 at 60s count a north chamber prompt 1000 output 1
 at 60s count b north chamber prompt 1000 output 1
+at 60s count c north chamber prompt 1000 output 1
+at 60s count d north chamber prompt 1000 output 1
 end 120s
 steps from 11s to 32s
-expect billed chamber at-most 2160
-expect billed chamber at-least 1000
+expect billed chamber at-most 4160
+expect billed chamber at-least 2000
 expect holder team/north one
 )";
 
@@ -172,17 +177,22 @@
 at 91s lodge b chamber bundle-7
 at 90s lodge c chamber bundle-8
 at 90s lodge b chamber bundle-8
+at 92s lodge a chamber bundle-8
+at 150s lodge c chamber bundle-9
+at 151s lodge b chamber bundle-9
+at 152s lodge a chamber bundle-9
 end 180s
 steps from 10s to 17s
-expect call bundle-8 runs 1
+expect call bundle-9 runs 1
 )";
 
 const char *const gracefulStop = R"(
-# Two of four instances stop as planned with calls in progress.
+# Two of five instances stop as planned with calls in progress.
 instance a domain kgl-a
 instance b domain kgl-b
 instance c domain kgl-c
 instance d domain kgl-c
+instance e domain kgl-a
 team north
 usage-window 10s
 at 10s count a north chamber prompt 100 output 10
--- a/programs/cuminrail-scenario/main.cpp
+++ b/programs/cuminrail-scenario/main.cpp
@@ -102,7 +102,8 @@
     const auto work = [&] {
         for (std::size_t i = next++; i < rows.size(); i = next++) {
             results[i] = FaultMatrix::run(rows[i], seed);
-            results[i].messages.clear();
+            if (results[i].isGood())
+                results[i].messages = {};
         }
     };
     std::vector<std::thread> threads;
@@ -143,6 +144,8 @@
             std::cout << "FAIL  seed " << seed << "  " << rows[i].name() << "  "
                       << rows[i].step.toString() << "\n";
             printProblems(results[i]);
+            if (options.count("trace") != 0)
+                std::cout << traceOf(results[i]);
         }
     }
     return options.count("list") != 0 ? 0 : finish(totals);
