--- a/modules/instance/Instance_test.cpp
+++ b/modules/instance/Instance_test.cpp
@@ -11,7 +11,6 @@
 #include <openssl/pem.h>
 #include <openssl/x509.h>
 
-#include <cstdio>
 #include <filesystem>
 
 using namespace cuminrail;
@@ -52,12 +51,12 @@
                                reinterpret_cast<const unsigned char *>(name.c_str()), -1, -1, 0);
     X509_set_issuer_name(certificate, subject);
     X509_sign(certificate, key, EVP_sha256());
-    std::FILE *file = std::fopen(certificateFile.c_str(), "w");
-    PEM_write_X509(file, certificate);
-    std::fclose(file);
-    file = std::fopen(keyFile.c_str(), "w");
-    PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
-    std::fclose(file);
+    BIO *file = BIO_new_file(certificateFile.c_str(), "w");
+    PEM_write_bio_X509(file, certificate);
+    BIO_free(file);
+    file = BIO_new_file(keyFile.c_str(), "w");
+    PEM_write_bio_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+    BIO_free(file);
     X509_free(certificate);
     EVP_PKEY_free(key);
 }
--- a/modules/runtime/rcu/RcuCell.h
+++ b/modules/runtime/rcu/RcuCell.h
@@ -18,7 +18,7 @@
 {
 public:
     explicit RcuCell(std::unique_ptr<const T> initial) : current_(initial.release()) { }
-    ~RcuCell() { delete current_.load(); }
+    ~RcuCell() { const std::unique_ptr<const T> last(current_.load()); }
     RcuCell(const RcuCell &) = delete;
     RcuCell &operator=(const RcuCell &) = delete;
 
