--- a/modules/configsync/ConfigSync_test.cpp
+++ b/modules/configsync/ConfigSync_test.cpp
@@ -174,8 +174,12 @@
     cluster.runFor(Millis::seconds(20));
     const std::uint64_t newest = cluster.apply({}, {key});
     cluster.runFor(Millis::seconds(5));
-    cluster.store().setReadLag(VirtualCluster::idOf(1).text(), Millis::minutes(10));
+    cluster.store().setReadLag(VirtualCluster::idOf(1).text(), Millis::seconds(15));
+    // The store answers at once, the peers a second later.
+    cluster.instances().setConnected(1, false);
     cluster.start(1);
+    cluster.runFor(Millis::seconds(1));
+    cluster.instances().setConnected(1, true);
     cluster.runFor(Millis::seconds(20));
     CHECK(cluster.config(1).generation() == newest);
     CHECK(cluster.history(1) == std::vector<std::uint64_t>{newest - 1, newest, newest});
