--- a/modules/configsync/ConfigSync_test.cpp
+++ b/modules/configsync/ConfigSync_test.cpp
@@ -286,7 +286,7 @@
 public:
     using Ask = std::function<void(const StoreCompletion &)>;
 
-    explicit WatcherBench(Ask onWatch)
+    explicit WatcherBench(const Ask &onWatch)
     {
         HeadWatcherHooks hooks{ObjectStore(),
                                scheduler.clock(),
