Bound on refutations passed on at once

After a cut of an hour all members refute at once, and each refutation was flooded: with 96 instances one sent 80 KB in a second of the reunion, with 24 15.6 KB, both for nothing, since comparing tables finds the rest. Four a second are passed on at once now: 9.9 KB with 24 instances, all know all again after 4 s as before.

--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -52,6 +52,8 @@
     std::size_t gossipBytes = 1024;
     /** One piece of news is sent as often as the members double from one, and this often more. */
     std::uint32_t extraSends = 3;
+    /** How many refutations of others are passed on at once in a second. */
+    std::uint32_t refutationsPerSecond = 4;
     /** A longer gap between two ticks is a pause of this process. */
     Millis ownPause{1500};
 };
@@ -189,6 +191,7 @@
     };
 
     void takeSender(Millis now, const MessageSender &sender, std::optional<Millis> askedAt);
+    bool mayForwardRefutation(Millis now);
     void takeGossip(Millis now, const Gossip &gossip, Spread spread, const InstanceId &from);
     bool takeRecord(Millis now, const MemberRecord &record, Spread spread = Spread::Full);
     void reportChange(const MemberRecord &known, const std::optional<MemberRecord> &before);
@@ -228,6 +231,8 @@
     std::vector<PeerAddress> seeds_;
     std::vector<PeerAddress> listed_;
     std::set<RegionId> panicRegions_;
+    Millis refutationsSince_;
+    std::uint32_t refutationsForwarded_ = 0;
     MembershipStats stats_;
 };
 
--- a/modules/membership/MembershipMessageHandling.cpp
+++ b/modules/membership/MembershipMessageHandling.cpp
@@ -118,12 +118,23 @@
             PeerDigest{sender.self.id, sender.self.address, sender.settings, askedAt});
 }
 
+// After a cut all members refute at once. Passing each on at once would multiply that by the
+// neighbours of all; beyond a few a second they ride along, and comparing tables finds the rest.
+bool Membership::mayForwardRefutation(Millis now)
+{
+    if (now >= refutationsSince_ + Millis::seconds(1)) {
+        refutationsSince_ = now;
+        refutationsForwarded_ = 0;
+    }
+    return refutationsForwarded_++ < config_.refutationsPerSecond;
+}
+
 void Membership::takeGossip(Millis now, const Gossip &gossip, Spread spread, const InstanceId &from)
 {
     Gossip urgent;
     for (const MemberRecord &record : gossip.members) {
         // A refutation runs against the time that is left until the member is declared dead.
-        const bool isUrgent = record.leaving || isRefutation(record);
+        const bool isUrgent = record.leaving || (isRefutation(record) && mayForwardRefutation(now));
         if (takeRecord(now, record, spread) && isUrgent)
             urgent.members.push_back(record);
     }
