--- a/modules/instance/control/ControlPlane.cpp
+++ b/modules/instance/control/ControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/limits/AdmissionSettingsBuilder.h"
 #include "core/events/EventCatalogue.h"
+#include "routing/live/PoolLoad.h"
 
 #include <boost/asio/post.hpp>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr Millis admissionTick{10};
+constexpr Millis capacityTick{250};
 constexpr Millis pollPeriod{50};
 
 } // namespace
@@ -22,6 +24,7 @@
       builder_(context.config.failureDomain)
 {
     addTick(admissionTick, [this](Millis now) { admission_.tick(now); });
+    addTick(capacityTick, [this](Millis) { refreshCapacity(); });
     addReadiness("settings", [this] { return hasSettings_; });
     addReadiness("not-stopping", [this] { return !context_.isStopping.load(); });
     addReadiness("current-keys", [this] { return !context_.isStale.load(); });
@@ -150,29 +153,40 @@
 {
     auto snapshot = builder_.build();
     // Admission first: a request that is routed by the new table must find its customer there.
-    configureAdmission(*snapshot);
+    configureAdmission(thread_.deadlines().now());
     context_.snapshot.publish(std::move(snapshot));
+    refreshCapacity();
 }
 
-void ControlPlane::configureAdmission(const ServingSnapshot &snapshot)
+void ControlPlane::configureAdmission(Millis now)
 {
     StableIndexes &indexes = builder_.indexes();
     const AdmissionSettings settings =
         buildAdmissionSettings(builder_.settings(), indexes.customers, indexes.pools);
-    const Millis now = thread_.deadlines().now();
-    admission_.withController([&](AdmissionController &controller) {
-        controller.configure(settings, now);
-        for (PoolIndex pool = 0; pool < snapshot.routing.poolCount(); ++pool) {
-            const PoolCapacity whole = snapshot.routing.capacity(pool);
-            // Each instance taking the whole for itself would let in as many times too much as
-            // there are instances, and the queues would stand at the engines, where nobody is fair.
-            const auto share = 1.0 / static_cast<double>(instanceCount_);
+    admission_.withController(
+        [&](AdmissionController &controller) { controller.configure(settings, now); });
+}
+
+// Each instance taking a pool's whole capacity would let in as many times too much as there are
+// instances, and the queues would stand at the engines, where nobody is fair. A fixed share would
+// leave capacity idle whenever callers are not spread evenly; so what is free goes to who asks.
+void ControlPlane::refreshCapacity()
+{
+    const RcuReadScope scope;
+    const RoutingTable &table = context_.snapshot.get(scope).routing;
+    const auto instances = static_cast<double>(instanceCount_);
+    for (PoolIndex pool = 0; pool < table.poolCount(); ++pool) {
+        const PoolCapacity whole = table.capacity(pool);
+        const PoolLoad used = poolLoad(table, context_.loads, pool);
+        admission_.withController([&](AdmissionController &controller) {
+            const AdmissionCapacity capacity{whole.slots, whole.prefillTokensPerSecond,
+                                             whole.decodeTokensPerSecond,
+                                             whole.enginePrefillTokensPerSecond};
             controller.setCapacity(pool,
-                                   AdmissionCapacity{whole.slots * share,
-                                                     whole.prefillTokensPerSecond * share,
-                                                     whole.decodeTokensPerSecond * share});
-        }
-    });
+                                   instanceCapacity(capacity, {used.requests, used.promptTokens},
+                                                    controller.use(pool), instances));
+        });
+    }
 }
 
 std::vector<std::string> ControlPlane::missingForReadiness() const
--- a/modules/instance/control/ControlPlane.h
+++ b/modules/instance/control/ControlPlane.h
@@ -94,7 +94,8 @@
     void runStopHook(std::size_t index);
     void stopHooksDone();
     void republish();
-    void configureAdmission(const ServingSnapshot &snapshot);
+    void configureAdmission(Millis now);
+    void refreshCapacity();
 
     ServingContext &context_;
     AdmissionDesk &admission_;
--- a/modules/instance/serving/ServingContext.h
+++ b/modules/instance/serving/ServingContext.h
@@ -9,6 +9,7 @@
 #include "instance/serving/UsageRecord.h"
 #include "net/upstream/UpstreamPool.h"
 #include "routing/Router.h"
+#include "routing/prefix/PrefixChain.h"
 #include "runtime/rcu/RcuCell.h"
 
 #include <atomic>
@@ -27,7 +28,8 @@
     RcuCell<ServingSnapshot> snapshot{std::make_unique<ServingSnapshot>()};
     LiveLoads loads;
     PrefixHints hints;
-    Router router{loads, hints};
+    /** Instances that sample alike would send to the same upstreams at the same moment. */
+    Router router{loads, hints, RouterOptions(), customerSeed(config.instanceId.text())};
     RetryBudget retryBudget;
     /** Set before the threads start, never after. */
     ClaimHooks claims;
--- a/modules/routing/Router.h
+++ b/modules/routing/Router.h
@@ -70,7 +70,6 @@
 class Router
 {
 public:
-    /** @param preferenceSeed  differs between instances; 0 for no preferences */
     /** @param preferenceSeed  differs between instances; 0 for no preferences */
     Router(LiveLoads &loads, PrefixHints &hints, RouterOptions options = RouterOptions(),
            std::uint64_t preferenceSeed = 0);
