One way of reading files instead of three

Cause: listing and reading files stood in ctl, instance and the peer service, line for line. Change: runtime/files; the three call it.

--- a/modules/instance/services/PeerService.cpp
+++ b/modules/instance/services/PeerService.cpp
@@ -1,10 +1,9 @@
 #include "instance/services/PeerService.h"
 
 #include "core/events/EventCatalogue.h"
+#include "runtime/files/Files.h"
 #include "runtime/time/BootClock.h"
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace cuminrail {
@@ -13,16 +12,6 @@
 
 constexpr Millis secretsCheckPeriod = Millis::seconds(2);
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 PeerService::PeerService(ControlPlane &control)
@@ -40,7 +29,7 @@
     if (!hasLinks())
         return true;
     const InstanceConfig &config = control_.context().config;
-    const auto text = readFile(config.peerSecretFile);
+    const auto text = contentOf(config.peerSecretFile);
     if (!text)
         return fail(lastReason, "peer-secret-file", "cannot read " + config.peerSecretFile);
     auto secrets = SharedSecrets::fromText(*text, lastReason);
@@ -71,7 +60,7 @@
 
 void PeerService::reloadSecrets()
 {
-    const auto text = readFile(control_.context().config.peerSecretFile);
+    const auto text = contentOf(control_.context().config.peerSecretFile);
     if (!text || *text == secretsText_)
         return;
     secretsText_ = *text;
--- a/modules/runtime/runtime.h
+++ b/modules/runtime/runtime.h
@@ -9,6 +9,7 @@
     Depends on: core, ports, Boost.Asio, liburcu, easylogging++.
 */
 
+#include "runtime/files/Files.h"
 #include "runtime/log/EventLog.h"
 #include "runtime/rcu/RcuCell.h"
 #include "runtime/threads/IoThread.h"
