--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -121,7 +121,7 @@
     const double split = prefill->millis + weights_.handOverMillis + detour(runner->engine->entry, query)
         + weights_.transferMillisPerToken * chain.tokens
         + weights_.millisPerRunning * state(runner->engine->entry.id).running();
-    if (split >= reader->millis)
+    if (split >= weights_.ownReadFactor * reader->millis + weights_.ownReadMillis)
         return choice;
     return EngineChoice{runner->engine, prefill->engine, prefill->fresh, split};
 }
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -20,6 +20,13 @@
     double domainMillisPerKilobyte = 10.0;
     /** Handing a read prompt over: two more messages and the engine's set-up, measured. */
     double handOverMillis = 40.0;
+    /**
+        A prompt read where others generate delays their events as well; so handing over may take
+        this much longer. Measured over a day without bound against 1 and 0: 0.62 of the worth
+        earned against 0.43, and 0.27 with no hand-over at all.
+    */
+    double ownReadFactor = 3.0;
+    double ownReadMillis = 300.0;
     /** Transfer of a cached token between engines, 18 KB at 180 Gbit/s, and what it costs. */
     double transferMillisPerToken = 0.004;
     /** An engine that is likely to hold a part which this instance never sent there. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -95,7 +95,7 @@
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {environment_.store, environment_.clock, [this] { return trueTime(); },
               environment_.events, wire_.reportUsage, [this] { return authority(); }}),
-      timer_(environment_.io)
+      stages_(context_, [this] { return authority(); }), timer_(environment_.io)
 {
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
@@ -170,6 +170,7 @@
         lease_.tick(candidacy);
     if (settings_.reportsUsage)
         usage_.tick();
+    stages_.tick();
     if (isDraining_)
         tickDrain();
 }
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/GatewayWire.h"
+#include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
 #include "gateway/control/UsageDuty.h"
 #include "gateway/request/RelayContext.h"
@@ -73,6 +74,7 @@
     DutyLease lease_;
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
+    StageDuty stages_;
     boost::asio::steady_timer timer_;
     bool isDraining_ = false;
     Millis drainStarted_;
--- a/modules/gateway/GatewayWire.h
+++ b/modules/gateway/GatewayWire.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/errors/Reason.h"
+#include "core/names/NameTable.h"
 #include "dataplane/dataplane.h"
 #include "dataplane/model/InstanceSettings.h"
 #include "net/http/HttpHead.h"
@@ -41,6 +42,22 @@
     Unknown,
 };
 
+inline constexpr NameTable<DutyResult, 3> dutyResultNames{{{
+    {DutyResult::Accepted, "accepted"},
+    {DutyResult::Refused, "refused"},
+    {DutyResult::Unknown, "unknown"},
+}}};
+
+/** What an engine says of itself, as far as orders need it. */
+struct EngineReportBrief
+{
+    EngineStage stage = EngineStage::Whole;
+    /** An order is being carried out. */
+    bool isBusy = false;
+    /** How many orders it has accepted since its start. */
+    std::uint64_t ordersAccepted = 0;
+};
+
 using DutyCompletion = std::function<void(DutyResult, const Reason &)>;
 
 /** The messages of the outside world, as functions between them and the product's types. */
@@ -71,6 +88,13 @@
                        DutyCompletion)>
         reportUsage;
     std::function<void(const ScaleTarget &, const DutyAuthority &, DutyCompletion)> orderUpstreams;
+    std::function<void(const UpstreamEntry &,
+                       std::function<void(const std::optional<EngineReportBrief> &)>)>
+        readEngine;
+    /** Has effect only while the engine has accepted exactly so many orders. */
+    std::function<void(const UpstreamEntry &, EngineStage to, std::uint64_t ordersAccepted,
+                       const DutyAuthority &, DutyCompletion)>
+        orderStage;
 };
 
 } // namespace cuminrail
