--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -10,6 +10,7 @@
     Depends on core.
 */
 
+#include "dataplane/fleet/FleetPlan.h"
 #include "dataplane/fleet/UpstreamDirectory.h"
 #include "dataplane/fleet/UpstreamHealth.h"
 #include "dataplane/model/Configuration.h"
--- /dev/null
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "dataplane/model/Configuration.h"
+
+#include <cstdint>
+
+namespace cuminrail {
+
+/** The upstreams of one service in one failure domain, as listed now. */
+struct DomainFleet
+{
+    std::uint32_t regular = 0;
+    std::uint32_t reclaimable = 0;
+};
+
+/** How many of each kind there should be. */
+struct DomainTarget
+{
+    std::uint32_t regular = 0;
+    std::uint32_t reclaimable = 0;
+
+    bool operator==(const DomainTarget &other) const
+    {
+        return regular == other.regular && reclaimable == other.reclaimable;
+    }
+};
+
+struct FleetPlanSettings
+{
+    /**
+        The part of the most upstreams that are regular ones. A domain's reclaimable ones go all at
+        once, at two seconds' notice; what is kept must still answer its callers, with the help of
+        the other domains, until others can be had.
+    */
+    double keptShare = 0.17;
+};
+
+/**
+    How many upstreams of each kind one failure domain should have for a service.
+
+    Reclaimable upstreams cost a fraction, so most of the work runs there, with twice the room at
+    less than the former cost. Requests that are cut by a reclaim are few, since upstreams finish
+    what they have within the notice. Regular upstreams are given up only once reclaimable ones
+    stand ready, and the two together never exceed the operators' bounds.
+*/
+class FleetPlan
+{
+public:
+    explicit FleetPlan(FleetPlanSettings settings = {}) : settings_(settings) { }
+
+    DomainTarget decide(const ScaleBounds &bounds, const DomainFleet &now);
+
+private:
+    FleetPlanSettings settings_;
+    /** As many reclaimable upstreams as are to be kept of the others stood ready once. */
+    bool hasReclaimable_ = false;
+};
+
+} // namespace cuminrail
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -95,7 +95,8 @@
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {environment_.store, environment_.clock, [this] { return trueTime(); },
               environment_.events, wire_.reportUsage, [this] { return authority(); }}),
-      stages_(context_, [this] { return authority(); }), timer_(environment_.io)
+      stages_(context_, [this] { return authority(); }),
+      scale_(context_, [this] { return authority(); }), timer_(environment_.io)
 {
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
@@ -171,6 +172,8 @@
     if (settings_.reportsUsage)
         usage_.tick();
     stages_.tick();
+    if (settings_.ordersUpstreams)
+        scale_.tick();
     if (isDraining_)
         tickDrain();
 }
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/GatewayWire.h"
+#include "gateway/control/ScaleDuty.h"
 #include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
 #include "gateway/control/UsageDuty.h"
@@ -75,6 +76,7 @@
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
     StageDuty stages_;
+    ScaleDuty scale_;
     boost::asio::steady_timer timer_;
     bool isDraining_ = false;
     Millis drainStarted_;
