--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -110,23 +110,43 @@
     if (prefills.empty())
         return choice;
     const auto prefill = cheapest(prefills);
-    // The generating engine only fetches: what matters there is how much it runs already.
-    const auto runner =
-        std::min_element(readers.begin(), readers.end(), [&](const auto &a, const auto &b) {
-            const auto load = [&](const Candidate &c) {
-                return state(c.engine->entry.id).running() * weights_.millisPerRunning
-                    + weights_.millisPerBadShare * query.badShare(c.engine->entry.id)
-                    + detour(c.engine->entry, query)
-                    + weights_.transferMillisPerToken * c.fresh;
-            };
-            return load(a) < load(b);
-        });
-    const double split = prefill->millis + weights_.handOverMillis + detour(runner->engine->entry, query)
+    const UpstreamPointer runner = leastBusy(readers, query);
+    const double split = prefill->millis + weights_.handOverMillis + detour(runner->entry, query)
         + weights_.transferMillisPerToken * chain.tokens
-        + weights_.millisPerRunning * state(runner->engine->entry.id).running();
+        + weights_.millisPerRunning * state(runner->entry.id).running();
     if (split >= weights_.ownReadFactor * reader->millis + weights_.ownReadMillis)
         return choice;
-    return EngineChoice{runner->engine, prefill->engine, prefill->fresh, split};
+    return EngineChoice{runner, prefill->engine, prefill->fresh, split};
+}
+
+UpstreamPointer EnginePlacement::leastBusy(const std::vector<Candidate> &readers,
+                                           const PlacementQuery &query)
+{
+    // A generating engine that only fetches: what matters is how much it runs already.
+    const auto load = [&](const Candidate &candidate) {
+        const UpstreamEntry &entry = candidate.engine->entry;
+        return state(entry.id).running() * weights_.millisPerRunning
+            + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query)
+            + weights_.transferMillisPerToken * candidate.fresh;
+    };
+    const auto least = std::min_element(
+        readers.begin(), readers.end(),
+        [&](const Candidate &a, const Candidate &b) { return load(a) < load(b); });
+    return least == readers.end() ? nullptr : least->engine;
+}
+
+UpstreamPointer EnginePlacement::chooseRunner(const std::vector<UpstreamPointer> &engines,
+                                              const PlacementQuery &query)
+{
+    return leastBusy(rate(engines, EngineStage::Decode, query, PromptChain::of(*query.prompt)),
+                     query);
+}
+
+void EnginePlacement::moved(EngineChoice &choice, const UpstreamPointer &engine)
+{
+    state(choice.engine->entry.id).finish(0, true);
+    choice.engine = engine;
+    state(engine->entry.id).start(0);
 }
 
 void EnginePlacement::dispatched(const EngineChoice &choice, const PromptShape &prompt, Millis)
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -94,6 +94,12 @@
     std::optional<EngineChoice> choose(const std::vector<UpstreamPointer> &engines,
                                        const PlacementQuery &query);
 
+    /** Returns the engine that should generate for a prompt that has been read already. */
+    UpstreamPointer chooseRunner(const std::vector<UpstreamPointer> &engines,
+                                 const PlacementQuery &query);
+    /** Another engine generates than was chosen; updates the choice. */
+    void moved(EngineChoice &choice, const UpstreamPointer &engine);
+
     /** The request went out as chosen. */
     void dispatched(const EngineChoice &choice, const PromptShape &prompt, Millis now);
     /** The prompt has been read: by a prefill engine's answer, or by the first event. */
@@ -119,6 +125,7 @@
     EngineMemory &state(const std::string &id) { return engines_[id]; }
     std::vector<Candidate> rate(const std::vector<UpstreamPointer> &engines, EngineStage stage,
                                 const PlacementQuery &query, const PromptChain &chain);
+    UpstreamPointer leastBusy(const std::vector<Candidate> &readers, const PlacementQuery &query);
     double expectedFresh(const EngineMemory &memory, const PromptChain &chain,
                          std::size_t homeRank) const;
     double detour(const UpstreamEntry &entry, const PlacementQuery &query) const;
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -1,8 +1,8 @@
 #include "gateway/Gateway.h"
 
 #include "core/events/EventCatalogue.h"
-#include "core/hash/StableHash.h"
 #include "gateway/request/RequestRelay.h"
+#include "lease/spread/DutySpread.h"
 
 #include <chrono>
 
@@ -19,6 +19,10 @@
 /** Calls under authority are not begun with less time than a slow answer takes. */
 constexpr Millis leastAuthority = Millis(1000);
 constexpr const char *fleetDuty = "fleet";
+/** Instances that look at the lease often. */
+constexpr std::size_t candidates = 3;
+/** How often the others look. */
+constexpr Millis outsiderLeaseLook = Millis(6000);
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
@@ -66,6 +70,29 @@
     return timing;
 }
 
+/** Returns the store with a hook that learns of calls that failed. */
+ObjectStore observed(const ObjectStore &store, const std::function<void()> &onTrouble)
+{
+    const auto watching = [onTrouble](StoreCompletion done) {
+        return [onTrouble, done = std::move(done)](const StoreReply &reply) {
+            if (reply.status == StoreStatus::Unavailable || reply.status == StoreStatus::Unknown)
+                onTrouble();
+            done(reply);
+        };
+    };
+    ObjectStore seen = store;
+    seen.get = [store, watching](const std::string &path, StoreCompletion done) {
+        store.get(path, watching(std::move(done)));
+    };
+    seen.list = [store, watching](const std::string &prefix, StoreCompletion done) {
+        store.list(prefix, watching(std::move(done)));
+    };
+    seen.put = [store, watching](const StorePut &put, StoreCompletion done) {
+        store.put(put, watching(std::move(done)));
+    };
+    return seen;
+}
+
 InstanceLife lifeOf(const InstanceSettings &settings, std::int64_t wallMillis)
 {
     return InstanceLife{InstanceId(settings.name), static_cast<Incarnation>(wallMillis)};
@@ -88,12 +115,17 @@
                   }},
                  std::make_shared<ServerLoad>()),
       sync_(environment_.io, context_, environment_.store, environment_.random),
+      registry_({InstanceId(settings_.name),
+                 settings_.admin.isSet() ? settings_.admin.toString() : std::string()},
+                environment_.store, environment_.clock, environment_.random),
       lease_(fleetDuty, lifeOf(settings_, environment_.wallMillis()), leaseTiming(),
-             {environment_.store, environment_.clock, environment_.random, environment_.events,
+             {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
+              environment_.random, environment_.events,
               nullptr, nullptr}),
       wallOffset_(environment_.wallMillis() - environment_.clock.now().count()),
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
-             {environment_.store, environment_.clock, [this] { return trueTime(); },
+             {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
+              [this] { return trueTime(); },
               environment_.events, wire_.reportUsage, [this] { return authority(); }}),
       stages_(context_, [this] { return authority(); }),
       scale_(context_, [this] { return authority(); }), timer_(environment_.io)
@@ -164,11 +196,11 @@
 
 void Gateway::tick()
 {
-    Candidacy candidacy;
-    candidacy.isCandidate = !isDraining_;
-    candidacy.place = StableHash().add(settings_.name).value() % 4;
+    if (!isDraining_)
+        registry_.tick();
+    context_.retries.setInstances(registry_.instances().size());
     if (settings_.reportsUsage || settings_.ordersUpstreams)
-        lease_.tick(candidacy);
+        tickLease();
     if (settings_.reportsUsage)
         usage_.tick();
     stages_.tick();
@@ -178,6 +210,23 @@
         tickDrain();
 }
 
+void Gateway::tickLease()
+{
+    const auto rank =
+        DutySpread::rank(fleetDuty, InstanceId(settings_.name), registry_.names(), candidates);
+    const Millis now = environment_.clock.now();
+    const bool isHolder = lease_.authority(now).has_value();
+    // The first few by rank look at the lease often. The others look now and then, in case that
+    // those are all gone; every look is a call that is paid for.
+    if (!rank && !isHolder && !isDraining_ && now < nextLeaseTick_)
+        return;
+    nextLeaseTick_ = now + outsiderLeaseLook;
+    Candidacy candidacy;
+    candidacy.isCandidate = !isDraining_;
+    candidacy.place = rank.value_or(candidates);
+    lease_.tick(candidacy);
+}
+
 std::optional<DutyAuthority> Gateway::authority() const
 {
     const Millis now = environment_.clock.now();
@@ -197,6 +246,7 @@
     environment_.events(Event{&events::processStopping, {{"instance", settings_.name}}});
     callers_.closeAfterAnswers();
     lease_.release();
+    registry_.leave();
 }
 
 void Gateway::tickDrain()
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/GatewayWire.h"
+#include "gateway/control/InstanceRegistry.h"
 #include "gateway/control/ScaleDuty.h"
 #include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
@@ -60,6 +61,7 @@
     void armTick();
     void tick();
     void tickDrain();
+    void tickLease();
     std::optional<DutyAuthority> authority() const;
     std::int64_t trueTime() const;
 
@@ -72,7 +74,9 @@
     HttpServer callers_;
     HttpServer readiness_;
     StoreSync sync_;
+    InstanceRegistry registry_;
     DutyLease lease_;
+    Millis nextLeaseTick_;
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
     StageDuty stages_;
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -12,8 +12,8 @@
     : context_(context), store_(std::move(store)), random_(std::move(random)),
       configuration_{context.wire.configurationPath.substr(
                          0, context.wire.configurationPath.find('/') + 1),
-                     0, false, false, firstRetry, boost::asio::steady_timer(io)},
-      upstreams_{context.wire.upstreamsPath, 0, false, false, firstRetry,
+                     0, false, false, firstRetry, 0, boost::asio::steady_timer(io)},
+      upstreams_{context.wire.upstreamsPath, 0, false, false, firstRetry, 0,
                  boost::asio::steady_timer(io)}
 { }
 
@@ -25,13 +25,49 @@
 
 void StoreSync::readAll(Feed &feed)
 {
-    store_.list(feed.prefix, [this, &feed](const StoreReply &reply) { listDone(feed, reply); });
+    store_.list(feed.prefix, current(feed, &StoreSync::listDone));
+}
+
+StoreCompletion StoreSync::current(Feed &feed,
+                                   void (StoreSync::*done)(Feed &, const StoreReply &))
+{
+    const std::uint64_t generation = ++feed.generation;
+    return [this, &feed, done, generation](const StoreReply &reply) {
+        if (generation == feed.generation)
+            (this->*done)(feed, reply);
+    };
 }
 
 void StoreSync::watch(Feed &feed)
 {
-    store_.watch(feed.prefix, feed.seen, watchWait,
-                 [this, &feed](const StoreReply &reply) { watchDone(feed, reply); });
+    store_.watch(feed.prefix, feed.seen, isInDoubt() ? doubtfulWait : calmWait,
+                 current(feed, &StoreSync::watchDone));
+}
+
+void StoreSync::watchAfter(Feed &feed, Millis wait)
+{
+    const std::uint64_t generation = ++feed.generation;
+    feed.timer.expires_after(std::chrono::milliseconds(wait.count()));
+    feed.timer.async_wait([this, &feed, generation](const boost::system::error_code &error) {
+        if (error || generation != feed.generation)
+            return;
+        if (feed.isListed)
+            watch(feed);
+        else
+            readAll(feed);
+    });
+}
+
+void StoreSync::storeInDoubt()
+{
+    const bool isNews = !isInDoubt();
+    doubtUntil_ = context_.now() + doubt;
+    if (!isNews)
+        return;
+    for (Feed *feed : {&configuration_, &upstreams_}) {
+        if (feed->isListed && !feed->isDown)
+            watchAfter(*feed, Millis(1));
+    }
 }
 
 void StoreSync::listDone(Feed &feed, const StoreReply &reply)
@@ -68,7 +104,10 @@
         else
             takeUpstream(object);
     }
-    watch(feed);
+    if (reply.objects.empty())
+        watch(feed);
+    else
+        watchAfter(feed, gathering);
 }
 
 void StoreSync::answered(Feed &feed)
@@ -96,15 +135,8 @@
     const auto half = static_cast<std::uint64_t>(feed.retry.count()) / 2;
     const Millis wait = feed.retry / 2 + Millis(static_cast<std::int64_t>(random_() % (half + 1)));
     feed.retry = std::min(feed.retry * 2, longestRetry);
-    feed.timer.expires_after(std::chrono::milliseconds(wait.count()));
-    feed.timer.async_wait([this, &feed](const boost::system::error_code &error) {
-        if (error)
-            return;
-        if (feed.isListed)
-            watch(feed);
-        else
-            readAll(feed);
-    });
+    doubtUntil_ = context_.now() + doubt;
+    watchAfter(feed, wait);
 }
 
 void StoreSync::takeConfiguration(const StoreObject &object)
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -21,14 +21,23 @@
 /**
     Follows the configuration and the upstreams' entries in the store, by one list and then watches.
 
-    Watches are short: a connection that went silent for good is noticed by the missing answer, and
-    what changed meanwhile is known again within the few seconds that the platform allows.
+    Every call is paid for, so a watch waits long while all is well, and changes that come close
+    together are taken at once. A store that takes requests and never answers them would leave a
+    long watch blind well after it works again; callers would be served under settings that are no
+    longer in force. So any call of this instance that fails, or a watch that does, begins a time
+    of short watches, and replaces those under way.
 */
 class StoreSync
 {
 public:
-    /** A waiting watch comes back at least this often. */
-    static constexpr Millis watchWait = Millis(1500);
+    /** How long a watch waits while all is well. */
+    static constexpr Millis calmWait = Millis(8000);
+    /** And while the store is in doubt: less than the platform allows for a change to arrive. */
+    static constexpr Millis doubtfulWait = Millis(1200);
+    /** How long a sign of trouble counts. */
+    static constexpr Millis doubt = Millis(6000);
+    /** Changes that follow one another within this much are read together. */
+    static constexpr Millis gathering = Millis(300);
     /** After a failed call, doubled up to the longest, and spread by half over the instances. */
     static constexpr Millis firstRetry = Millis(100);
     static constexpr Millis longestRetry = Millis(800);
@@ -40,6 +49,8 @@
 
     void start();
     const SyncState &state() const { return state_; }
+    /** A call to the store failed, or was not answered. */
+    void storeInDoubt();
     /** Called when a newer configuration is in force here. */
     std::function<void()> onConfiguration;
 
@@ -52,13 +63,18 @@
         bool isListed = false;
         bool isDown = false;
         Millis retry = firstRetry;
+        /** Answers to calls of earlier generations are left alone. */
+        std::uint64_t generation = 0;
         boost::asio::steady_timer timer;
     };
 
     void readAll(Feed &feed);
     void watch(Feed &feed);
+    void watchAfter(Feed &feed, Millis wait);
+    bool isInDoubt() const { return context_.now() < doubtUntil_; }
     void listDone(Feed &feed, const StoreReply &reply);
     void watchDone(Feed &feed, const StoreReply &reply);
+    StoreCompletion current(Feed &feed, void (StoreSync::*done)(Feed &, const StoreReply &));
     void failed(Feed &feed, const StoreReply &reply);
     void answered(Feed &feed);
     void takeConfiguration(const StoreObject &object);
@@ -72,6 +88,7 @@
     SyncState state_;
     Feed configuration_;
     Feed upstreams_;
+    Millis doubtUntil_;
 };
 
 } // namespace cuminrail
--- a/modules/gateway/control/UsageDuty.h
+++ b/modules/gateway/control/UsageDuty.h
@@ -16,7 +16,7 @@
 {
     Millis window = Millis::seconds(5);
     /** How often an instance writes its counts: what a crash can lose. */
-    Millis flushEvery = Millis(2000);
+    Millis flushEvery = Millis(1200);
     /** After a window's end: when instances write their counts of it for the last time. */
     Millis lastFlush = Millis(300);
     /** After a window's end: when its counts are taken together. */
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -19,6 +19,8 @@
 constexpr Millis connectPatience = Millis(400);
 /** Connections refused or unanswered before a request is given up; none of them reached anyone. */
 constexpr int mostConnectFailures = 4;
+/** Refusals after which a request is given up: its service has no room. */
+constexpr int mostRefusals = 2;
 /**
     Upstreams close idle connections at times of their own. What is sent into one that is being
     closed is lost, and a request that may not run twice cannot be sent again.
@@ -31,6 +33,7 @@
 constexpr Millis leastStreamPatience = Millis(1500);
 constexpr int configurationMissingRetryMs = 500;
 constexpr int usualUrgency = 3;
+constexpr int hopelessUrgency = 8;
 
 bool isStreamRoute(const Route &route)
 {
@@ -118,7 +121,9 @@
         return giveUp("no time is left");
     if (connectFailures_ >= mostConnectFailures)
         return giveUp("upstreams cannot be reached");
-    if (sends_ > 0 && !mayRepeat())
+    if (refusals_ > mostRefusals)
+        return giveUp(lastProblem_);
+    if (sends_ + refusals_ > 0 && !mayRepeat())
         return giveUp(lastProblem_);
     if (!choose())
         return giveUp(lastProblem_.empty() ? "no upstream of the service is available"
@@ -149,7 +154,7 @@
     return choosePlain(upstreams);
 }
 
-bool RequestRelay::choosePrompt(const std::vector<UpstreamPointer> &upstreams)
+PlacementQuery RequestRelay::placementQuery() const
 {
     PlacementQuery query;
     query.prompt = &*inbound_.prompt;
@@ -162,7 +167,12 @@
     query.isSetAside = [this](const std::string &id) {
         return context_.health.isSetAside(id, context_.now());
     };
-    attempt_.choice = context_.engines.choose(upstreams, query);
+    return query;
+}
+
+bool RequestRelay::choosePrompt(const std::vector<UpstreamPointer> &upstreams)
+{
+    attempt_.choice = context_.engines.choose(upstreams, placementQuery());
     if (!attempt_.choice)
         return false;
     attempt_.upstream = attempt_.choice->engine;
@@ -190,10 +200,20 @@
     fields.customer = customer_;
     fields.resumeAfter = lastEvent_;
     if (route_->hasPrompts)
-        fields.urgency = urgency_;
+        fields.urgency = urgency();
     return fields;
 }
 
+int RequestRelay::urgency() const
+{
+    // A request whose goal is out of reach would push others past theirs, and all would be late.
+    const auto expected =
+        static_cast<std::int64_t>(attempt_.choice ? attempt_.choice->expectedMillis : 0);
+    const Millis reached = context_.now() - arrivedAt_ + Millis(expected);
+    const bool isHopeless = attempt_.isPrefill && reached > route_->goal;
+    return isHopeless ? hopelessUrgency : urgency_;
+}
+
 Millis RequestRelay::patience() const
 {
     const Millis left = endsAt_ - context_.now();
@@ -378,28 +398,41 @@
 
 void RequestRelay::refusedUnrun()
 {
-    ++sends_;
-    const UpstreamEntry &entry = attempt_.upstream->entry;
+    // The upstream's own word that it did not run the request: it uses up no attempt, only a part
+    // of the limit on repeats.
+    ++refusals_;
+    const std::string &id = attempt_.upstream->entry.id;
     if (attempt_.traits.isOtherUpstream)
-        context_.directory.markMisplaced(entry.id);
+        context_.directory.markMisplaced(id);
     else
         recordSign(AttemptSign::Full);
     lastProblem_ = "the upstream refused it";
-    const bool wasHandOver = !handle_.empty();
-    const auto engine = attempt_.upstream;
+    tried_.insert(id);
+    if (!handle_.empty() && refusals_ == 1 && handOverElsewhere())
+        return;
     releaseHandle();
     settleAttempt();
     isHandOverAllowed_ = false;
-    // The cache could not be fetched: the same engine can still read the prompt by itself.
-    if (!wasHandOver || attempt_.traits.isOtherUpstream)
-        tried_.insert(engine->entry.id);
-    else
-        --sends_;
-    if (wasHandOver && !context_.retries.takeRepeat(service_, context_.now()))
-        return giveUp("the prompt's cache was gone, and the limit on repeats is reached");
     dispatch();
 }
 
+bool RequestRelay::handOverElsewhere()
+{
+    // An engine that is full or changes its stage refuses what another could fetch and run; the
+    // prompt would otherwise have been read for nothing.
+    const auto runner =
+        context_.engines.chooseRunner(context_.directory.usable(service_), placementQuery());
+    if (runner == nullptr || !context_.retries.takeRepeat(service_, context_.now()))
+        return false;
+    ++context_.counters.repeats;
+    context_.engines.moved(*attempt_.choice, runner);
+    attempt_.upstream = runner;
+    attempt_.status = 0;
+    attempt_.traits = {};
+    sendRun(attempt_.choice->prefill->entry.address + "/" + handle_);
+    return true;
+}
+
 void RequestRelay::attemptFailed(const UpstreamEnd &end)
 {
     lastProblem_ = std::string(upstreamEndKindNames.name(end.kind)) + ": " + end.lastReason.toString();
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -49,6 +49,7 @@
     void dispatch();
     bool choose();
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
+    PlacementQuery placementQuery() const;
     bool choosePlain(const std::vector<UpstreamPointer> &upstreams);
     bool mayRepeat();
     void sendPrefill();
@@ -56,6 +57,7 @@
     void send(const UpstreamPointer &upstream, const OutboundFields &fields, Millis patience);
     UpstreamHooks hooks();
     OutboundFields outbound(const UpstreamEntry &upstream) const;
+    int urgency() const;
     Millis patience() const;
 
     void onHead(HttpHead &head);
@@ -65,6 +67,7 @@
     void prefillEnded(const UpstreamEnd &end);
     void runEnded(const UpstreamEnd &end);
     void refusedUnrun();
+    bool handOverElsewhere();
     void attemptFailed(const UpstreamEnd &end);
     void answered();
 
@@ -97,9 +100,11 @@
     Attempt attempt_;
     SseReader events_;
     std::set<std::string> tried_;
-    /** Upstreams that the request reached, and refused it or may have run it. */
+    /** Upstreams that may have run it. */
     int sends_ = 0;
     int connectFailures_ = 0;
+    /** Upstreams that stated that they did not run it. */
+    int refusals_ = 0;
     bool isFirstCounted_ = false;
     /** An upstream may have run it; no refusal may say otherwise any more. */
     bool mayHaveRun_ = false;
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -115,10 +115,11 @@
     // By default TCP notices after a quarter of an hour that nobody answers any more, and idle
     // connections after two hours. Something between the two ends that forgot the connection
     // sends neither an end nor a reset.
-    setTcpOption(socket_, TCP_KEEPIDLE, 5);
-    setTcpOption(socket_, TCP_KEEPINTVL, 2);
-    setTcpOption(socket_, TCP_KEEPCNT, 3);
-    setTcpOption(socket_, TCP_USER_TIMEOUT, static_cast<int>(pool_.limits_.unacknowledged.count()));
+    const UpstreamPoolLimits &limits = pool_.limits_;
+    setTcpOption(socket_, TCP_KEEPIDLE, static_cast<int>(limits.probeAfter.count() / 1000));
+    setTcpOption(socket_, TCP_KEEPINTVL, static_cast<int>(limits.probeEvery.count() / 1000));
+    setTcpOption(socket_, TCP_KEEPCNT, limits.probes);
+    setTcpOption(socket_, TCP_USER_TIMEOUT, static_cast<int>(limits.unacknowledged.count()));
 }
 
 void UpstreamConnection::send()
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -45,6 +45,10 @@
     /** Short, as a connection that lay idle for long may have been forgotten on the way. */
     Millis idleTimeout = Millis::seconds(20);
     std::uint32_t answerHeadBytes = 16 * 1024;
+    /** Silence after which the kernel asks whether the other end is still there, and how often. */
+    Millis probeAfter = Millis::seconds(5);
+    Millis probeEvery = Millis::seconds(2);
+    int probes = 3;
     /** How long sent bytes may stay without acknowledgement before the kernel gives up. */
     Millis unacknowledged = Millis::seconds(6);
 };
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -15,6 +15,11 @@
     // When something on the way has forgotten the connections, each one kept costs one time-out
     // before a new one is made; so only a few are kept.
     limits.idlePerAddress = 2;
+    // A watch waits on a quiet connection; whether that still leads anywhere, only probes tell.
+    limits.probeAfter = Millis::seconds(1);
+    limits.probeEvery = Millis::seconds(1);
+    limits.probes = 1;
+    limits.unacknowledged = Millis::seconds(2);
     return limits;
 }
 
