Structured bounded logs, metrics, state dump and peers' configuration for the gateway

Cause: a failed request left no trace; an instance that the store turned away alone went on honouring withdrawn keys; the settings file's changes were ignored. Change: BoundedLog (one JSON line an event, budgets, never blocks), events 203-207 and 303-304 with the inputs of each decision, prometheus-cpp metrics, /state, settings looked at every 2 s, newer configurations asked of peers while the store is silent.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -12,12 +12,22 @@
         &processStopped,
         &certificateReloaded,
         &certificateNotReloaded,
+        &logLinesDropped,
+        &settingsReread,
+        &settingsNotReread,
         // 2xx request path
         &requestRefused,
         &claimAnswerNotStored,
+        &requestPlaced,
+        &attemptEnded,
+        &requestServed,
+        &requestFailed,
+        &callerLeft,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
+        &upstreamListed,
+        &upstreamMisplaced,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -30,6 +30,16 @@
     105, EventLevel::Warning, "certificate-not-reloaded",
     "Changed certificate files cannot be used; the former ones stay in use."};
 
+inline constexpr EventKind logLinesDropped{
+    106, EventLevel::Warning, "log-lines-dropped",
+    "Log lines were left out, by the event's name: more came than the bounds allow."};
+inline constexpr EventKind settingsReread{
+    107, EventLevel::Info, "settings-reread",
+    "The settings file changed and was read again; what can change while running did."};
+inline constexpr EventKind settingsNotReread{
+    108, EventLevel::Warning, "settings-not-reread",
+    "The settings file changed and is bad; the former settings stay in use."};
+
 // 2xx request path
 inline constexpr EventKind requestRefused{201, EventLevel::Info, "request-refused",
                                           "A request got an error; code and verdict say why."};
@@ -38,6 +48,21 @@
     "An answer was too large, or too many waited for the store; repeats learn only that the "
     "call ran."};
 
+inline constexpr EventKind requestPlaced{
+    203, EventLevel::Info, "request-placed",
+    "A request goes to an upstream; what the choice was made from is in the fields."};
+inline constexpr EventKind attemptEnded{
+    204, EventLevel::Warning, "attempt-ended",
+    "An attempt at an upstream failed or was refused; whether the request may have run is given."};
+inline constexpr EventKind requestServed{205, EventLevel::Info, "request-served",
+                                         "The upstream's whole answer went to the caller."};
+inline constexpr EventKind requestFailed{
+    206, EventLevel::Warning, "request-failed",
+    "A request ended without an upstream's whole answer; it may have run."};
+inline constexpr EventKind callerLeft{
+    207, EventLevel::Info, "caller-left",
+    "The caller closed its connection before its answer was complete; the work was cancelled."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
@@ -46,6 +71,12 @@
     302, EventLevel::Info, "routing-decision",
     "A sample of the routing decisions: where a request went, and why."};
 
+inline constexpr EventKind upstreamListed{
+    303, EventLevel::Info, "upstream-listed",
+    "An upstream was listed, changed its state, or was removed from the list."};
+inline constexpr EventKind upstreamMisplaced{
+    304, EventLevel::Warning, "upstream-misplaced",
+    "Another upstream answered at an upstream's address; it gets no work until it lists anew."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -114,6 +114,7 @@
                       return problemAnswer(status, reason);
                   }},
                  std::make_shared<ServerLoad>()),
+      admin_(environment_.io, environment_.deadlines, adminPages()),
       sync_(environment_.io, context_, environment_.store, environment_.random),
       registry_({InstanceId(settings_.name),
                  settings_.admin.isSet() ? settings_.admin.toString() : std::string()},
@@ -122,6 +123,10 @@
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
               environment_.random, environment_.events,
               nullptr, nullptr}),
+      peers_(context_, registry_, environment_.random,
+             [this](const std::string &text) {
+                 sync_.takeConfigurationText(text, "another instance");
+             }),
       wallOffset_(environment_.wallMillis() - environment_.clock.now().count()),
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
@@ -144,6 +149,9 @@
     if (!callers_.listen(callers.host, callers.port, false, lastReason)
         || !readiness_.listen(readiness.host, readiness.port, false, lastReason))
         return false;
+    const auto &admin = settings_.admin;
+    if (admin.isSet() && !admin_.listen(admin.host, admin.port, lastReason))
+        return false;
     sync_.start();
     armTick();
     return true;
@@ -183,6 +191,37 @@
     return wire_.ownAnswer(status, {}, retryAfter, reason.toString());
 }
 
+GatewayGauges Gateway::gauges() const
+{
+    const Millis now = environment_.clock.now();
+    GatewayGauges gauges;
+    gauges.isReady = isReady();
+    gauges.configurationVersion = context_.index == nullptr ? 0 : context_.index->version();
+    gauges.configurationAgeSeconds = (now - context_.configurationConfirmed).toSeconds();
+    gauges.upstreamsAgeSeconds = (now - context_.upstreamsConfirmed).toSeconds();
+    gauges.upstreams = context_.directory.size();
+    gauges.callerConnections = callers_.openConnections();
+    gauges.upstreamConnections = pool_.openConnections();
+    gauges.instances = registry_.instances().size();
+    gauges.isDutyHolder = lease_.authority(now).has_value();
+    gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
+    gauges.counters = context_.counters;
+    return gauges;
+}
+
+AdminPages Gateway::adminPages()
+{
+    AdminPages pages;
+    pages.metrics = [this] { return context_.metrics.page(gauges()); };
+    pages.state = [this] { return stateText(); };
+    pages.isReady = [this] { return isReady(); };
+    pages.configurationAfter = [this](std::uint64_t version) {
+        const bool isNewer = context_.index != nullptr && context_.index->version() > version;
+        return isNewer ? sync_.configurationText() : std::string();
+    };
+    return pages;
+}
+
 void Gateway::armTick()
 {
     timer_.expires_after(std::chrono::milliseconds(tickEvery.count()));
@@ -198,6 +237,7 @@
 {
     if (!isDraining_)
         registry_.tick();
+    peers_.tick(sync_.isConfigurationSilent());
     context_.retries.setInstances(registry_.instances().size());
     if (settings_.reportsUsage || settings_.ordersUpstreams)
         tickLease();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway/GatewayWire.h"
+#include "gateway/admin/GatewayAdmin.h"
 #include "gateway/control/InstanceRegistry.h"
+#include "gateway/control/PeerConfiguration.h"
 #include "gateway/control/ScaleDuty.h"
 #include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
@@ -38,6 +40,8 @@
         RandomHook random;
         EventSink events;
         ObjectStore store;
+        /** Log lines left out since the start. */
+        std::function<std::uint64_t()> logLinesDropped;
     };
 
     Gateway(InstanceSettings settings, GatewayWire wire, Environment environment);
@@ -50,6 +54,8 @@
     /** Begins the planned stop; the hook is called when the last request is answered. */
     void drain(std::function<void()> onDrained);
     bool isReady() const;
+    /** The whole state as JSON, without caller keys. */
+    std::string stateText() const;
 
     const RelayContext &context() const { return context_; }
 
@@ -64,6 +70,8 @@
     void tickLease();
     std::optional<DutyAuthority> authority() const;
     std::int64_t trueTime() const;
+    GatewayGauges gauges() const;
+    AdminPages adminPages();
 
     InstanceSettings settings_;
     GatewayWire wire_;
@@ -73,10 +81,12 @@
     std::shared_ptr<ServerLoad> load_ = std::make_shared<ServerLoad>();
     HttpServer callers_;
     HttpServer readiness_;
+    GatewayAdmin admin_;
     StoreSync sync_;
     InstanceRegistry registry_;
     DutyLease lease_;
     Millis nextLeaseTick_;
+    PeerConfiguration peers_;
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
     StageDuty stages_;
--- /dev/null
+++ b/modules/gateway/admin/GatewayAdmin.cpp
@@ -0,0 +1,67 @@
+#include "gateway/admin/GatewayAdmin.h"
+
+#include <charconv>
+
+namespace cuminrail {
+
+namespace {
+
+HttpAnswer textAnswer(int status, std::string body, const char *type = "text/plain")
+{
+    return {status, {{"Content-Type", type}}, std::move(body)};
+}
+
+} // namespace
+
+GatewayAdmin::GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, AdminPages pages)
+    : pages_(std::move(pages)),
+      server_(io, deadlines, HttpServerLimits{},
+              HttpServerHooks{
+                  nullptr,
+                  [this](const std::shared_ptr<HttpExchange> &exchange) {
+                      exchange->respond(answer(exchange->head()));
+                  },
+                  [](int status, const Reason &reason) {
+                      return textAnswer(status, reason.toString() + "\n");
+                  },
+              },
+              std::make_shared<ServerLoad>())
+{ }
+
+bool GatewayAdmin::listen(const std::string &host, std::uint16_t port, Reason *lastReason)
+{
+    return server_.listen(host, port, false, lastReason);
+}
+
+HttpAnswer GatewayAdmin::answer(const HttpHead &head) const
+{
+    const std::string_view path = head.path();
+    if (head.method != "GET" && head.method != "HEAD")
+        return textAnswer(405, "only GET is allowed here\n");
+    if (path == "/healthz")
+        return textAnswer(200, "healthy\n");
+    if (path == "/readyz")
+        return pages_.isReady() ? textAnswer(200, "ready\n") : textAnswer(503, "not ready\n");
+    if (path == "/metrics")
+        return textAnswer(200, pages_.metrics(), "text/plain; version=0.0.4");
+    if (path == "/state")
+        return textAnswer(200, pages_.state(), "application/json");
+    if (path == "/peer/configuration")
+        return configuration(head.target);
+    return textAnswer(404, "no such page\n");
+}
+
+HttpAnswer GatewayAdmin::configuration(std::string_view target) const
+{
+    constexpr std::string_view name = "?after=";
+    const auto at = target.find(name);
+    std::uint64_t version = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(target.data() + at + name.size(), target.data() + target.size(), version);
+    std::string text = pages_.configurationAfter(version);
+    if (text.empty())
+        return HttpAnswer{204, {}, {}};
+    return textAnswer(200, std::move(text), "application/json");
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -0,0 +1,103 @@
+#include "gateway/admin/GatewayMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace cuminrail {
+
+namespace {
+
+/** From a plain service's quick answer to the longest deadline of the present routes. */
+const prometheus::Histogram::BucketBoundaries &latencyBuckets()
+{
+    static const prometheus::Histogram::BucketBoundaries buckets{
+        0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 6.0};
+    return buckets;
+}
+
+std::string kindName(RouteKind kind)
+{
+    return std::string(routeKindNames.name(kind));
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name("cuminrail_requests_total")
+                    .Help("Requests by route kind and outcome")
+                    .Register(registry_)),
+      answerSeconds_(prometheus::BuildHistogram()
+                         .Name("cuminrail_request_seconds")
+                         .Help("From a request's arrival to the end of its answer")
+                         .Register(registry_)),
+      firstSeconds_(prometheus::BuildHistogram()
+                        .Name("cuminrail_first_answer_seconds")
+                        .Help("From a request's arrival to its first event or its plain answer")
+                        .Register(registry_)),
+      readSeconds_(prometheus::BuildHistogram()
+                       .Name("cuminrail_prompt_read_seconds")
+                       .Help("From sending a prompt until it was read")
+                       .Register(registry_)
+                       .Add({}, latencyBuckets()))
+{ }
+
+void GatewayMetrics::requestEnded(RouteKind kind, RequestOutcome outcome, double seconds)
+{
+    requests_
+        .Add({{"kind", kindName(kind)},
+              {"outcome", std::string(requestOutcomeNames.name(outcome))}})
+        .Increment();
+    answerSeconds_.Add({{"kind", kindName(kind)}}, latencyBuckets()).Observe(seconds);
+}
+
+void GatewayMetrics::firstAnswer(RouteKind kind, double seconds)
+{
+    firstSeconds_.Add({{"kind", kindName(kind)}}, latencyBuckets()).Observe(seconds);
+}
+
+void GatewayMetrics::promptRead(double seconds)
+{
+    readSeconds_.Observe(seconds);
+}
+
+void GatewayMetrics::set(const std::string &name, const std::string &help, double value)
+{
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
+}
+
+std::string GatewayMetrics::page(const GatewayGauges &gauges)
+{
+    const RelayCounters &counters = gauges.counters;
+    set("cuminrail_ready", "1 while the instance takes new connections", gauges.isReady ? 1 : 0);
+    set("cuminrail_configuration_version", "Version of the configuration in force",
+        static_cast<double>(gauges.configurationVersion));
+    set("cuminrail_configuration_age_seconds", "Since the store confirmed the configuration",
+        gauges.configurationAgeSeconds);
+    set("cuminrail_upstreams_age_seconds", "Since the store confirmed the list of upstreams",
+        gauges.upstreamsAgeSeconds);
+    set("cuminrail_upstreams", "Upstreams in the list", static_cast<double>(gauges.upstreams));
+    set("cuminrail_caller_connections", "Open connections of callers",
+        static_cast<double>(gauges.callerConnections));
+    set("cuminrail_upstream_connections", "Open connections to upstreams",
+        static_cast<double>(gauges.upstreamConnections));
+    set("cuminrail_instances", "Instances registered", static_cast<double>(gauges.instances));
+    set("cuminrail_duty_holder", "1 while this instance holds the fleet's duties",
+        gauges.isDutyHolder ? 1 : 0);
+    set("cuminrail_log_lines_dropped", "Log lines left out since the start",
+        static_cast<double>(gauges.logLinesDropped));
+    set("cuminrail_requests_in_progress", "Requests not answered yet", counters.inProgress);
+    set("cuminrail_sends", "Sends to upstreams since the start",
+        static_cast<double>(counters.sends));
+    set("cuminrail_repeats", "Sends beyond a request's first", static_cast<double>(counters.repeats));
+    set("cuminrail_resumes", "Streams that went on at another upstream",
+        static_cast<double>(counters.resumes));
+    set("cuminrail_hand_overs", "Prompts read by a prefill engine first",
+        static_cast<double>(counters.handOvers));
+    set("cuminrail_hand_overs_failed", "Of these, given up",
+        static_cast<double>(counters.handOversFailed));
+    set("cuminrail_timeouts", "Requests whose time ran out",
+        static_cast<double>(counters.timeouts));
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "dataplane/model/Configuration.h"
+#include "gateway/request/RelayCounters.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <string>
+
+namespace cuminrail {
+
+/** How a request ended, for its caller. */
+enum class RequestOutcome : std::uint8_t {
+    Served,
+    /** An upstream answered with a failure of its own. */
+    UpstreamError,
+    Refused,
+    Failed,
+    CallerLeft,
+};
+
+inline constexpr NameTable<RequestOutcome, 5> requestOutcomeNames{{{
+    {RequestOutcome::Served, "served"},
+    {RequestOutcome::UpstreamError, "upstream-error"},
+    {RequestOutcome::Refused, "refused"},
+    {RequestOutcome::Failed, "failed"},
+    {RequestOutcome::CallerLeft, "caller-left"},
+}}};
+
+/** Values that only exist while somebody looks. */
+struct GatewayGauges
+{
+    bool isReady = false;
+    std::uint64_t configurationVersion = 0;
+    double configurationAgeSeconds = 0;
+    double upstreamsAgeSeconds = 0;
+    std::size_t upstreams = 0;
+    std::size_t callerConnections = 0;
+    std::size_t upstreamConnections = 0;
+    std::size_t instances = 0;
+    bool isDutyHolder = false;
+    std::uint64_t logLinesDropped = 0;
+    RelayCounters counters;
+};
+
+/**
+    Counters and latency histograms in Prometheus' text format.
+
+    Labels are route kinds and outcomes only: routes and customers come and go without bound.
+*/
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+
+    /** A request is over; seconds from its arrival. */
+    void requestEnded(RouteKind kind, RequestOutcome outcome, double seconds);
+    /** A stream's first event, or a plain answer, was ready for the caller. */
+    void firstAnswer(RouteKind kind, double seconds);
+    /** A prompt was read, by a prefill engine or where it runs. */
+    void promptRead(double seconds);
+
+    std::string page(const GatewayGauges &gauges);
+
+private:
+    void set(const std::string &name, const std::string &help, double value);
+
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter> &requests_;
+    prometheus::Family<prometheus::Histogram> &answerSeconds_;
+    prometheus::Family<prometheus::Histogram> &firstSeconds_;
+    prometheus::Histogram &readSeconds_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -0,0 +1,54 @@
+#include "gateway/Gateway.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cuminrail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json upstreamState(const UpstreamRecord &record, const RelayContext &context)
+{
+    const UpstreamEntry &entry = record.entry;
+    Json state{{"service", entry.service},
+               {"address", entry.address},
+               {"failure_domain", entry.failureDomain},
+               {"stage", std::string(engineStageNames.name(entry.stage))},
+               {"leaving", record.isLeaving},
+               {"lapsed", record.lapsedAt.has_value()},
+               {"misplaced", record.isMisplaced},
+               {"reclaimable", entry.isReclaimable},
+               {"bad_share", context.health.badShare(entry.id)},
+               {"set_aside", context.health.isSetAside(entry.id, context.now())},
+               {"own_open", context.services.open(entry.id)}};
+    if (const EngineMemory *memory = context.engines.memory(entry.id)) {
+        state["own_running"] = memory->running();
+        state["own_unread_tokens"] = memory->openTokens();
+    }
+    return state;
+}
+
+} // namespace
+
+std::string Gateway::stateText() const
+{
+    const GatewayGauges now = gauges();
+    Json upstreams = Json::object();
+    for (const auto &[id, record] : context_.directory.all())
+        upstreams[id] = upstreamState(*record, context_);
+    const Json state{{"instance", settings_.name},
+                     {"failure_domain", settings_.failureDomain},
+                     {"ready", now.isReady},
+                     {"draining", isDraining_},
+                     {"configuration", now.configurationVersion},
+                     {"configuration_age_s", now.configurationAgeSeconds},
+                     {"upstreams_age_s", now.upstreamsAgeSeconds},
+                     {"instances", now.instances},
+                     {"duty_holder", now.isDutyHolder},
+                     {"requests_in_progress", now.counters.inProgress},
+                     {"upstreams", upstreams}};
+    return state.dump(2) + "\n";
+}
+
+} // namespace cuminrail
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -114,7 +114,7 @@
 {
     const Millis now = context_.now();
     feed.retry = firstRetry;
-    (&feed == &configuration_ ? state_.configurationConfirmed : state_.upstreamsConfirmed) = now;
+    (&feed == &configuration_ ? context_.configurationConfirmed : context_.upstreamsConfirmed) = now;
     if (feed.isDown) {
         feed.isDown = false;
         context_.events(Event{&events::storeReturned, {{"feed", feed.prefix}}});
@@ -143,8 +143,13 @@
 {
     if (object.path != context_.wire.configurationPath || object.removed)
         return;
+    takeConfigurationText(object.value, "store revision " + std::to_string(object.version));
+}
+
+void StoreSync::takeConfigurationText(const std::string &text, const std::string &source)
+{
     Reason reason;
-    auto configuration = context_.wire.decodeConfiguration(object.value, &reason);
+    auto configuration = context_.wire.decodeConfiguration(text, &reason);
     if (!configuration) {
         context_.events(
             Event{&events::configurationRefused, {{"reason", reason.toString()}}});
@@ -154,10 +159,11 @@
     if (context_.index != nullptr && configuration->version <= context_.index->version())
         return;
     context_.index = std::make_shared<const RouteIndex>(std::move(*configuration));
+    configurationText_ = text;
     state_.hasConfiguration = true;
     context_.events(Event{&events::configurationInForce,
                           {{"version", std::to_string(context_.index->version())},
-                           {"store_revision", std::to_string(object.version)}}});
+                           {"source", source}}});
     if (onConfiguration)
         onConfiguration();
 }
@@ -188,6 +194,7 @@
         context_.directory.remove(id, context_.now());
         context_.health.forget(id);
         context_.engines.forget(id);
+        context_.events(Event{&events::upstreamListed, {{"upstream", id}, {"state", "removed"}}});
         return;
     }
     Reason reason;
@@ -204,6 +211,12 @@
         context_.engines.forget(id);
     }
     context_.directory.update(*entry, context_.now());
+    context_.events(Event{&events::upstreamListed,
+                          {{"upstream", id},
+                           {"service", entry->service},
+                           {"address", entry->address},
+                           {"state", entry->isLeaving ? "leaving" : "ready"},
+                           {"stage", std::string(engineStageNames.name(entry->stage))}}});
 }
 
 } // namespace cuminrail
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -8,14 +8,11 @@
 
 namespace cuminrail {
 
-/** What an instance knows of the store, for its readiness and its state dump. */
+/** What an instance has read of the store, for its readiness. */
 struct SyncState
 {
     bool hasConfiguration = false;
     bool hasUpstreams = false;
-    /** When the store last confirmed that this instance is current. */
-    Millis configurationConfirmed;
-    Millis upstreamsConfirmed;
 };
 
 /**
@@ -51,6 +48,12 @@
     const SyncState &state() const { return state_; }
     /** A call to the store failed, or was not answered. */
     void storeInDoubt();
+    /** Takes in a configuration that another instance had, if it is newer. */
+    void takeConfigurationText(const std::string &text, const std::string &source);
+    /** The text of the configuration in force. */
+    const std::string &configurationText() const { return configurationText_; }
+    /** The store does not answer for the configuration at the moment. */
+    bool isConfigurationSilent() const { return configuration_.isDown; }
     /** Called when a newer configuration is in force here. */
     std::function<void()> onConfiguration;
 
@@ -89,6 +92,7 @@
     Feed configuration_;
     Feed upstreams_;
     Millis doubtUntil_;
+    std::string configurationText_;
 };
 
 } // namespace cuminrail
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -5,6 +5,7 @@
 #include "dataplane/model/InstanceSettings.h"
 #include "dataplane/placement/LeastLoaded.h"
 #include "gateway/GatewayWire.h"
+#include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
 #include "net/upstream/UpstreamPool.h"
 #include "runtime/time/DeadlineList.h"
@@ -30,12 +31,16 @@
     const InstanceSettings &settings;
     /** Null until the first configuration has been read. */
     std::shared_ptr<const RouteIndex> index;
+    /** When the store last confirmed that what is known here is current. */
+    Millis configurationConfirmed;
+    Millis upstreamsConfirmed;
     UpstreamDirectory directory;
     UpstreamHealth health;
     EnginePlacement engines;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
+    GatewayMetrics metrics;
     /** A request of a customer began to run at an upstream. */
     std::function<void(const std::string &customer)> onBegan;
     EventSink events;
--- /dev/null
+++ b/modules/gateway/request/RelayLog.cpp
@@ -0,0 +1,85 @@
+#include "core/events/EventCatalogue.h"
+#include "gateway/request/RequestRelay.h"
+
+namespace cuminrail {
+
+namespace {
+
+std::string text(Millis span)
+{
+    return std::to_string(span.count());
+}
+
+std::string text(double number)
+{
+    return std::to_string(static_cast<std::int64_t>(number));
+}
+
+} // namespace
+
+void RequestRelay::logPlaced(const UpstreamEntry &upstream) const
+{
+    const Millis now = context_.now();
+    Event event{&events::requestPlaced,
+                {{"request", inbound_.id},
+                 {"route", route_->name},
+                 {"customer", customer_},
+                 {"service", service_},
+                 {"upstream", upstream.id},
+                 {"address", upstream.address},
+                 {"step", attempt_.isPrefill ? "prefill" : "run"},
+                 {"elapsed_ms", text(now - arrivedAt_)},
+                 {"left_ms", text(endsAt_ - now)},
+                 {"configuration", std::to_string(index_->version())},
+                 {"configuration_age_ms", text(now - context_.configurationConfirmed)},
+                 {"upstreams_age_ms", text(now - context_.upstreamsConfirmed)},
+                 {"bad_share_pct", text(100 * context_.health.badShare(upstream.id))}}};
+    if (attempt_.choice) {
+        event.fields.emplace_back("expected_ms", text(attempt_.choice->expectedMillis));
+        event.fields.emplace_back("fresh_tokens", text(attempt_.choice->freshTokens));
+    } else {
+        event.fields.emplace_back("own_open",
+                                  std::to_string(context_.services.open(upstream.id)));
+    }
+    if (sends_ + refusals_ + connectFailures_ > 0)
+        event.fields.emplace_back("after", lastProblem_);
+    context_.events(event);
+}
+
+void RequestRelay::logAttempt(const UpstreamEnd &end) const
+{
+    const UpstreamPointer &upstream =
+        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    const Verdict verdict = attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun
+                                                                                 : end.verdict;
+    context_.events(Event{&events::attemptEnded,
+                          {{"request", inbound_.id},
+                           {"upstream", upstream->entry.id},
+                           {"step", attempt_.isPrefill ? "prefill" : "run"},
+                           {"end", std::string(upstreamEndKindNames.name(end.kind))},
+                           {"status", std::to_string(attempt_.status)},
+                           {"verdict", std::string(verdictNames.name(verdict))},
+                           {"reason", end.lastReason.toString()},
+                           {"elapsed_ms", text(context_.now() - arrivedAt_)}}});
+}
+
+void RequestRelay::logEnd(const EventKind &kind, int status, const std::string &why) const
+{
+    const Verdict verdict = hasBegun_ ? Verdict::Ran
+        : mayHaveRun_                 ? Verdict::MayHaveRun
+                                      : Verdict::NotRun;
+    Event event{&kind,
+                {{"request", inbound_.id},
+                 {"route", route_ == nullptr ? "" : route_->name},
+                 {"customer", customer_},
+                 {"status", std::to_string(status)},
+                 {"verdict", std::string(verdictNames.name(verdict))},
+                 {"elapsed_ms", text(context_.now() - arrivedAt_)},
+                 {"configuration",
+                  index_ == nullptr ? "none" : std::to_string(index_->version())}}};
+    if (!why.empty())
+        event.fields.emplace_back("reason", why);
+    context_.events(event);
+}
+
+} // namespace cuminrail
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -276,6 +276,7 @@
         attempt_.sentAt = context_.now();
     }
     ++context_.counters.sends;
+    logPlaced(upstream->entry);
     call_ = context_.pool.start(std::move(request), hooks());
 }
 
@@ -330,6 +331,7 @@
         lastEvent_ = event.number;
     if (!isAnswering_) {
         isAnswering_ = true;
+        firstAnswer();
         exchange_->beginStream(attempt_.status, attempt_.headers);
     }
     exchange_->write(event.bytes);
@@ -343,6 +345,9 @@
 {
     if (isOver_)
         return;
+    const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
+    if (!isPlainSuccess || attempt_.isForeign)
+        logAttempt(end);
     if (attempt_.isPrefill)
         prefillEnded(end);
     else
@@ -489,6 +494,7 @@
             exchange_->beginStream(attempt_.status, attempt_.headers);
         exchange_->finish();
     } else {
+        firstAnswer();
         HttpAnswer answer;
         answer.status = attempt_.status;
         answer.headers = std::move(attempt_.headers);
@@ -496,7 +502,8 @@
         exchange_->respond(answer);
     }
     ++(attempt_.status < 400 ? context_.counters.served : context_.counters.failed);
-    over();
+    logEnd(events::requestServed, attempt_.status, "");
+    over(attempt_.status < 400 ? RequestOutcome::Served : RequestOutcome::UpstreamError);
 }
 
 void RequestRelay::recordSign(AttemptSign sign)
@@ -509,6 +516,7 @@
     if (!attempt_.choice || attempt_.isPromptRead)
         return;
     attempt_.isPromptRead = true;
+    context_.metrics.promptRead((context_.now() - attempt_.sentAt).toSeconds());
     context_.engines.promptRead(*attempt_.choice, *inbound_.prompt, attempt_.sentAt,
                                 context_.now());
 }
@@ -571,11 +579,12 @@
         return;
     const auto self = shared_from_this();
     ++context_.counters.callersLeft;
+    logEnd(events::callerLeft, 0, "");
     // Nobody waits any more: the upstream's work is ended with its connection.
     call_.cancel();
     releaseHandle();
     settleAttempt();
-    over();
+    over(RequestOutcome::CallerLeft);
 }
 
 Millis RequestRelay::comeBackAfter() const
@@ -588,8 +597,9 @@
 void RequestRelay::refuse(int status, std::optional<Millis> retryAfter, const std::string &why)
 {
     ++context_.counters.refused;
+    logEnd(events::requestRefused, status, why);
     exchange_->respond(context_.wire.ownAnswer(status, inbound_.id, retryAfter, why));
-    over();
+    over(RequestOutcome::Refused);
 }
 
 void RequestRelay::giveUp(const std::string &why)
@@ -597,21 +607,32 @@
     const auto self = shared_from_this();
     if (isAnswering_) {
         ++context_.counters.failed;
+        logEnd(events::requestFailed, 0, "cut in the stream: " + why);
         exchange_->abort();
-        return over();
+        return over(RequestOutcome::Failed);
     }
     if (!mayHaveRun_)
         return refuse(503, comeBackAfter(), why);
     ++context_.counters.failed;
     const int status = context_.now() >= endsAt_ ? 504 : 502;
+    logEnd(events::requestFailed, status, why);
     exchange_->respond(context_.wire.ownAnswer(status, inbound_.id, std::nullopt, why));
-    over();
+    over(RequestOutcome::Failed);
 }
 
-void RequestRelay::over()
+void RequestRelay::firstAnswer()
+{
+    const Millis took = context_.now() - arrivedAt_;
+    context_.metrics.firstAnswer(route_->kind, took.toSeconds());
+}
+
+void RequestRelay::over(RequestOutcome outcome)
 {
     isOver_ = true;
     deadline_.clear();
+    const Millis took = context_.now() - arrivedAt_;
+    const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
+    context_.metrics.requestEnded(kind, outcome, took.toSeconds());
 }
 
 } // namespace cuminrail
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -82,7 +82,11 @@
     void refuse(int status, std::optional<Millis> retryAfter, const std::string &why);
     void giveUp(const std::string &why);
     Millis comeBackAfter() const;
-    void over();
+    void logPlaced(const UpstreamEntry &upstream) const;
+    void logAttempt(const UpstreamEnd &end) const;
+    void logEnd(const EventKind &kind, int status, const std::string &why) const;
+    void firstAnswer();
+    void over(RequestOutcome outcome);
 
     RelayContext &context_;
     std::shared_ptr<HttpExchange> exchange_;
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -1,19 +1,21 @@
 #include "core/events/EventCatalogue.h"
 #include "gateway/gateway.h"
-#include "platform/DeclarationCodec.h"
 #include "platform/GatewayBinding.h"
 #include "platform/ObjectApi.h"
 #include "platform/ProcessSettings.h"
 #include "runtime/files/Files.h"
-#include "runtime/log/EventLog.h"
+#include "runtime/log/BoundedLog.h"
 #include "runtime/time/BootClock.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cxxopts.hpp>
 
 #include <chrono>
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <unistd.h>
 
 using namespace cuminrail;
 
@@ -21,8 +23,12 @@
 
 constexpr int exitMistake = 2;
 constexpr int exitFailure = 1;
-/** Requests wait for nothing that is noticed by a deadline closer than this. */
+/** How late a deadline may be noticed; a wake-up each time is what it costs. */
 constexpr Millis deadlineTick = Millis(20);
+/** Log lines are handed out in batches this often. */
+constexpr Millis logEvery = Millis(250);
+/** The settings file may change without a signal; looked at this often. */
+constexpr Millis settingsEvery = Millis::seconds(2);
 
 std::int64_t wallMillis()
 {
@@ -36,11 +42,86 @@
     return code;
 }
 
-int serve(const InstanceSettings &settings)
+std::optional<InstanceSettings> readSettings(const std::string &path, Reason *lastReason)
+{
+    const auto text = contentOf(path);
+    if (!text) {
+        fail(lastReason, path, "cannot be read");
+        return std::nullopt;
+    }
+    Reason reason;
+    auto settings = platform::parseSettings(*text, &reason);
+    if (!settings)
+        fail(lastReason, path, reason.toString());
+    return settings;
+}
+
+/** Calls a function again and again; ends with the event loop. */
+class Repeat
+{
+public:
+    Repeat(boost::asio::io_context &io, Millis every, std::function<void()> function)
+        : timer_(io), every_(every), function_(std::move(function))
+    {
+        arm();
+    }
+
+private:
+    void arm()
+    {
+        timer_.expires_after(std::chrono::milliseconds(every_.count()));
+        timer_.async_wait([this](const boost::system::error_code &error) {
+            if (error)
+                return;
+            function_();
+            arm();
+        });
+    }
+
+    boost::asio::steady_timer timer_;
+    Millis every_;
+    std::function<void()> function_;
+};
+
+/** Reads the settings file again and takes over what may change in a running process. */
+class SettingsFollower
+{
+public:
+    SettingsFollower(std::string path, InstanceSettings &settings, EventSink events)
+        : path_(std::move(path)), settings_(settings), events_(std::move(events)),
+          text_(contentOf(path_))
+    { }
+
+    void look()
+    {
+        auto text = contentOf(path_);
+        if (text == text_)
+            return;
+        text_ = std::move(text);
+        Reason reason;
+        const auto fresh = readSettings(path_, &reason);
+        if (!fresh) {
+            events_(Event{&events::settingsNotReread, {{"reason", reason.toString()}}});
+            return;
+        }
+        // Addresses that this process listens on stay as they are until it starts again.
+        settings_.store = fresh->store;
+        settings_.duties = fresh->duties;
+        events_(Event{&events::settingsReread, {{"store", settings_.store}}});
+    }
+
+private:
+    std::string path_;
+    InstanceSettings &settings_;
+    EventSink events_;
+    std::optional<std::string> text_;
+};
+
+int serve(const std::string &path, InstanceSettings settings)
 {
-    const EventLog log(EventLevel::Info, settings.name);
     boost::asio::io_context io(1);
     DeadlineList deadlines(io, bootClock(), deadlineTick);
+    BoundedLog log(settings.name, bootClock(), wallMillis, descriptorOutput(STDOUT_FILENO));
     PlatformClient client(io, deadlines, platform::clientOptions(settings));
     const Gateway::Environment environment{
         io,
@@ -49,8 +130,10 @@
         wallMillis,
         seededRandom(std::random_device()()),
         log.sink(),
-        platform::makeObjectStore(client, [&settings] { return settings.store; })};
+        platform::makeObjectStore(client, [&settings] { return settings.store; }),
+        [&log] { return log.dropped(); }};
     Gateway gateway(settings, platform::makeWire(client, settings), environment);
+    SettingsFollower follower(path, settings, log.sink());
     boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](const boost::system::error_code &error, int) {
         if (!error)
@@ -60,27 +143,54 @@
     Reason reason;
     if (!gateway.start(&reason))
         return complain(reason, exitFailure);
-    log.write(Event{&events::processStarted, {{"callers", settings.callers.toString()}}});
+    log.write(Event{&events::processStarted,
+                    {{"callers", settings.callers.toString()},
+                     {"admin", settings.admin.toString()},
+                     {"store", settings.store}}});
+    const Repeat flushing(io, logEvery, [&log] { log.flush(); });
+    const Repeat looking(io, settingsEvery, [&follower] { follower.look(); });
     io.run();
+    log.flush();
     return 0;
 }
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
     // A peer that closes while something is written to it must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // The settings file is looked at anyway; the signal's default would end the process.
     std::signal(SIGHUP, SIG_IGN);
-    const std::string path = platform::settingsPath();
-    Reason reason;
-    if (path.empty())
-        return complain({"settings", "the environment names no file"}, exitMistake);
-    const auto text = contentOf(path);
-    if (!text)
-        return complain({path, "cannot be read"}, exitMistake);
-    const auto settings = platform::parseSettings(*text, &reason);
-    if (!settings)
-        return complain(Reason{path, reason.toString()}, exitMistake);
-    return serve(*settings);
+    cxxopts::Options options("cuminrail-gateway", "One instance that serves declared routes.");
+    options.add_options()("settings", "settings file; default: the one that the platform names",
+                          cxxopts::value<std::string>())(
+        "check", "check the settings file and end")("h,help", "this text");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help() << "\n";
+            return 0;
+        }
+        if (!arguments.unmatched().empty())
+            return complain({arguments.unmatched().front(), "is not an option"}, exitMistake);
+        const std::string path = arguments.count("settings") > 0
+            ? arguments["settings"].as<std::string>()
+            : platform::settingsPath();
+        if (path.empty())
+            return complain({"settings", "no file is named, by flag or environment"}, exitMistake);
+        Reason reason;
+        const auto settings = readSettings(path, &reason);
+        if (!settings)
+            return complain(reason, exitMistake);
+        if (arguments.count("check") > 0) {
+            std::cout << path << ": ok\n";
+            return 0;
+        }
+        return serve(path, *settings);
+    } catch (const cxxopts::exceptions::exception &error) {
+        return complain({"command line", error.what()}, exitMistake);
+    } catch (const std::exception &error) {
+        return complain({"process", error.what()}, exitFailure);
+    }
 }
