Fleet rebuilt at once while idle; refusing engines shunned; substitutes for reclaimed upstreams

Cause: the fleet's change lasted into the first seconds of traffic; instances that did not order a stage change went on sending to the engine; a domain whose reclaimable upstreams were gone kept one.

--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -13,6 +13,15 @@
     std::uint32_t reclaimable = 0;
 };
 
+/** What else the plan must know of a domain. */
+struct DomainSupply
+{
+    /** Nobody has asked anything yet: the fleet can be rebuilt at once. */
+    bool isIdle = false;
+    /** For how long the platform has had no reclaimable upstreams to give; 0 while it has. */
+    Millis deniedFor;
+};
+
 /** How many of each kind there should be. */
 struct DomainTarget
 {
@@ -33,6 +42,10 @@
         the other domains, until others can be had.
     */
     double keptShare = 0.17;
+    /** After a reclaim, so long without reclaimable upstreams leads to regular ones instead. */
+    Millis denialBorne = Millis(3000);
+    /** The part of the most upstreams that regular ones then make up. */
+    double substituteShare = 0.5;
 };
 
 /**
@@ -48,7 +61,8 @@
 public:
     explicit FleetPlan(FleetPlanSettings settings = {}) : settings_(settings) { }
 
-    DomainTarget decide(const ScaleBounds &bounds, const DomainFleet &now);
+    DomainTarget decide(const ScaleBounds &bounds, const DomainFleet &now,
+                        const DomainSupply &supply);
 
 private:
     FleetPlanSettings settings_;
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -36,6 +36,8 @@
     std::string duties;
     bool reportsUsage = false;
     bool ordersUpstreams = false;
+    /** The whole system starts for the first time: nothing of it ran before. */
+    bool isFirstStart = false;
     std::uint32_t memoryMb = 256;
     std::uint32_t descriptors = 1024;
     RetryBounds retries;
--- a/modules/dataplane/placement/EngineMemory.cpp
+++ b/modules/dataplane/placement/EngineMemory.cpp
@@ -97,6 +97,12 @@
     running_ = std::max(0, running_ - 1);
 }
 
+void EngineMemory::refused(Millis now)
+{
+    lag_ = std::max(lagAt(now), refusalLagMillis);
+    lagSeen_ = now;
+}
+
 double EngineMemory::lagAt(Millis now) const
 {
     const double age = static_cast<double>((now - lagSeen_).count());
--- a/modules/dataplane/placement/EngineMemory.h
+++ b/modules/dataplane/placement/EngineMemory.h
@@ -59,6 +59,8 @@
     static constexpr std::uint64_t rememberedTokens = 280000;
     /** The delay of others' work fades by half in this time. */
     static constexpr double lagHalfLifeMillis = 800.0;
+    /** The wait that a refusal stands for; with that half-life it is tried again after seconds. */
+    static constexpr double refusalLagMillis = 2000.0;
 
     /** Returns how many of the prompt's tokens the engine probably holds. */
     std::uint32_t cachedTokens(const PromptChain &chain) const;
@@ -68,6 +70,11 @@
     /** The prompt has been read after this long, where engines read so many tokens a millisecond. */
     void read(double freshTokens, Millis took, double rate, Millis now);
     void finish(double freshTokens, bool wasRead);
+    /**
+        It refused a request. It may be changing its stage or be full of others' work; for a moment
+        it counts as if a prompt had met a long wait there.
+    */
+    void refused(Millis now);
 
     /** Returns how long a prompt waits there before it is read. */
     double waitMillis(double rate, Millis now) const;
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -125,8 +125,9 @@
     // A generating engine that only fetches: what matters is how much it runs already.
     const auto load = [&](const Candidate &candidate) {
         const UpstreamEntry &entry = candidate.engine->entry;
+        const double rate = rateOf(entry).tokensPerMilli();
         return state(entry.id).running() * weights_.millisPerRunning
-            + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query)
+            + state(entry.id).waitMillis(rate, query.now) + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query)
             + weights_.transferMillisPerToken * candidate.fresh;
     };
     const auto least = std::min_element(
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -107,6 +107,8 @@
                     Millis now);
     /** The attempt is over. @c wasRead as promptRead() was called for it. */
     void finished(const EngineChoice &choice, bool wasRead);
+    /** An engine refused a request, being full or away. */
+    void refused(const std::string &id, Millis now) { state(id).refused(now); }
     /** An engine is gone, or began another life. */
     void forget(const std::string &id) { engines_.erase(id); }
 
--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -61,20 +61,22 @@
         const std::size_t size = domain.prefill.size() + domain.decode.size() + domain.changing;
         const int deviation =
             static_cast<int>(wantedDecode(size)) - static_cast<int>(domain.decode.size());
-        if (!hasLasted(name, deviation, now) || domain.changing > 0)
-            continue;
-        if (changing + changes.size() >= limit)
+        if (!hasLasted(name, deviation, now))
             continue;
         const bool needsDecode = deviation > 0;
-        // Without an engine of each stage no prompt can be handed over, or none answered at all.
-        if ((needsDecode ? prefill : decode) < 2)
-            continue;
-        const StagedEngine *engine = pick(needsDecode ? domain.prefill : domain.decode, now);
-        if (engine == nullptr)
-            continue;
-        changedAt_[engine->id] = now;
-        --(needsDecode ? prefill : decode);
-        changes.push_back({engine->id, needsDecode ? EngineStage::Decode : EngineStage::Prefill});
+        const int missing = std::abs(deviation) - static_cast<int>(domain.changing);
+        for (int i = 0; i < missing && changing + changes.size() < limit; ++i) {
+            // Without an engine of each stage no prompt can be handed over, or none answered.
+            if ((needsDecode ? prefill : decode) < 2)
+                break;
+            const StagedEngine *engine = pick(needsDecode ? domain.prefill : domain.decode, now);
+            if (engine == nullptr)
+                break;
+            changedAt_[engine->id] = now;
+            --(needsDecode ? prefill : decode);
+            changes.push_back(
+                {engine->id, needsDecode ? EngineStage::Decode : EngineStage::Prefill});
+        }
     }
     return changes;
 }
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -36,7 +36,7 @@
     /** How long too few generating engines are put up with: they may be coming back. */
     Millis missingDecode = Millis(1500);
     /** The same for too few reading engines, where generating ones can still read. */
-    Millis missingPrefill = Millis(4000);
+    Millis missingPrefill = Millis(2000);
     /** How long an engine keeps its stage: several times what a change costs. */
     Millis dwell = Millis(12000);
     /** The part of all engines that may be away for a change at the same time. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -21,8 +21,9 @@
 constexpr const char *fleetDuty = "fleet";
 /** Instances that look at the lease often. */
 constexpr std::size_t candidates = 3;
-/** How often the others look. */
-constexpr Millis outsiderLeaseLook = Millis(6000);
+/** How often all others together look, and each of them at least waits. */
+constexpr Millis outsiderLookEach = Millis(100);
+constexpr Millis outsiderLookLeast = Millis(2000);
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
@@ -245,7 +246,7 @@
         usage_.tick();
     stages_.tick();
     if (settings_.ordersUpstreams)
-        scale_.tick();
+        scale_.tick(settings_.isFirstStart && context_.counters.requests == 0);
     if (isDraining_)
         tickDrain();
 }
@@ -260,7 +261,8 @@
     // those are all gone; every look is a call that is paid for.
     if (!rank && !isHolder && !isDraining_ && now < nextLeaseTick_)
         return;
-    nextLeaseTick_ = now + outsiderLeaseLook;
+    const auto instances = static_cast<std::int64_t>(registry_.instances().size());
+    nextLeaseTick_ = now + std::max(outsiderLookLeast, outsiderLookEach * instances);
     Candidacy candidacy;
     candidacy.isCandidate = !isDraining_;
     candidacy.place = rank.value_or(candidates);
--- a/modules/gateway/control/ScaleDuty.cpp
+++ b/modules/gateway/control/ScaleDuty.cpp
@@ -20,7 +20,7 @@
     : context_(context), authority_(std::move(authority))
 { }
 
-void ScaleDuty::tick()
+void ScaleDuty::tick(bool isIdle)
 {
     const Millis now = context_.now();
     if (!authority_() || context_.index == nullptr || context_.directory.isEmpty()) {
@@ -35,12 +35,13 @@
         return;
     for (const Service &service : context_.index->configuration().services) {
         if (service.scale)
-            planService(service, now);
+            planService(service, isIdle);
     }
 }
 
-void ScaleDuty::planService(const Service &service, Millis)
+void ScaleDuty::planService(const Service &service, bool isIdle)
 {
+    const Millis now = context_.now();
     std::map<std::string, DomainFleet> fleets;
     for (const auto &[id, record] : context_.directory.all()) {
         if (record->entry.service != service.name)
@@ -52,12 +53,15 @@
     for (const auto &[domain, fleet] : fleets) {
         const Subject subject{service.name, domain};
         State &state = states_[subject];
-        const DomainTarget target = state.plan.decide(*service.scale, fleet);
+        const auto denied = state.reclaimable.deniedSince;
+        const DomainSupply supply{isIdle, denied ? now - *denied : Millis(0)};
+        const DomainTarget target = state.plan.decide(*service.scale, fleet, supply);
         ScaleTarget regular{service.name, domain, target.regular, false};
         ScaleTarget reclaimable{service.name, domain, target.reclaimable, true};
+        // Fewer regular ones make room for the others within the bounds; so they come first.
+        orderIfDue(subject, state.regular, regular, fleet.regular, service.scale->boot);
         orderIfDue(subject, state.reclaimable, reclaimable, fleet.reclaimable,
                    service.scale->boot);
-        orderIfDue(subject, state.regular, regular, fleet.regular, service.scale->boot);
     }
 }
 
@@ -90,8 +94,12 @@
                 return;
             Line &ordered = isReclaimable ? found->second.reclaimable : found->second.regular;
             ordered.isBusy = false;
-            if (result == DutyResult::Accepted)
+            if (result == DutyResult::Accepted) {
+                ordered.deniedSince.reset();
                 return;
+            }
+            if (result == DutyResult::Refused && !ordered.deniedSince)
+                ordered.deniedSince = context_.now();
             ordered.ordered.reset();
             ordered.nextAt = context_.now() + retryAfter;
             context_.events(Event{&events::fleetTargetInDoubt,
--- a/modules/gateway/control/ScaleDuty.h
+++ b/modules/gateway/control/ScaleDuty.h
@@ -19,8 +19,11 @@
 public:
     ScaleDuty(RelayContext &context, std::function<std::optional<DutyAuthority>()> authority);
 
-    /** Does what is due; to be called every few hundred milliseconds. */
-    void tick();
+    /**
+        Does what is due; to be called every few hundred milliseconds. @c isIdle while the system
+        has only just been set up and nobody has asked anything.
+    */
+    void tick(bool isIdle);
 
 private:
     struct Subject
@@ -40,6 +43,8 @@
         std::optional<std::uint32_t> ordered;
         Millis nextAt;
         bool isBusy = false;
+        /** The platform had none to give, since then. */
+        std::optional<Millis> deniedSince;
     };
     struct State
     {
@@ -48,7 +53,7 @@
         Line reclaimable;
     };
 
-    void planService(const Service &service, Millis now);
+    void planService(const Service &service, bool isIdle);
     void orderIfDue(const Subject &subject, Line &line, const ScaleTarget &target,
                     std::uint32_t present, Millis boot);
 
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -379,6 +379,7 @@
     const bool isFull = end.kind == UpstreamEndKind::Complete && attempt_.traits.isRefusedUnrun;
     context_.health.record(prefill.id, isFull ? AttemptSign::Full : AttemptSign::Broken,
                            context_.now());
+    context_.engines.refused(prefill.id, context_.now());
     // Only the engine that generates can run the request, so nothing has run yet.
     settleAttempt();
     isHandOverAllowed_ = false;
@@ -411,6 +412,8 @@
         context_.directory.markMisplaced(id);
     else
         recordSign(AttemptSign::Full);
+    if (attempt_.choice)
+        context_.engines.refused(id, context_.now());
     lastProblem_ = "the upstream refused it";
     tried_.insert(id);
     if (!handle_.empty() && refusals_ == 1 && handOverElsewhere())
