--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -54,6 +54,11 @@
     /** Begins the planned stop; the hook is called when the last request is answered. */
     void drain(std::function<void()> onDrained);
     bool isReady() const;
+    /** Takes in a configuration from another source than the store, if it is newer. */
+    void takeConfiguration(const std::string &text, const std::string &source)
+    {
+        sync_.takeConfigurationText(text, source);
+    }
     /** The whole state as JSON, without caller keys. */
     std::string stateText() const;
 
--- /dev/null
+++ b/modules/gateway/testing/GatewayFixture.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "gateway/Gateway.h"
+#include "net/testing/ScriptedUpstream.h"
+#include "platform/GatewayBinding.h"
+#include "platform/ObjectApi.h"
+#include "runtime/threads/IoThread.h"
+#include "runtime/time/BootClock.h"
+
+#include <chrono>
+#include <map>
+#include <thread>
+
+namespace cuminrail::testing {
+
+/** A store that a test fills; watches wait for ever. Used on the gateway's thread. */
+class TestStore
+{
+public:
+    std::map<std::string, std::string> objects;
+    bool isDown = false;
+
+    ObjectStore port(boost::asio::io_context &io)
+    {
+        ObjectStore store;
+        const auto later = [&io](const StoreCompletion &done, const StoreReply &reply) {
+            boost::asio::post(io, [done, reply] { done(reply); });
+        };
+        store.get = [this, later](const std::string &path, StoreCompletion done) {
+            later(done, objects.count(path) > 0 ? found({path}) : missing());
+        };
+        store.list = [this, later](const std::string &prefix, StoreCompletion done) {
+            std::vector<std::string> paths;
+            for (const auto &[path, value] : objects) {
+                if (path.rfind(prefix, 0) == 0)
+                    paths.push_back(path);
+            }
+            later(done, isDown ? down() : found(paths));
+        };
+        store.put = [this, later](const StorePut &put, StoreCompletion done) {
+            objects[put.path] = put.value;
+            later(done, found({put.path}));
+        };
+        store.remove = [this, later](const std::string &path, std::optional<ObjectVersion>,
+                                     StoreCompletion done) {
+            objects.erase(path);
+            later(done, found({}));
+        };
+        store.watch = [](const std::string &, ObjectVersion, Millis, StoreCompletion) {};
+        return store;
+    }
+
+private:
+    StoreReply found(const std::vector<std::string> &paths) const
+    {
+        StoreReply reply;
+        reply.status = StoreStatus::Ok;
+        reply.version = 1;
+        for (const std::string &path : paths) {
+            const auto object = objects.find(path);
+            reply.objects.push_back(
+                {path, object == objects.end() ? "" : object->second, 1, false});
+        }
+        return reply;
+    }
+    static StoreReply missing()
+    {
+        StoreReply reply;
+        reply.status = StoreStatus::NotFound;
+        return reply;
+    }
+    static StoreReply down()
+    {
+        StoreReply reply;
+        reply.status = StoreStatus::Unavailable;
+        return reply;
+    }
+};
+
+/** A whole gateway on loopback over a store and upstreams that a test scripts. */
+class GatewayFixture
+{
+public:
+    GatewayFixture()
+    {
+        settings.name = "instance-1";
+        settings.failureDomain = "a";
+        settings.callers = {"127.0.0.1", freePort()};
+        settings.readiness = {"127.0.0.1", freePort()};
+        settings.admin = {"127.0.0.1", freePort()};
+        settings.retries = {0.2, Millis(10000), 1000};
+        settings.grace = Millis(4000);
+    }
+
+    ~GatewayFixture()
+    {
+        thread.stop();
+        thread.join();
+        gateway.reset();
+        client.reset();
+        thread.runLeftovers();
+    }
+
+    GatewayFixture(const GatewayFixture &) = delete;
+    GatewayFixture &operator=(const GatewayFixture &) = delete;
+
+    /** One route "/KIND/" for each kind, to service "svc"; keys "key-north" and "key-south". */
+    void declare(int maxAttempts = 2, int timeoutMs = 4000, std::uint64_t version = 1)
+    {
+        const std::string common = ",\"host\":\"h.example\",\"service\":\"svc\",\"goalMs\":500,"
+                                   "\"gapGoalMs\":200,\"timeoutMs\":"
+            + std::to_string(timeoutMs) + ",\"maxAttempts\":" + std::to_string(maxAttempts);
+        const auto route = [&](const std::string &name, const std::string &kind,
+                               const std::string &more) {
+            return "{\"name\":\"" + name + "\",\"pathPrefix\":\"/" + name + "/\",\"kind\":\"" + kind
+                + "\"" + common + more + "}";
+        };
+        store.objects["configuration/current"] = "{\"version\":" + std::to_string(version)
+            + ",\"routes\":[" + route("safe", "safe", "") + "," + route("unsafe", "unsafe", "")
+            + "," + route("stream", "stream", ",\"canResume\":true") + ","
+            + route("once", "stream", "") + ","
+            + route("prompt", "stream", ",\"canResume\":true,\"sticky\":true") + ","
+            + route("open", "safe", ",\"noAuth\":true")
+            + "],\"services\":[{\"name\":\"svc\",\"maxConns\":100}],\"limits\":{},\"tenants\":[{"
+              "\"name\":\"north\",\"keys\":[\"key-north\"]},{\"name\":\"south\",\"keys\":["
+              "\"key-south\"]}]}";
+    }
+
+    void list(const std::string &id, const std::string &address, const std::string &more = "")
+    {
+        store.objects["upstreams/" + id] = "{\"service\":\"svc\",\"address\":\"" + address
+            + "\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":4,\"born\":7" + more + "}";
+    }
+
+    /** Starts the gateway and waits until it has read the store. */
+    void start(bool waitsForReady = true)
+    {
+        client = std::make_unique<PlatformClient>(thread.io(), thread.deadlines(),
+                                                  platform::clientOptions(settings));
+        const Gateway::Environment environment{thread.io(),
+                                               thread.deadlines(),
+                                               bootClock(),
+                                               [] { return std::int64_t{1700000000000}; },
+                                               seededRandom(1),
+                                               ignoreEvents(),
+                                               store.port(thread.io()),
+                                               nullptr};
+        gateway = std::make_unique<Gateway>(settings, platform::makeWire(*client, settings),
+                                            environment);
+        Reason reason;
+        if (!gateway->start(&reason))
+            throw std::runtime_error(reason.toString());
+        thread.start();
+        for (int i = 0; waitsForReady && i < 400; ++i) {
+            bool isReady = false;
+            thread.run([&] { isReady = gateway->isReady(); });
+            if (isReady)
+                return;
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    TestSocket connect() const { return TestSocket::connectTo(settings.callers.port); }
+
+    /** Returns a request of a kind; the key is north's. */
+    static std::string request(const std::string &path, const std::string &more = "",
+                               const std::string &id = "req-1", const std::string &method = "POST",
+                               const std::string &body = "hello")
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id
+            + "\r\nAuthorization: Bearer key-north\r\nDeadline-Ms: 5000\r\n" + more
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::string ask(const std::string &text) const
+    {
+        TestSocket socket = connect();
+        socket.send(text);
+        return socket.readMessage();
+    }
+
+    InstanceSettings settings;
+    TestStore store;
+    IoThread thread;
+    std::unique_ptr<PlatformClient> client;
+    std::unique_ptr<Gateway> gateway;
+
+private:
+    static std::uint16_t freePort()
+    {
+        const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        static_cast<void>(::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof address));
+        socklen_t size = sizeof address;
+        getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
+        ::close(handle);
+        return ntohs(address.sin_port);
+    }
+};
+
+/** Returns an upstream's whole answer to a request, stamped and with its identity. */
+inline std::string stampedAnswer(const std::string &id, const std::string &body,
+                                 const std::string &status = "200 OK",
+                                 const std::string &more = "Response-Stamp: s-1\r\n")
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** Returns the head of an upstream's stream. */
+inline std::string stampedStream(const std::string &id, const std::string &stamp = "s-1")
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Stamp: " + stamp
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+} // namespace cuminrail::testing
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -122,7 +122,8 @@
     boost::asio::io_context io(1);
     DeadlineList deadlines(io, bootClock(), deadlineTick);
     BoundedLog log(settings.name, bootClock(), wallMillis, descriptorOutput(STDOUT_FILENO));
-    PlatformClient client(io, deadlines, platform::clientOptions(settings));
+    auto client =
+        std::make_unique<PlatformClient>(io, deadlines, platform::clientOptions(settings));
     const Gateway::Environment environment{
         io,
         deadlines,
@@ -130,18 +131,19 @@
         wallMillis,
         seededRandom(std::random_device()()),
         log.sink(),
-        platform::makeObjectStore(client, [&settings] { return settings.store; }),
+        platform::makeObjectStore(*client, [&settings] { return settings.store; }),
         [&log] { return log.dropped(); }};
-    Gateway gateway(settings, platform::makeWire(client, settings), environment);
+    auto gateway = std::make_unique<Gateway>(settings, platform::makeWire(*client, settings),
+                                             environment);
     SettingsFollower follower(path, settings, log.sink());
     boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](const boost::system::error_code &error, int) {
         if (!error)
-            gateway.drain([&io] { io.stop(); });
+            gateway->drain([&io] { io.stop(); });
     });
     deadlines.start();
     Reason reason;
-    if (!gateway.start(&reason))
+    if (!gateway->start(&reason))
         return complain(reason, exitFailure);
     log.write(Event{&events::processStarted,
                     {{"callers", settings.callers.toString()},
@@ -151,6 +153,13 @@
     const Repeat looking(io, settingsEvery, [&follower] { follower.look(); });
     io.run();
     log.flush();
+    // Handlers that are left hold connections whose deadlines belong to the list above; they must
+    // go before it does, or the process would end in a crash.
+    gateway.reset();
+    client.reset();
+    deadlines.stop();
+    io.restart();
+    io.poll();
     return 0;
 }
 
