--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 layers:
 	extras/check-layers.sh
+	extras/check-wire-names.sh
 
 lint: $(BUILD)/build.ninja
 	extras/lint.sh $(BUILD)
@@ -30,7 +31,7 @@
 test: build
 	cd $(BUILD) && ctest --output-on-failure -j 4
 
-check: packages check-format layers build lint test
+check: packages check-format layers build test lint
 
 demo: packages build
 	extras/demo.sh $(BUILD)
--- a/extras/format.sh
+++ b/extras/format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mode=${1:---check}
-mapfile -t files < <(find modules programs cmake examples -name '*.h' -o -name '*.cpp' | sort)
+mapfile -t files < <(find modules programs platform cmake examples -name '*.h' -o -name '*.cpp' | sort)
 if [ "$mode" = --write ]; then
   printf '%s\0' "${files[@]}" | xargs -0 -P "$(nproc)" -n 8 clang-format -i
 else
--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -17,6 +17,6 @@
 #include "dataplane/model/RouteIndex.h"
 #include "dataplane/model/UpstreamEntry.h"
 #include "dataplane/placement/EnginePlacement.h"
-#include "dataplane/roles/StagePlan.h"
 #include "dataplane/retry/RetryAllowance.h"
+#include "dataplane/roles/StagePlan.h"
 #include "dataplane/usage/UsageLedger.h"
--- a/modules/dataplane/fleet/UpstreamHealth_test.cpp
+++ b/modules/dataplane/fleet/UpstreamHealth_test.cpp
@@ -27,8 +27,9 @@
         double least;
         double most;
     };
-    for (const Row &row : {Row{AttemptSign::Good, 0.0, 0.0}, Row{AttemptSign::Full, 0.0, 0.0},
-                           Row{AttemptSign::Failure, 0.4, 0.5}, Row{AttemptSign::Broken, 0.9, 1.0}}) {
+    for (const Row &row :
+         {Row{AttemptSign::Good, 0.0, 0.0}, Row{AttemptSign::Full, 0.0, 0.0},
+          Row{AttemptSign::Failure, 0.4, 0.5}, Row{AttemptSign::Broken, 0.9, 1.0}}) {
         UpstreamHealth health;
         for (int i = 0; i < 60; ++i)
             health.record("a", row.sign, Millis(i));
--- a/modules/dataplane/model/RouteIndex_test.cpp
+++ b/modules/dataplane/model/RouteIndex_test.cpp
@@ -20,11 +20,11 @@
 {
     Configuration configuration;
     configuration.version = 3;
-    configuration.routes = {makeRoute("a.example", "/", "rest"),
-                            makeRoute("a.example", "/x/", "short"),
-                            makeRoute("a.example", "/x/y/", "long"),
-                            makeRoute("b.example", "/x/", "other")};
-    configuration.customers = {{"north", {"key-1", "key-2"}, std::nullopt}, {"south", {"key-3"}, 2}};
+    configuration.routes = {
+        makeRoute("a.example", "/", "rest"), makeRoute("a.example", "/x/", "short"),
+        makeRoute("a.example", "/x/y/", "long"), makeRoute("b.example", "/x/", "other")};
+    configuration.customers = {{"north", {"key-1", "key-2"}, std::nullopt},
+                               {"south", {"key-3"}, 2}};
     return configuration;
 }
 
--- a/modules/dataplane/placement/EngineMemory.h
+++ b/modules/dataplane/placement/EngineMemory.h
@@ -55,7 +55,8 @@
 class EngineMemory
 {
 public:
-    /** Parts remembered, in tokens: what an engine of the present kinds holds, less running work. */
+    /** Parts remembered, in tokens: what an engine of the present kinds holds, less running work.
+     */
     static constexpr std::uint64_t rememberedTokens = 280000;
     /** The delay of others' work fades by half in this time. */
     static constexpr double lagHalfLifeMillis = 800.0;
@@ -67,7 +68,8 @@
     void remember(const PromptChain &chain);
 
     void start(double freshTokens);
-    /** The prompt has been read after this long, where engines read so many tokens a millisecond. */
+    /** The prompt has been read after this long, where engines read so many tokens a millisecond.
+     */
     void read(double freshTokens, Millis took, double rate, Millis now);
     void finish(double freshTokens, bool wasRead);
     /**
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -127,12 +127,13 @@
         const UpstreamEntry &entry = candidate.engine->entry;
         const double rate = rateOf(entry).tokensPerMilli();
         return state(entry.id).running() * weights_.millisPerRunning
-            + state(entry.id).waitMillis(rate, query.now) + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query)
+            + state(entry.id).waitMillis(rate, query.now)
+            + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query)
             + weights_.transferMillisPerToken * candidate.fresh;
     };
-    const auto least = std::min_element(
-        readers.begin(), readers.end(),
-        [&](const Candidate &a, const Candidate &b) { return load(a) < load(b); });
+    const auto least =
+        std::min_element(readers.begin(), readers.end(),
+                         [&](const Candidate &a, const Candidate &b) { return load(a) < load(b); });
     return least == readers.end() ? nullptr : least->engine;
 }
 
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -35,8 +35,8 @@
     double secondHomeConfidence = 0.3;
     /**
         Reading also keeps everybody else waiting there; so its time counts this many times.
-        Measured over the days of two deployments against 1: 0.52 of the worth against 0.51, and 0.41
-        against 0.42.
+        Measured over the days of two deployments against 1: 0.52 of the worth against 0.51, and
+       0.41 against 0.42.
     */
     double readWeight = 2.0;
     /** One request more on an engine stretches each step of its batch. */
--- a/modules/dataplane/placement/LeastLoaded_test.cpp
+++ b/modules/dataplane/placement/LeastLoaded_test.cpp
@@ -49,9 +49,11 @@
 {
     LeastLoaded chooser;
     const std::set<std::string> none;
-    LeastLoaded::Query query{"a", &none, [](const std::string &id) { return id == "x" ? 0.3 : 0.0; },
+    LeastLoaded::Query query{"a", &none,
+                             [](const std::string &id) { return id == "x" ? 0.3 : 0.0; },
                              [](const std::string &id) { return id == "z"; }};
-    const std::vector<UpstreamPointer> all{upstream("x", "a"), upstream("y", "b"), upstream("z", "a")};
+    const std::vector<UpstreamPointer> all{upstream("x", "a"), upstream("y", "b"),
+                                           upstream("z", "a")};
     CHECK(chooser.choose(all, query)->entry.id == "y");
     CHECK(chooser.choose({all[2]}, query)->entry.id == "z");
     const std::set<std::string> tried{"x", "y", "z"};
--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -55,7 +55,8 @@
         }
     }
     const auto limit = std::max<std::size_t>(
-        1, static_cast<std::size_t>(static_cast<double>(engines.size()) * settings_.concurrentShare));
+        1,
+        static_cast<std::size_t>(static_cast<double>(engines.size()) * settings_.concurrentShare));
     std::vector<StageChange> changes;
     for (const auto &[name, domain] : domains) {
         const std::size_t size = domain.prefill.size() + domain.decode.size() + domain.changing;
--- a/modules/dataplane/roles/StagePlan_test.cpp
+++ b/modules/dataplane/roles/StagePlan_test.cpp
@@ -28,7 +28,8 @@
     return plan.decide(engines, Millis(10000));
 }
 
-std::vector<StagedEngine> both(std::vector<StagedEngine> left, const std::vector<StagedEngine> &right)
+std::vector<StagedEngine> both(std::vector<StagedEngine> left,
+                               const std::vector<StagedEngine> &right)
 {
     left.insert(left.end(), right.begin(), right.end());
     return left;
--- a/modules/dataplane/usage/UsageLedger.h
+++ b/modules/dataplane/usage/UsageLedger.h
@@ -16,7 +16,8 @@
 class UsageLedger
 {
 public:
-    /** Windows kept: long enough to be read by whoever reports them, with the store away a while. */
+    /** Windows kept: long enough to be read by whoever reports them, with the store away a while.
+     */
     static constexpr std::size_t keptWindows = 12;
 
     void count(std::int64_t window, const std::string &customer);
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -109,12 +109,11 @@
                {nullptr, [this](const auto &exchange) { onRequest(exchange); },
                 [this](int status, const Reason &reason) { return problemAnswer(status, reason); }},
                load_),
-      readiness_(environment_.io, environment_.deadlines, HttpServerLimits(),
-                 {nullptr, [this](const auto &exchange) { onReadinessRequest(exchange); },
-                  [this](int status, const Reason &reason) {
-                      return problemAnswer(status, reason);
-                  }},
-                 std::make_shared<ServerLoad>()),
+      readiness_(
+          environment_.io, environment_.deadlines, HttpServerLimits(),
+          {nullptr, [this](const auto &exchange) { onReadinessRequest(exchange); },
+           [this](int status, const Reason &reason) { return problemAnswer(status, reason); }},
+          std::make_shared<ServerLoad>()),
       admin_(environment_.io, environment_.deadlines, adminPages()),
       sync_(environment_.io, context_, environment_.store, environment_.random),
       registry_({InstanceId(settings_.name),
@@ -122,8 +121,7 @@
                 environment_.store, environment_.clock, environment_.random),
       lease_(fleetDuty, lifeOf(settings_, environment_.wallMillis()), leaseTiming(),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
-              environment_.random, environment_.events,
-              nullptr, nullptr}),
+              environment_.random, environment_.events, nullptr, nullptr}),
       peers_(context_, registry_, environment_.random,
              [this](const std::string &text) {
                  sync_.takeConfigurationText(text, "another instance");
@@ -131,8 +129,8 @@
       wallOffset_(environment_.wallMillis() - environment_.clock.now().count()),
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
-              [this] { return trueTime(); },
-              environment_.events, wire_.reportUsage, [this] { return authority(); }}),
+              [this] { return trueTime(); }, environment_.events, wire_.reportUsage,
+              [this] { return authority(); }}),
       stages_(context_, [this] { return authority(); }),
       scale_(context_, [this] { return authority(); }), timer_(environment_.io)
 {
@@ -306,9 +304,8 @@
     if ((isDone || isLate) && onDrained_) {
         const auto drained = std::move(onDrained_);
         onDrained_ = nullptr;
-        environment_.events(
-            Event{&events::processStopped,
-                  {{"cut", std::to_string(context_.counters.inProgress)}}});
+        environment_.events(Event{&events::processStopped,
+                                  {{"cut", std::to_string(context_.counters.inProgress)}}});
         drained();
     }
 }
--- a/modules/gateway/GatewayWire.h
+++ b/modules/gateway/GatewayWire.h
@@ -82,7 +82,8 @@
     std::function<std::string(const std::string &handle, const UpstreamEntry &)>
         encodeHandleRelease;
     std::function<std::optional<Configuration>(const std::string &, Reason *)> decodeConfiguration;
-    std::function<std::optional<UpstreamEntry>(const std::string &id, const std::string &, Reason *)>
+    std::function<std::optional<UpstreamEntry>(const std::string &id, const std::string &,
+                                               Reason *)>
         decodeUpstream;
     std::function<void(std::int64_t window, const CustomerCounts &, const DutyAuthority &,
                        DutyCompletion)>
--- a/modules/gateway/admin/GatewayAdmin.cpp
+++ b/modules/gateway/admin/GatewayAdmin.cpp
@@ -14,18 +14,17 @@
 } // namespace
 
 GatewayAdmin::GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, AdminPages pages)
-    : pages_(std::move(pages)),
-      server_(io, deadlines, HttpServerLimits{},
-              HttpServerHooks{
-                  nullptr,
-                  [this](const std::shared_ptr<HttpExchange> &exchange) {
-                      exchange->respond(answer(exchange->head()));
-                  },
-                  [](int status, const Reason &reason) {
-                      return textAnswer(status, reason.toString() + "\n");
-                  },
-              },
-              std::make_shared<ServerLoad>())
+    : pages_(std::move(pages)), server_(io, deadlines, HttpServerLimits{},
+                                        HttpServerHooks{
+                                            nullptr,
+                                            [this](const std::shared_ptr<HttpExchange> &exchange) {
+                                                exchange->respond(answer(exchange->head()));
+                                            },
+                                            [](int status, const Reason &reason) {
+                                                return textAnswer(status, reason.toString() + "\n");
+                                            },
+                                        },
+                                        std::make_shared<ServerLoad>())
 { }
 
 bool GatewayAdmin::listen(const std::string &host, std::uint16_t port, Reason *lastReason)
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -44,8 +44,8 @@
 void GatewayMetrics::requestEnded(RouteKind kind, RequestOutcome outcome, double seconds)
 {
     requests_
-        .Add({{"kind", kindName(kind)},
-              {"outcome", std::string(requestOutcomeNames.name(outcome))}})
+        .Add(
+            {{"kind", kindName(kind)}, {"outcome", std::string(requestOutcomeNames.name(outcome))}})
         .Increment();
     answerSeconds_.Add({{"kind", kindName(kind)}}, latencyBuckets()).Observe(seconds);
 }
@@ -88,7 +88,8 @@
     set("cuminrail_requests_in_progress", "Requests not answered yet", counters.inProgress);
     set("cuminrail_sends", "Sends to upstreams since the start",
         static_cast<double>(counters.sends));
-    set("cuminrail_repeats", "Sends beyond a request's first", static_cast<double>(counters.repeats));
+    set("cuminrail_repeats", "Sends beyond a request's first",
+        static_cast<double>(counters.repeats));
     set("cuminrail_resumes", "Streams that went on at another upstream",
         static_cast<double>(counters.resumes));
     set("cuminrail_hand_overs", "Prompts read by a prefill engine first",
--- a/modules/gateway/control/ScaleDuty.cpp
+++ b/modules/gateway/control/ScaleDuty.cpp
@@ -15,8 +15,7 @@
 
 } // namespace
 
-ScaleDuty::ScaleDuty(RelayContext &context,
-                     std::function<std::optional<DutyAuthority>()> authority)
+ScaleDuty::ScaleDuty(RelayContext &context, std::function<std::optional<DutyAuthority>()> authority)
     : context_(context), authority_(std::move(authority))
 { }
 
@@ -60,8 +59,7 @@
         ScaleTarget reclaimable{service.name, domain, target.reclaimable, true};
         // Fewer regular ones make room for the others within the bounds; so they come first.
         orderIfDue(subject, state.regular, regular, fleet.regular, service.scale->boot);
-        orderIfDue(subject, state.reclaimable, reclaimable, fleet.reclaimable,
-                   service.scale->boot);
+        orderIfDue(subject, state.reclaimable, reclaimable, fleet.reclaimable, service.scale->boot);
     }
 }
 
--- a/modules/gateway/control/ScaleDuty.h
+++ b/modules/gateway/control/ScaleDuty.h
@@ -33,8 +33,7 @@
 
         bool operator<(const Subject &other) const
         {
-            return std::tie(service, failureDomain)
-                < std::tie(other.service, other.failureDomain);
+            return std::tie(service, failureDomain) < std::tie(other.service, other.failureDomain);
         }
     };
     /** One kind of upstream of a subject. */
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-StageDuty::StageDuty(RelayContext &context,
-                     std::function<std::optional<DutyAuthority>()> authority)
+StageDuty::StageDuty(RelayContext &context, std::function<std::optional<DutyAuthority>()> authority)
     : context_(context), authority_(std::move(authority))
 { }
 
@@ -59,13 +58,12 @@
 {
     const Millis now = context_.now();
     pending_[change.id] = Pending{change.to, now + service.engine->roleSwitch + listDelay, now};
-    context_.events(Event{&events::roleChangeDecided,
-                          {{"engine", change.id},
-                           {"to", std::string(engineStageNames.name(change.to))}}});
-    context_.wire.readEngine(engine->entry,
-                             [this, engine, to = change.to](const auto &report) {
-                                 reportRead(engine, to, report);
-                             });
+    context_.events(
+        Event{&events::roleChangeDecided,
+              {{"engine", change.id}, {"to", std::string(engineStageNames.name(change.to))}}});
+    context_.wire.readEngine(engine->entry, [this, engine, to = change.to](const auto &report) {
+        reportRead(engine, to, report);
+    });
 }
 
 void StageDuty::reportRead(const UpstreamPointer &engine, EngineStage to,
@@ -75,19 +73,18 @@
     const auto authority = authority_();
     if (!report || !authority || report->isBusy || report->stage == to || engine->isLeaving)
         return done(id, DutyResult::Refused, {"engine", "is not to be ordered now"});
-    context_.wire.orderStage(engine->entry, to, report->ordersAccepted, *authority,
-                             [this, id](DutyResult result, const Reason &reason) {
-                                 done(id, result, reason);
-                             });
+    context_.wire.orderStage(
+        engine->entry, to, report->ordersAccepted, *authority,
+        [this, id](DutyResult result, const Reason &reason) { done(id, result, reason); });
 }
 
 void StageDuty::done(const std::string &id, DutyResult result, const Reason &reason)
 {
-    context_.events(Event{result == DutyResult::Unknown ? &events::orderInDoubt
-                                                        : &events::orderSettled,
-                          {{"engine", id},
-                           {"result", std::string(dutyResultNames.name(result))},
-                           {"reason", reason.toString()}}});
+    context_.events(
+        Event{result == DutyResult::Unknown ? &events::orderInDoubt : &events::orderSettled,
+              {{"engine", id},
+               {"result", std::string(dutyResultNames.name(result))},
+               {"reason", reason.toString()}}});
     // An order in doubt keeps the engine out of further plans until its time is over.
     if (result == DutyResult::Refused)
         pending_.erase(id);
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -9,11 +9,17 @@
 
 StoreSync::StoreSync(boost::asio::io_context &io, RelayContext &context, ObjectStore store,
                      RandomHook random)
-    : context_(context), store_(std::move(store)), random_(std::move(random)),
-      configuration_{context.wire.configurationPath.substr(
-                         0, context.wire.configurationPath.find('/') + 1),
-                     0, false, false, firstRetry, 0, boost::asio::steady_timer(io)},
-      upstreams_{context.wire.upstreamsPath, 0, false, false, firstRetry, 0,
+    : context_(context), store_(std::move(store)),
+      random_(std::move(random)), configuration_{context.wire.configurationPath.substr(
+                                                     0,
+                                                     context.wire.configurationPath.find('/') + 1),
+                                                 0,
+                                                 false,
+                                                 false,
+                                                 firstRetry,
+                                                 0,
+                                                 boost::asio::steady_timer(io)},
+      upstreams_{context.wire.upstreamsPath,   0, false, false, firstRetry, 0,
                  boost::asio::steady_timer(io)}
 { }
 
@@ -28,8 +34,7 @@
     store_.list(feed.prefix, current(feed, &StoreSync::listDone));
 }
 
-StoreCompletion StoreSync::current(Feed &feed,
-                                   void (StoreSync::*done)(Feed &, const StoreReply &))
+StoreCompletion StoreSync::current(Feed &feed, void (StoreSync::*done)(Feed &, const StoreReply &))
 {
     const std::uint64_t generation = ++feed.generation;
     return [this, &feed, done, generation](const StoreReply &reply) {
@@ -114,7 +119,8 @@
 {
     const Millis now = context_.now();
     feed.retry = firstRetry;
-    (&feed == &configuration_ ? context_.configurationConfirmed : context_.upstreamsConfirmed) = now;
+    (&feed == &configuration_ ? context_.configurationConfirmed : context_.upstreamsConfirmed) =
+        now;
     if (feed.isDown) {
         feed.isDown = false;
         context_.events(Event{&events::storeReturned, {{"feed", feed.prefix}}});
@@ -151,8 +157,7 @@
     Reason reason;
     auto configuration = context_.wire.decodeConfiguration(text, &reason);
     if (!configuration) {
-        context_.events(
-            Event{&events::configurationRefused, {{"reason", reason.toString()}}});
+        context_.events(Event{&events::configurationRefused, {{"reason", reason.toString()}}});
         return;
     }
     // A lagging or repeated read must never put an older version back.
@@ -161,9 +166,9 @@
     context_.index = std::make_shared<const RouteIndex>(std::move(*configuration));
     configurationText_ = text;
     state_.hasConfiguration = true;
-    context_.events(Event{&events::configurationInForce,
-                          {{"version", std::to_string(context_.index->version())},
-                           {"source", source}}});
+    context_.events(
+        Event{&events::configurationInForce,
+              {{"version", std::to_string(context_.index->version())}, {"source", source}}});
     if (onConfiguration)
         onConfiguration();
 }
--- a/modules/gateway/control/UsageDuty.cpp
+++ b/modules/gateway/control/UsageDuty.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-UsageDuty::UsageDuty(std::string instance, std::string life, const UsageTiming &timing, Hooks hooks)
+UsageDuty::UsageDuty(std::string instance, const std::string &life, const UsageTiming &timing,
+                     Hooks hooks)
     : instance_(std::move(instance)), path_(ledgersPrefix + instance_ + "." + life),
       timing_(timing), hooks_(std::move(hooks)), firstWindow_(windowAt(hooks_.wallMillis()))
 { }
@@ -182,10 +183,9 @@
     const auto authority = hooks_.authority();
     if (!authority)
         return failed(window, {"lease", "ended"});
-    hooks_.report(window, *counts, *authority,
-                  [this, window](DutyResult result, const Reason &why) {
-                      reported(window, result, why);
-                  });
+    hooks_.report(
+        window, *counts, *authority,
+        [this, window](DutyResult result, const Reason &why) { reported(window, result, why); });
 }
 
 void UsageDuty::reported(std::int64_t window, DutyResult result, const Reason &reason)
--- a/modules/gateway/control/UsageDuty.h
+++ b/modules/gateway/control/UsageDuty.h
@@ -56,7 +56,8 @@
         std::function<std::optional<DutyAuthority>()> authority;
     };
 
-    UsageDuty(std::string instance, std::string life, const UsageTiming &timing, Hooks hooks);
+    UsageDuty(std::string instance, const std::string &life, const UsageTiming &timing,
+              Hooks hooks);
 
     void count(const std::string &customer);
     /** Does what is due; to be called every few hundred milliseconds. */
--- /dev/null
+++ b/modules/gateway/control/UsageDuty_test.cpp
@@ -0,0 +1,181 @@
+#include <doctest/doctest.h>
+
+#include "gateway/control/UsageDuty.h"
+#include "ports/testing/testing.h"
+
+#include <memory>
+#include <set>
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr std::int64_t windowMillis = 5000;
+
+/** Instances that count, one store, and a platform that takes reports. */
+class UsageCluster
+{
+public:
+    FakeScheduler scheduler;
+    FakeNetwork network{scheduler};
+    FakeObjectStore store{network};
+    std::vector<FakeProcessPtr> processes;
+    std::vector<std::unique_ptr<UsageDuty>> duties;
+    /** Which instance may report, and under which fence. */
+    std::size_t holder = 0;
+    std::uint64_t fence = 1;
+    bool isReportLost = false;
+    std::map<std::int64_t, std::set<std::string>> reports;
+
+    UsageCluster(std::size_t size, std::uint64_t seed) : scheduler(seed)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            start(i);
+    }
+
+    void start(std::size_t index)
+    {
+        const std::string name = "i-" + std::to_string(index);
+        processes.push_back(std::make_shared<FakeProcess>(name));
+        const auto wall = [this] { return 1000 * windowMillis + scheduler.now().count(); };
+        UsageDuty::Hooks hooks{store.port(processes.back()),
+                               Clock([this] { return scheduler.now(); }),
+                               wall,
+                               ignoreEvents(),
+                               [this](std::int64_t window, const CustomerCounts &counts,
+                                      const DutyAuthority &, const DutyCompletion &done) {
+                                   reports[window].insert(encodeSeal(counts));
+                                   done(isReportLost ? DutyResult::Unknown : DutyResult::Accepted,
+                                        {});
+                               },
+                               [this, index]() -> std::optional<DutyAuthority> {
+                                   if (index != holder)
+                                       return std::nullopt;
+                                   return DutyAuthority{"h", fence, scheduler.now() + Millis(3000)};
+                               }};
+        duties.push_back(std::make_unique<UsageDuty>(name, std::to_string(duties.size()),
+                                                     UsageTiming{}, std::move(hooks)));
+    }
+
+    /** Lets time pass; each running instance counts a request every 100 ms. */
+    void run(Millis span, bool counts = true)
+    {
+        const Millis end = scheduler.now() + span;
+        while (scheduler.now() < end) {
+            scheduler.runFor(Millis(100));
+            for (std::size_t i = 0; i < duties.size(); ++i) {
+                if (!processes[i]->isRunning(scheduler.now()))
+                    continue;
+                if (counts)
+                    duties[i]->count("north");
+                duties[i]->tick();
+            }
+        }
+    }
+
+    std::uint64_t reported(std::int64_t window) const
+    {
+        const auto found = reports.find(window);
+        if (found == reports.end() || found->second.empty())
+            return 0;
+        Reason reason;
+        return decodeSeal(*found->second.begin(), &reason)->at("north");
+    }
+
+    bool isEachWindowOnce() const
+    {
+        for (const auto &[window, figures] : reports) {
+            if (figures.size() != 1)
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE("every window is reported whole, once it is over and before it is due")
+{
+    UsageCluster cluster(4, 1);
+    cluster.run(Millis(30000));
+    for (std::int64_t window = 1001; window <= 1004; ++window) {
+        CHECK(cluster.reported(window) >= 196);
+        CHECK(cluster.reported(window) <= 204);
+    }
+    CHECK(cluster.reports.count(1005) == 0);
+    CHECK(cluster.isEachWindowOnce());
+}
+
+// The holder dies with a window half collected, or its report's answer is lost; the next holder
+// takes up the same window. Two figures for one window would bill customers wrongly.
+TEST_CASE("holders that follow one another never report two figures for a window")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        UsageCluster cluster(3, seed);
+        auto random = cluster.scheduler.random();
+        cluster.network.setHook([&random](const FakeMessage &) {
+            return MessageFate{random() % 12 == 0,
+                               Millis(static_cast<std::int64_t>(random() % 30))};
+        });
+        for (int turn = 0; turn < 12; ++turn) {
+            cluster.holder = random() % 3;
+            ++cluster.fence;
+            cluster.isReportLost = random() % 3 == 0;
+            cluster.run(Millis(static_cast<std::int64_t>(1000 + random() % 4000)));
+        }
+        cluster.isReportLost = false;
+        cluster.run(Millis(20000));
+        CHECK(cluster.isEachWindowOnce());
+        CHECK(cluster.reports.size() >= 6);
+    }
+}
+
+// An instance cannot reach the store while a window ends. Sealed without it, the report would lack
+// its requests; waited for without end, the report would never come.
+TEST_CASE("a window waits for an instance that is late, but not beyond its time")
+{
+    for (const bool comesBack : {true, false}) {
+        CAPTURE(comesBack);
+        UsageCluster cluster(3, 7);
+        cluster.run(Millis(8000));
+        cluster.network.setCut("i-2", "*", true);
+        cluster.run(Millis(5500));
+        if (comesBack)
+            cluster.network.setCut("i-2", "*", false);
+        cluster.run(Millis(9000));
+        CHECK(cluster.reported(1001) >= (comesBack ? 145 : 100));
+        CHECK(cluster.reported(1001) <= 153);
+        CHECK(cluster.isEachWindowOnce());
+    }
+}
+
+TEST_CASE("an instance that ended is not waited for, and its ledger is cleared away in time")
+{
+    UsageCluster cluster(3, 5);
+    cluster.run(Millis(6000));
+    cluster.duties[2]->flush();
+    cluster.run(Millis(100), false);
+    cluster.processes[2]->kill();
+    cluster.run(Millis(90000));
+    CHECK(cluster.reported(1000) >= 140);
+    CHECK(cluster.reported(1010) >= 96);
+    CHECK(cluster.store.value("usage/i-2.2").empty());
+    CHECK(cluster.store.value("seals/1001").empty());
+    CHECK(cluster.isEachWindowOnce());
+}
+
+TEST_CASE("records that cannot be read say why")
+{
+    Reason reason;
+    for (const char *bad :
+         {"", "[]", R"({"complete_through":1})", R"({"complete_through":"x","windows":{}})",
+          R"({"complete_through":1,"windows":{"x":{}}})"}) {
+        CHECK_FALSE(decodeLedger(bad, &reason));
+        CHECK(reason.where == "ledger");
+    }
+    CHECK_FALSE(decodeSeal("{\"north\":\"many\"}", &reason));
+    CHECK(reason.where == "seal");
+    const LedgerRecord record{7, {{7, {{"north", 3}}}}};
+    CHECK(decodeLedger(encodeLedger(record), &reason)->windows == record.windows);
+}
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -17,8 +17,8 @@
 /** What all requests of an instance share. Belongs to the event loop's thread. */
 struct RelayContext
 {
-    RelayContext(const GatewayWire &gatewayWire, DeadlineList &deadlineList, UpstreamPool &upstreams,
-                 const InstanceSettings &instanceSettings)
+    RelayContext(const GatewayWire &gatewayWire, DeadlineList &deadlineList,
+                 UpstreamPool &upstreams, const InstanceSettings &instanceSettings)
         : wire(gatewayWire), deadlines(deadlineList), pool(upstreams), settings(instanceSettings),
           retries(instanceSettings.retries)
     { }
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -38,8 +38,7 @@
         event.fields.emplace_back("expected_ms", text(attempt_.choice->expectedMillis));
         event.fields.emplace_back("fresh_tokens", text(attempt_.choice->freshTokens));
     } else {
-        event.fields.emplace_back("own_open",
-                                  std::to_string(context_.services.open(upstream.id)));
+        event.fields.emplace_back("own_open", std::to_string(context_.services.open(upstream.id)));
     }
     if (sends_ + refusals_ + connectFailures_ > 0)
         event.fields.emplace_back("after", lastProblem_);
@@ -50,8 +49,8 @@
 {
     const UpstreamPointer &upstream =
         attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
-    const Verdict verdict = attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun
-                                                                                 : end.verdict;
+    const Verdict verdict =
+        attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun : end.verdict;
     context_.events(Event{&events::attemptEnded,
                           {{"request", inbound_.id},
                            {"upstream", upstream->entry.id},
@@ -68,15 +67,15 @@
     const Verdict verdict = hasBegun_ ? Verdict::Ran
         : mayHaveRun_                 ? Verdict::MayHaveRun
                                       : Verdict::NotRun;
-    Event event{&kind,
-                {{"request", inbound_.id},
-                 {"route", route_ == nullptr ? "" : route_->name},
-                 {"customer", customer_},
-                 {"status", std::to_string(status)},
-                 {"verdict", std::string(verdictNames.name(verdict))},
-                 {"elapsed_ms", text(context_.now() - arrivedAt_)},
-                 {"configuration",
-                  index_ == nullptr ? "none" : std::to_string(index_->version())}}};
+    Event event{
+        &kind,
+        {{"request", inbound_.id},
+         {"route", route_ == nullptr ? "" : route_->name},
+         {"customer", customer_},
+         {"status", std::to_string(status)},
+         {"verdict", std::string(verdictNames.name(verdict))},
+         {"elapsed_ms", text(context_.now() - arrivedAt_)},
+         {"configuration", index_ == nullptr ? "none" : std::to_string(index_->version())}}};
     if (!why.empty())
         event.fields.emplace_back("reason", why);
     context_.events(event);
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -252,8 +252,8 @@
 {
     UpstreamRequest request;
     request.address = upstream->entry.address;
-    request.wire = context_.wire.encodeRequest(exchange_->head(), exchange_->body(), inbound_,
-                                               fields);
+    request.wire =
+        context_.wire.encodeRequest(exchange_->head(), exchange_->body(), inbound_, fields);
     request.requestId = inbound_.id;
     request.identityHeader = context_.wire.identityHeader;
     // Refusals need not repeat the identity; onHead() asks for it from all other answers.
@@ -443,7 +443,8 @@
 
 void RequestRelay::attemptFailed(const UpstreamEnd &end)
 {
-    lastProblem_ = std::string(upstreamEndKindNames.name(end.kind)) + ": " + end.lastReason.toString();
+    lastProblem_ =
+        std::string(upstreamEndKindNames.name(end.kind)) + ": " + end.lastReason.toString();
     recordSign(AttemptSign::Broken);
     tried_.insert(attempt_.upstream->entry.id);
     const bool mayHaveRun = end.verdict != Verdict::NotRun;
--- a/modules/gateway/request/RequestRelay_test.cpp
+++ b/modules/gateway/request/RequestRelay_test.cpp
@@ -20,8 +20,7 @@
             const ReceivedRequest request = connection.read();
             if (request.text.empty())
                 return;
-            connection.socket.send(
-                stampedAnswer(request.header("Request-Id"), body, status, more));
+            connection.socket.send(stampedAnswer(request.header("Request-Id"), body, status, more));
         }
     };
 }
@@ -46,8 +45,9 @@
     fixture.list("u-1", upstream.address());
     fixture.start();
     const std::string answer = fixture.ask(GatewayFixture::request(
-        "/safe/x?q=1", "Tenant: south\r\nKv-Source: 1.2.3.4:5/ab\r\nPin-Ms: 9\r\nX-Note: kept\r\n"
-                       "X-Spy: key-north\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
+        "/safe/x?q=1",
+        "Tenant: south\r\nKv-Source: 1.2.3.4:5/ab\r\nPin-Ms: 9\r\nX-Note: kept\r\n"
+        "X-Spy: key-north\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
     CHECK(statusOf(answer) == 200);
     CHECK(has(answer, "Response-Stamp: s-1"));
     CHECK(has(answer, "whole body"));
@@ -78,11 +78,10 @@
     GatewayFixture fixture;
     fixture.declare();
     fixture.start();
-    for (const Row &row :
-         {Row{"unknown key", unknownKey, 401, false}, Row{"no key", noKey, 401, false},
-          Row{"no identity", noId, 400, false},
-          Row{"no route", GatewayFixture::request("/none/x"), 404, false},
-          Row{"no upstream", GatewayFixture::request("/unsafe/x"), 503, true}}) {
+    for (const Row &row : {Row{"unknown key", unknownKey, 401, false},
+                           Row{"no key", noKey, 401, false}, Row{"no identity", noId, 400, false},
+                           Row{"no route", GatewayFixture::request("/none/x"), 404, false},
+                           Row{"no upstream", GatewayFixture::request("/unsafe/x"), 503, true}}) {
         CAPTURE(row.what);
         const std::string answer = fixture.ask(row.request);
         CHECK(statusOf(answer) == row.status);
@@ -115,8 +114,8 @@
         std::size_t sends;
         int status;
     };
-    for (const Row &row : {Row{"/unsafe/x", 1, 502}, Row{"/once/x", 1, 502},
-                           Row{"/safe/x", 2, 200}}) {
+    for (const Row &row :
+         {Row{"/unsafe/x", 1, 502}, Row{"/once/x", 1, 502}, Row{"/safe/x", 2, 200}}) {
         CAPTURE(row.path);
         GatewayFixture fixture;
         std::atomic<int> received{0};
--- a/modules/gateway/testing/GatewayFixture.h
+++ b/modules/gateway/testing/GatewayFixture.h
@@ -145,8 +145,8 @@
                                                ignoreEvents(),
                                                store.port(thread.io()),
                                                nullptr};
-        gateway = std::make_unique<Gateway>(settings, platform::makeWire(*client, settings),
-                                            environment);
+        gateway =
+            std::make_unique<Gateway>(settings, platform::makeWire(*client, settings), environment);
         Reason reason;
         if (!gateway->start(&reason))
             throw std::runtime_error(reason.toString());
--- a/modules/instance/request/RequestHeaders.cpp
+++ b/modules/instance/request/RequestHeaders.cpp
@@ -124,9 +124,8 @@
     std::vector<HttpHeader> passed;
     for (const HttpHeader &header : head.headers) {
         const bool isKept = isHopHeader(header.name, named) || hasOwnPrefix(header.name)
-            || sameName(header.name, "Content-Length")
-            || sameName(header.name, "X-Request-Id") || sameName(header.name, "X-Customer")
-            || sameName(header.name, "X-Idempotent-Replay");
+            || sameName(header.name, "Content-Length") || sameName(header.name, "X-Request-Id")
+            || sameName(header.name, "X-Customer") || sameName(header.name, "X-Idempotent-Replay");
         if (!isKept)
             passed.push_back(header);
     }
--- a/modules/membership/gossip/TableComparison.cpp
+++ b/modules/membership/gossip/TableComparison.cpp
@@ -1,7 +1,7 @@
 #include "membership/gossip/TableComparison.h"
 
-#include "membership/gossip/UpdateQueue.h"
 #include "core/hash/StableHash.h"
+#include "membership/gossip/UpdateQueue.h"
 
 #include <unordered_map>
 
--- a/modules/net/http/HopHeaders.cpp
+++ b/modules/net/http/HopHeaders.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> hopByHop{
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE", "Trailer",
-    "Upgrade",    "Transfer-Encoding", "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+    "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",
+    "Expect"};
 
 } // namespace
 
--- a/modules/net/http/HopHeaders.h
+++ b/modules/net/http/HopHeaders.h
@@ -16,7 +16,8 @@
 */
 std::vector<std::string> connectionHeaderNames(const HttpHead &head);
 
-/** Returns true if a header must not be passed on; @c named is what connectionHeaderNames() gave. */
+/** Returns true if a header must not be passed on; @c named is what connectionHeaderNames() gave.
+ */
 bool isHopHeader(std::string_view name, const std::vector<std::string> &named);
 
 /** Appends "Name: value" and a line end. */
--- a/modules/runtime/log/BoundedLog.cpp
+++ b/modules/runtime/log/BoundedLog.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-BoundedLog::BoundedLog(std::string instance, Clock clock,
-                       std::function<std::int64_t()> wallMillis, Output output, LogBounds bounds)
+BoundedLog::BoundedLog(std::string instance, Clock clock, std::function<std::int64_t()> wallMillis,
+                       Output output, LogBounds bounds)
     : instance_(std::move(instance)), clock_(std::move(clock)), wallMillis_(std::move(wallMillis)),
       output_(std::move(output)), bounds_(bounds)
 { }
@@ -114,7 +114,8 @@
         pollfd question{descriptor, POLLOUT, 0};
         if (poll(&question, 1, 0) != 1 || (question.revents & POLLOUT) == 0)
             return 0;
-        const ssize_t written = ::write(descriptor, bytes.data(), std::min(bytes.size(), atomicBytes));
+        const ssize_t written =
+            ::write(descriptor, bytes.data(), std::min(bytes.size(), atomicBytes));
         return written < 0 ? 0 : static_cast<std::size_t>(written);
     };
 }
--- a/modules/runtime/log/BoundedLog_test.cpp
+++ b/modules/runtime/log/BoundedLog_test.cpp
@@ -16,14 +16,15 @@
 struct LogUnderTest
 {
     explicit LogUnderTest(LogBounds bounds = {})
-        : log("i-1", Clock([this] { return now; }), [] { return std::int64_t{1700000000123}; },
-              [this](std::string_view bytes) {
-                  const std::size_t size = std::min(bytes.size(), room);
-                  room -= size;
-                  text.append(bytes.substr(0, size));
-                  return size;
-              },
-              bounds)
+        : log(
+            "i-1", Clock([this] { return now; }), [] { return std::int64_t{1700000000123}; },
+            [this](std::string_view bytes) {
+                const std::size_t size = std::min(bytes.size(), room);
+                room -= size;
+                text.append(bytes.substr(0, size));
+                return size;
+            },
+            bounds)
     { }
 
     std::vector<nlohmann::json> lines() const
@@ -77,7 +78,8 @@
 
 // Nobody reads the output any more. The process must go on without its log, and keep the lines that
 // matter most for when somebody does.
-TEST_CASE("an output that takes nothing costs lines, successes first, and never more than the bound")
+TEST_CASE(
+    "an output that takes nothing costs lines, successes first, and never more than the bound")
 {
     LogBounds bounds;
     bounds.waitingBytes = 4000;
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -133,8 +133,8 @@
         log.sink(),
         platform::makeObjectStore(*client, [&settings] { return settings.store; }),
         [&log] { return log.dropped(); }};
-    auto gateway = std::make_unique<Gateway>(settings, platform::makeWire(*client, settings),
-                                             environment);
+    auto gateway =
+        std::make_unique<Gateway>(settings, platform::makeWire(*client, settings), environment);
     SettingsFollower follower(path, settings, log.sink());
     boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](const boost::system::error_code &error, int) {
