Silence judged by progress, one trial after a pause, nothing left behind at the end

Every instance paid for every change of the list by itself. Address and undefined behaviour sanitizers over the gateway's and translation's tests: clean.

--- a/modules/dataplane/fleet/UpstreamHealth.h
+++ b/modules/dataplane/fleet/UpstreamHealth.h
@@ -34,9 +34,21 @@
     static constexpr double setAsideAbove = 0.22;
     static constexpr Millis firstPause = Millis(1000);
     static constexpr Millis longestPause = Millis(8000);
+    /** After this long without an outcome a trial counts as lost. */
+    static constexpr Millis trialTime = Millis(2000);
 
     void record(const std::string &upstream, AttemptSign sign, Millis now);
-    /** Returns true while the upstream should get no work if another one can. */
+    /** A request goes to the upstream; after its pause the first one is its trial. */
+    void started(const std::string &upstream, Millis now);
+    /** Something of an answer came from the upstream. */
+    void progressed(const std::string &upstream, Millis now) { states_[upstream].progress = now; }
+    /** Returns true if the upstream showed within this span that it works. */
+    bool hasProgressed(const std::string &upstream, Millis span, Millis now) const;
+    /**
+        Returns true while the upstream should get no work if another one can: for a pause after
+        bad outcomes, and then until its single trial has ended. Without that bound all requests of
+        the moment would be its trial, and wait for an upstream that is still dead.
+    */
     bool isSetAside(const std::string &upstream, Millis now) const;
     /** Returns the share of bad outcomes of late, 0 to 1. */
     double badShare(const std::string &upstream) const;
@@ -48,6 +60,10 @@
         double bad = 0;
         Millis until = Millis(-1);
         Millis pause;
+        /** The trial after a pause is under way until then. */
+        Millis trialUntil = Millis(-1);
+        bool isOnTrial = false;
+        Millis progress = Millis(-1000000);
     };
 
     std::unordered_map<std::string, State> states_;
--- a/modules/dataplane/fleet/UpstreamHealth_test.cpp
+++ b/modules/dataplane/fleet/UpstreamHealth_test.cpp
@@ -50,3 +50,42 @@
     health.forget("a");
     CHECK(health.badShare("a") == 0);
 }
+
+// An upstream is dead for longer than its pause. When the pause ends, every request of the moment
+// takes it for the best choice, and all wait for a connection that never comes.
+TEST_CASE("after a pause a single request is the trial")
+{
+    UpstreamHealth health;
+    health.record("a", AttemptSign::Broken, Millis(0));
+    health.record("a", AttemptSign::Broken, Millis(0));
+    REQUIRE(health.isSetAside("a", Millis(900)));
+    REQUIRE_FALSE(health.isSetAside("a", Millis(1001)));
+    health.started("a", Millis(1001));
+    CHECK(health.isSetAside("a", Millis(1002)));
+    SUBCASE("it fails")
+    {
+        health.record("a", AttemptSign::Broken, Millis(1400));
+        CHECK(health.isSetAside("a", Millis(3300)));
+        CHECK_FALSE(health.isSetAside("a", Millis(3401)));
+    }
+    SUBCASE("it succeeds")
+    {
+        health.record("a", AttemptSign::Good, Millis(1100));
+        CHECK_FALSE(health.isSetAside("a", Millis(1101)));
+        health.started("a", Millis(1102));
+        CHECK_FALSE(health.isSetAside("a", Millis(1103)));
+    }
+    SUBCASE("nothing is heard of it")
+    {
+        CHECK_FALSE(health.isSetAside("a", Millis(3100)));
+    }
+}
+
+TEST_CASE("progress is remembered for as long as is asked")
+{
+    UpstreamHealth health;
+    CHECK_FALSE(health.hasProgressed("a", Millis(700), Millis(0)));
+    health.progressed("a", Millis(100));
+    CHECK(health.hasProgressed("a", Millis(700), Millis(800)));
+    CHECK_FALSE(health.hasProgressed("a", Millis(700), Millis(801)));
+}
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -16,7 +16,7 @@
     std::uint16_t port = 0;
 
     std::string toString() const { return host + ":" + std::to_string(port); }
-    bool isSet() const { return port != 0; }
+    bool isSet() const { return !host.empty(); }
 };
 
 /** What an instance learns at its start, and again when its settings change. */
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/** Below this a prompt is read faster where it runs than it could be handed over. */
-constexpr double leastHandOverTokens = 1200;
+/** Below this handing over costs more messages than it could save. */
+constexpr double leastHandOverTokens = 300;
+/** From here on reading stretches the pauses of the streams where it is done. */
+constexpr double disturbingTokens = 1200;
 
 std::uint64_t affinity(std::uint64_t sharedKey, const UpstreamEntry &entry)
 {
@@ -114,7 +116,11 @@
     const double split = prefill->millis + weights_.handOverMillis + detour(runner->entry, query)
         + weights_.transferMillisPerToken * chain.tokens
         + weights_.millisPerRunning * state(runner->entry.id).running();
-    if (split >= weights_.ownReadFactor * reader->millis + weights_.ownReadMillis)
+    const bool disturbs = reader->fresh >= disturbingTokens;
+    const double bearable = disturbs
+        ? weights_.ownReadFactor * reader->millis + weights_.ownReadMillis
+        : reader->millis;
+    if (split >= bearable)
         return choice;
     return EngineChoice{runner, prefill->engine, prefill->fresh, split};
 }
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -237,7 +237,10 @@
     if (!isDraining_)
         registry_.tick();
     peers_.tick(sync_.isConfigurationSilent());
-    context_.retries.setInstances(registry_.instances().size());
+    const std::size_t instances = registry_.instances().size();
+    context_.retries.setInstances(instances);
+    sync_.setInstances(instances);
+    usage_.setInstances(instances);
     if (settings_.reportsUsage || settings_.ordersUpstreams)
         tickLease();
     if (settings_.reportsUsage)
@@ -289,6 +292,16 @@
     registry_.leave();
 }
 
+void Gateway::shutDown()
+{
+    timer_.cancel();
+    sync_.stop();
+    callers_.closeAll();
+    readiness_.closeAll();
+    admin_.closeAll();
+    pool_.closeAll();
+}
+
 void Gateway::tickDrain()
 {
     const Millis since = environment_.clock.now() - drainStarted_;
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -53,6 +53,15 @@
     bool start(Reason *lastReason);
     /** Begins the planned stop; the hook is called when the last request is answered. */
     void drain(std::function<void()> onDrained);
+    /**
+        Ends every connection. What the event loop still holds must run once more before this object
+        goes: it refers to the servers here.
+    */
+    void shutDown();
+    /** Where the instance listens; of interest where the settings say 0, any free port. */
+    std::uint16_t callersPort() const { return callers_.port(); }
+    std::uint16_t readinessPort() const { return readiness_.port(); }
+    std::uint16_t adminPort() const { return admin_.port(); }
     bool isReady() const;
     /** Takes in a configuration from another source than the store, if it is newer. */
     void takeConfiguration(const std::string &text, const std::string &source)
--- a/modules/gateway/admin/GatewayAdmin.h
+++ b/modules/gateway/admin/GatewayAdmin.h
@@ -28,6 +28,8 @@
 public:
     GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, AdminPages pages);
 
+    std::uint16_t port() const { return server_.port(); }
+    void closeAll() { server_.closeAll(); }
     bool listen(const std::string &host, std::uint16_t port, Reason *lastReason);
 
 private:
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -29,6 +29,14 @@
     readAll(upstreams_);
 }
 
+void StoreSync::stop()
+{
+    for (Feed *feed : {&configuration_, &upstreams_}) {
+        ++feed->generation;
+        feed->timer.cancel();
+    }
+}
+
 void StoreSync::readAll(Feed &feed)
 {
     store_.list(feed.prefix, current(feed, &StoreSync::listDone));
@@ -63,6 +71,12 @@
     });
 }
 
+void StoreSync::setInstances(std::size_t count)
+{
+    const Millis wanted = gatheringEach * static_cast<std::int64_t>(count);
+    gathering_ = std::clamp(wanted, gatheringLeast, gatheringMost);
+}
+
 void StoreSync::storeInDoubt()
 {
     const bool isNews = !isInDoubt();
@@ -112,7 +126,7 @@
     if (reply.objects.empty())
         watch(feed);
     else
-        watchAfter(feed, gathering);
+        watchAfter(feed, gathering_);
 }
 
 void StoreSync::answered(Feed &feed)
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -33,8 +33,14 @@
     static constexpr Millis doubtfulWait = Millis(1200);
     /** How long a sign of trouble counts. */
     static constexpr Millis doubt = Millis(6000);
-    /** Changes that follow one another within this much are read together. */
-    static constexpr Millis gathering = Millis(300);
+    /**
+        Changes that follow one another within this much are read together. Every change wakes
+        every instance's watch; so with more instances more is read together, up to a third of the
+        time that the platform allows for an upstream's leaving to be known.
+    */
+    static constexpr Millis gatheringLeast = Millis(300);
+    static constexpr Millis gatheringEach = Millis(10);
+    static constexpr Millis gatheringMost = Millis(900);
     /** After a failed call, doubled up to the longest, and spread by half over the instances. */
     static constexpr Millis firstRetry = Millis(100);
     static constexpr Millis longestRetry = Millis(800);
@@ -45,7 +51,11 @@
     StoreSync &operator=(const StoreSync &) = delete;
 
     void start();
+    /** Takes no answers any more. */
+    void stop();
     const SyncState &state() const { return state_; }
+    /** How many instances follow the store like this one. */
+    void setInstances(std::size_t count);
     /** A call to the store failed, or was not answered. */
     void storeInDoubt();
     /** Takes in a configuration that another instance had, if it is newer. */
@@ -92,6 +102,7 @@
     Feed configuration_;
     Feed upstreams_;
     Millis doubtUntil_;
+    Millis gathering_ = gatheringLeast;
     std::string configurationText_;
 };
 
--- a/modules/gateway/control/UsageDuty.cpp
+++ b/modules/gateway/control/UsageDuty.cpp
@@ -2,6 +2,8 @@
 
 #include "core/events/EventCatalogue.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
 namespace {
@@ -19,7 +21,8 @@
 UsageDuty::UsageDuty(std::string instance, const std::string &life, const UsageTiming &timing,
                      Hooks hooks)
     : instance_(std::move(instance)), path_(ledgersPrefix + instance_ + "." + life),
-      timing_(timing), hooks_(std::move(hooks)), firstWindow_(windowAt(hooks_.wallMillis()))
+      timing_(timing), hooks_(std::move(hooks)), flushEvery_(timing.flushLeast),
+      firstWindow_(windowAt(hooks_.wallMillis()))
 { }
 
 std::int64_t UsageDuty::windowAt(std::int64_t wallMillis) const
@@ -27,6 +30,13 @@
     return wallMillis / timing_.window.count();
 }
 
+void UsageDuty::setInstances(std::size_t count)
+{
+    const Millis wanted = timing_.flushEach * static_cast<std::int64_t>(count);
+    flushEvery_ =
+        std::clamp(wanted, timing_.flushLeast, std::max(timing_.flushLeast, timing_.window));
+}
+
 void UsageDuty::count(const std::string &customer)
 {
     ledger_.count(windowAt(hooks_.wallMillis()), customer);
@@ -54,7 +64,7 @@
 
 void UsageDuty::flush()
 {
-    nextFlush_ = hooks_.clock.now() + timing_.flushEvery;
+    nextFlush_ = hooks_.clock.now() + flushEvery_;
     const std::uint64_t changes = ledger_.changes();
     if (isWriting_ || changes == 0 || changes == writtenChanges_)
         return;
--- a/modules/gateway/control/UsageDuty.h
+++ b/modules/gateway/control/UsageDuty.h
@@ -15,8 +15,12 @@
 struct UsageTiming
 {
     Millis window = Millis::seconds(5);
-    /** How often an instance writes its counts: what a crash can lose. */
-    Millis flushEvery = Millis(1200);
+    /**
+        How often an instance writes its counts: what a crash can lose. The more instances there
+        are, the smaller is one's part of the report, and the longer it may wait: up to a window.
+    */
+    Millis flushLeast = Millis(1200);
+    Millis flushEach = Millis(200);
     /** After a window's end: when instances write their counts of it for the last time. */
     Millis lastFlush = Millis(300);
     /** After a window's end: when its counts are taken together. */
@@ -60,6 +64,8 @@
               Hooks hooks);
 
     void count(const std::string &customer);
+    /** How many instances count like this one. */
+    void setInstances(std::size_t count);
     /** Does what is due; to be called every few hundred milliseconds. */
     void tick();
     /** Writes what has not been written; for the end of the process. */
@@ -89,6 +95,7 @@
     UsageLedger ledger_;
     std::uint64_t writtenChanges_ = 0;
     bool isWriting_ = false;
+    Millis flushEvery_;
     Millis nextFlush_;
     Millis nextReport_;
     std::int64_t firstWindow_ = 0;
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t mostBufferedBytes = 16U << 20U;
 /** The least a stream may pause before an upstream counts as silent, where others could go on. */
 constexpr Millis leastStreamPatience = Millis(1500);
+/** An upstream that showed something to any request within this long counts as alive. */
+constexpr Millis progressSpan = Millis(700);
 constexpr int configurationMissingRetryMs = 500;
 constexpr int usualUrgency = 3;
 constexpr int hopelessUrgency = 8;
@@ -45,6 +47,7 @@
 RequestRelay::RequestRelay(RelayContext &context, std::shared_ptr<HttpExchange> exchange)
     : context_(context), exchange_(std::move(exchange)),
       deadline_(context.deadlines, [this] { onDeadline(); }),
+      silence_(context.deadlines, [this] { onSilence(); }),
       events_([this](const SseEvent &event) { onEvent(event); })
 {
     ++context_.counters.inProgress;
@@ -262,8 +265,10 @@
     request.allowsEndByClose = true;
     request.longestIdle = route_->isRepeatable() ? idleForRepeatable : idleForUnrepeatable;
     request.timeouts.connect = std::min(connectPatience, fields.timeLeft);
-    request.timeouts.firstByte = patience;
+    // Without any sign of an answer, onSilence() decides; this only ends what it leaves.
+    request.timeouts.firstByte = fields.timeLeft + Millis::seconds(1);
     request.timeouts.stall = patience;
+    silence_.setAfter(patience);
     if (isStreamRoute(*route_) && !attempt_.isPrefill)
         request.timeouts.stall = std::max(leastStreamPatience, route_->gapGoal * 4);
     const bool isNewAttempt = attempt_.isPrefill || !attempt_.isCounted;
@@ -275,6 +280,7 @@
             context_.services.started(upstream->entry.id);
         attempt_.sentAt = context_.now();
     }
+    context_.health.started(upstream->entry.id, context_.now());
     ++context_.counters.sends;
     logPlaced(upstream->entry);
     call_ = context_.pool.start(std::move(request), hooks());
@@ -292,6 +298,10 @@
 
 void RequestRelay::onHead(HttpHead &head)
 {
+    silence_.clear();
+    const UpstreamPointer &upstream =
+        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    context_.health.progressed(upstream->entry.id, context_.now());
     attempt_.status = head.status;
     attempt_.traits = context_.wire.decodeAnswer(head);
     attempt_.isForeign =
@@ -324,6 +334,7 @@
         return;
     promptRead();
     began();
+    context_.health.progressed(attempt_.upstream->entry.id, context_.now());
     // A resumed stream that begins too early would give the caller pieces twice.
     if (event.number && lastEvent_ && *event.number <= *lastEvent_)
         return;
@@ -343,6 +354,7 @@
 
 void RequestRelay::onEnd(const UpstreamEnd &end)
 {
+    silence_.clear();
     if (isOver_)
         return;
     const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
@@ -577,6 +589,25 @@
     giveUp("the time for it is over");
 }
 
+void RequestRelay::onSilence()
+{
+    if (isOver_ || !call_.isActive())
+        return;
+    const UpstreamPointer &upstream =
+        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    // An upstream that answers others is busy, not dead. Sent elsewhere, the request would lose
+    // its place, and the work done for it, just when there is too little of both.
+    if (context_.health.hasProgressed(upstream->entry.id, progressSpan, context_.now())) {
+        silence_.setAfter(progressSpan);
+        return;
+    }
+    const auto self = shared_from_this();
+    const Verdict verdict = call_.verdictSoFar();
+    call_.cancel();
+    onEnd(UpstreamEnd{
+        UpstreamEndKind::Silent, verdict, {upstream->entry.address, "no answer in time"}});
+}
+
 void RequestRelay::onCallerLeft()
 {
     if (isOver_)
@@ -634,6 +665,7 @@
 {
     isOver_ = true;
     deadline_.clear();
+    silence_.clear();
     const Millis took = context_.now() - arrivedAt_;
     const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
     context_.metrics.requestEnded(kind, outcome, took.toSeconds());
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -78,6 +78,7 @@
     void releaseHandle();
 
     void onDeadline();
+    void onSilence();
     void onCallerLeft();
     void refuse(int status, std::optional<Millis> retryAfter, const std::string &why);
     void giveUp(const std::string &why);
@@ -99,6 +100,8 @@
     Millis arrivedAt_;
     Millis endsAt_;
     Deadline deadline_;
+    /** Runs while nothing of an answer has come, where another upstream may take over. */
+    Deadline silence_;
 
     UpstreamCall call_;
     Attempt attempt_;
--- a/modules/gateway/request/RequestRelay_test.cpp
+++ b/modules/gateway/request/RequestRelay_test.cpp
@@ -99,7 +99,7 @@
     const std::string answer = fixture.ask(GatewayFixture::request("/safe/x"));
     CHECK(statusOf(answer) == 503);
     CHECK(has(answer, "Retry-After"));
-    TestSocket balancer = TestSocket::connectTo(fixture.settings.readiness.port);
+    TestSocket balancer = TestSocket::connectTo(fixture.gateway->readinessPort());
     balancer.send("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK(statusOf(balancer.readMessage()) == 503);
 }
@@ -385,7 +385,7 @@
     REQUIRE(upstream.waitForRequests(1));
     Signal drained;
     fixture.thread.post([&] { fixture.gateway->drain([&drained] { drained.set(); }); });
-    TestSocket balancer = TestSocket::connectTo(fixture.settings.readiness.port);
+    TestSocket balancer = TestSocket::connectTo(fixture.gateway->readinessPort());
     balancer.send("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK(statusOf(balancer.readMessage()) == 503);
     goOn.set();
@@ -405,7 +405,7 @@
     fixture.start();
     fixture.ask(GatewayFixture::request("/safe/x"));
     const auto get = [&](const std::string &path) {
-        TestSocket socket = TestSocket::connectTo(fixture.settings.admin.port);
+        TestSocket socket = TestSocket::connectTo(fixture.gateway->adminPort());
         socket.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
         return socket.readMessage();
     };
@@ -445,3 +445,49 @@
     caller.send(GatewayFixture::request("/safe/x"));
     CHECK(statusOf(caller.readMessage()) == 401);
 }
+
+// An engine takes requests, shows itself healthy, and answers nothing any more. Another engine
+// could serve them while their callers still wait.
+TEST_CASE(
+    "silence moves a repeatable request on, but not away from an upstream that answers others")
+{
+    for (const bool answersOthers : {false, true}) {
+        CAPTURE(answersOthers);
+        GatewayFixture fixture;
+        const auto script = [answersOthers](Connection &connection) {
+            for (;;) {
+                const ReceivedRequest request = connection.read();
+                if (request.text.empty())
+                    return;
+                const std::string id = request.header("Request-Id");
+                if (id == "slow" && request.header("Expect-Instance") == "u-1") {
+                    // Longer than the patience of 0.4 times 3 s, within the route's time.
+                    if (answersOthers)
+                        std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+                    else
+                        connection.socket.readToEnd();
+                }
+                connection.socket.send(stampedAnswer(id, "from upstream"));
+            }
+        };
+        ScriptedUpstream first(script);
+        ScriptedUpstream second(script);
+        fixture.declare(2, 3000);
+        fixture.list("u-1", first.address());
+        fixture.list("u-2", second.address(), ",\"zone\":\"b\"");
+        fixture.start();
+        TestSocket caller = fixture.connect();
+        caller.send(GatewayFixture::request("/safe/x", "", "slow"));
+        for (int i = 0; answersOthers && i < 12; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            fixture.ask(GatewayFixture::request("/safe/x", "", "quick-" + std::to_string(i)));
+        }
+        CHECK(statusOf(caller.readMessage()) == 200);
+        std::size_t slowSends = 0;
+        for (const ScriptedUpstream *upstream : {&first, &second}) {
+            for (const ReceivedRequest &request : upstream->received())
+                slowSends += request.header("Request-Id") == "slow" ? 1 : 0;
+        }
+        CHECK(slowSends == (answersOthers ? 1 : 2));
+    }
+}
--- a/modules/gateway/testing/GatewayFixture.h
+++ b/modules/gateway/testing/GatewayFixture.h
@@ -85,9 +85,9 @@
     {
         settings.name = "instance-1";
         settings.failureDomain = "a";
-        settings.callers = {"127.0.0.1", freePort()};
-        settings.readiness = {"127.0.0.1", freePort()};
-        settings.admin = {"127.0.0.1", freePort()};
+        settings.callers = {"127.0.0.1", 0};
+        settings.readiness = {"127.0.0.1", 0};
+        settings.admin = {"127.0.0.1", 0};
         settings.retries = {0.2, Millis(10000), 1000};
         settings.grace = Millis(4000);
     }
@@ -96,6 +96,11 @@
     {
         thread.stop();
         thread.join();
+        if (gateway)
+            gateway->shutDown();
+        if (client)
+            client->closeAll();
+        thread.runLeftovers();
         gateway.reset();
         client.reset();
         thread.runLeftovers();
@@ -160,7 +165,7 @@
         }
     }
 
-    TestSocket connect() const { return TestSocket::connectTo(settings.callers.port); }
+    TestSocket connect() const { return TestSocket::connectTo(gateway->callersPort()); }
 
     /** Returns a request of a kind; the key is north's. */
     static std::string request(const std::string &path, const std::string &more = "",
@@ -184,20 +189,6 @@
     IoThread thread;
     std::unique_ptr<PlatformClient> client;
     std::unique_ptr<Gateway> gateway;
-
-private:
-    static std::uint16_t freePort()
-    {
-        const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        static_cast<void>(::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof address));
-        socklen_t size = sizeof address;
-        getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
-        ::close(handle);
-        return ntohs(address.sin_port);
-    }
 };
 
 /** Returns an upstream's whole answer to a request, stamped and with its identity. */
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -148,6 +148,12 @@
     pending->call = authorityPool_.start(std::move(request), std::move(hooks));
 }
 
+void PlatformClient::closeAll()
+{
+    pool_.closeAll();
+    authorityPool_.closeAll();
+}
+
 UpstreamHooks PlatformClient::makeHooks(const std::shared_ptr<Pending> &pending)
 {
     UpstreamHooks hooks;
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -51,6 +51,8 @@
     PlatformClient &operator=(const PlatformClient &) = delete;
 
     void call(const PlatformCall &call, PlatformCompletion done);
+    /** Ends all calls at once, without a report. */
+    void closeAll();
 
     /** Returns how many calls of a kind were begun. */
     std::uint64_t callCount(PlatformCallKind kind) const
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -153,11 +153,15 @@
     const Repeat looking(io, settingsEvery, [&follower] { follower.look(); });
     io.run();
     log.flush();
-    // Handlers that are left hold connections whose deadlines belong to the list above; they must
-    // go before it does, or the process would end in a crash.
+    // Handlers that are left hold connections, which refer to the servers and deadlines here. They
+    // must run before those go, or the process would end in a crash after a planned stop.
+    gateway->shutDown();
+    client->closeAll();
+    deadlines.stop();
+    io.restart();
+    io.poll();
     gateway.reset();
     client.reset();
-    deadlines.stop();
     io.restart();
     io.poll();
     return 0;
