--- a/modules/ctl/commands/CommandLine.cpp
+++ b/modules/ctl/commands/CommandLine.cpp
@@ -40,6 +40,7 @@
         {"drain", 1, 1, false, {}, "drain IP:PORT: begin an instance's graceful stop"},
         {"state", 1, 1, false, {}, "state IP:PORT: an instance's whole state"},
         {"status", 0, 0, true, {"admin"}, "status: which instance has which settings in force"},
+        {"explain", 2, 1000, false, {}, "explain REQUEST-ID LOG...: what logs say of a request"},
     };
     return rows;
 }
--- a/modules/ctl/commands/Commands.cpp
+++ b/modules/ctl/commands/Commands.cpp
@@ -1,12 +1,48 @@
 #include "ctl/commands/Commands.h"
 
 #include "ctl/commands/CommandSession.h"
+#include "ctl/explain/RequestStory.h"
 #include "platform/adapters/HttpObjectStore.h"
 
+#include <fstream>
+
 namespace cuminrail {
 
+namespace {
+
+/** Reads gateways' logs; asks nobody. */
+CtlReport explain(const CtlArguments &arguments)
+{
+    CtlReport report;
+    StoryReader reader(arguments.operands.front());
+    for (std::size_t i = 1; i < arguments.operands.size(); ++i) {
+        std::ifstream log(arguments.operands[i]);
+        if (!log) {
+            report.exit = CtlExit::Usage;
+            report.text = arguments.operands[i] + ": cannot be read\n";
+            report.json["error"] = report.text;
+            return report;
+        }
+        reader.read(log);
+    }
+    const RequestStory story = reader.story();
+    report.text = storyText(story);
+    for (const StoryLine &line : story.lines)
+        report.json["lines"].push_back({{"time", line.time},
+                                        {"instance", line.instance},
+                                        {"event", line.event},
+                                        {"details", line.details}});
+    report.json["gaps"] = story.gaps;
+    report.json["unreadable"] = story.unreadable;
+    return report;
+}
+
+} // namespace
+
 CtlReport runCtlCommand(const CtlArguments &arguments, const CtlSurroundings &surroundings)
 {
+    if (arguments.command == "explain")
+        return explain(arguments);
     ControlLoop loop("cuminrailctl", Millis::seconds(3));
     SettingsRepository repository(loop, makeHttpObjectStore(loop.client(), arguments.platform),
                                   surroundings.random);
