Soak: the real gateways as processes, harmed from outside; stand-ins of the platform's store and servers

Cause: nothing in make check ran the deployed program against kills, stops, pauses, broken links and a misbehaving store at once.

--- /dev/null
+++ b/programs/cuminrail-soak/FaultProxy.cpp
@@ -0,0 +1,100 @@
+#include "FaultProxy.h"
+
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+
+namespace cuminrail::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds delay(60);
+
+} // namespace
+
+FaultProxy::FaultProxy(IoThread &thread, std::uint16_t targetPort)
+    : thread_(thread), targetPort_(targetPort),
+      acceptor_(thread.io(), {boost::asio::ip::address_v4::loopback(), 0})
+{
+    accept();
+}
+
+void FaultProxy::accept()
+{
+    const auto link = std::make_shared<Link>(thread_.io());
+    acceptor_.async_accept(link->caller, [this, link](const boost::system::error_code &error) {
+        if (error)
+            return;
+        accept();
+        links_.insert(link);
+        const Tcp::endpoint target(boost::asio::ip::address_v4::loopback(), targetPort_);
+        link->server.async_connect(target, [this, link](const boost::system::error_code &failed) {
+            if (failed)
+                return end(link);
+            pump(link, true);
+            pump(link, false);
+        });
+    });
+}
+
+void FaultProxy::pump(const std::shared_ptr<Link> &link, bool isUp)
+{
+    Tcp::socket &from = isUp ? link->caller : link->server;
+    from.async_read_some(
+        boost::asio::buffer(isUp ? link->up : link->down),
+        [this, link, isUp](const boost::system::error_code &error, std::size_t size) {
+            if (error)
+                return end(link);
+            const bool isLost =
+                fault_ == LinkFault::Silence || (fault_ == LinkFault::OneWay && !isUp);
+            // A connection that lost bytes never goes on: it stays silent.
+            if (!isLost)
+                forward(link, isUp, size);
+        });
+}
+
+void FaultProxy::forward(const std::shared_ptr<Link> &link, bool isUp, std::size_t size)
+{
+    const auto write = [this, link, isUp, size] {
+        Tcp::socket &to = isUp ? link->server : link->caller;
+        boost::asio::async_write(
+            to, boost::asio::buffer(isUp ? link->up : link->down, size),
+            [this, link, isUp](const boost::system::error_code &error, std::size_t) {
+                if (error)
+                    return end(link);
+                pump(link, isUp);
+            });
+    };
+    if (fault_ != LinkFault::Delay)
+        return write();
+    const auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io(), delay);
+    timer->async_wait([timer, write](const boost::system::error_code &) { write(); });
+}
+
+void FaultProxy::end(const std::shared_ptr<Link> &link)
+{
+    boost::system::error_code ignored;
+    link->caller.close(ignored);
+    link->server.close(ignored);
+    links_.erase(link);
+}
+
+void FaultProxy::resetAll()
+{
+    const auto links = links_;
+    for (const auto &link : links) {
+        boost::system::error_code ignored;
+        link->caller.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        link->server.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        end(link);
+    }
+}
+
+void FaultProxy::close()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    resetAll();
+}
+
+} // namespace cuminrail::soak
--- /dev/null
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -0,0 +1,192 @@
+#include "Fleet.h"
+
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace cuminrail::soak {
+
+namespace {
+
+/** Longer than the gateways' grace: whoever has not ended by then never will. */
+constexpr std::chrono::seconds endPatience(9);
+
+std::uint16_t freePort()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+nlohmann::json route(const std::string &name, const std::string &kind, int attempts, bool resumes)
+{
+    return {{"name", name},        {"host", "soak.example"}, {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},        {"service", "svc"},       {"maxAttempts", attempts},
+            {"timeoutMs", 3000},   {"goalMs", 400},          {"gapGoalMs", 300},
+            {"canResume", resumes}};
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(std::string program, std::string directory, std::string name)
+    : callersPort(freePort()), adminPort(freePort()), program_(std::move(program)),
+      directory_(std::move(directory)), name_(std::move(name))
+{ }
+
+void GatewayProcess::start(const std::string &settings)
+{
+    const std::string path = directory_ + "/" + name_ + ".conf";
+    std::ofstream(path) << settings;
+    const std::string log = directory_ + "/" + name_ + ".log";
+    isKillExpected_ = false;
+    pid_ = fork();
+    if (pid_ != 0)
+        return;
+    const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    for (int descriptor = STDERR_FILENO + 1; descriptor < 4096; ++descriptor)
+        ::close(descriptor);
+    execl(program_.c_str(), program_.c_str(), "--settings", path.c_str(), nullptr);
+    _exit(127);
+}
+
+void GatewayProcess::signal(int number) const
+{
+    if (pid_ > 0)
+        kill(pid_, number);
+}
+
+bool GatewayProcess::hasEnded()
+{
+    if (pid_ <= 0)
+        return true;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_)
+        return false;
+    const bool wasKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL && isKillExpected_;
+    const bool isOrderly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!wasKilled && !isOrderly) {
+        complaint_ = name_ + " ended by itself: "
+            + (WIFSIGNALED(status) ? std::string("signal ") + strsignal(WTERMSIG(status))
+                                   : "exit code " + std::to_string(WEXITSTATUS(status)));
+    }
+    pid_ = -1;
+    return true;
+}
+
+Fleet::Fleet(const SoakOptions &options) : options_(options)
+{
+    store = std::make_unique<platform::StandinStore>(thread_);
+    Reason reason;
+    if (!store->listen(&reason))
+        throw std::runtime_error(reason.toString());
+    const std::string address = store->address();
+    storeProxy = std::make_unique<FaultProxy>(
+        thread_, static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    for (int i = 0; i < options.servers; ++i) {
+        servers.push_back(std::make_unique<platform::StandinServer>(
+            thread_, "s-" + std::to_string(i), record_,
+            seededRandom(options.seed * 100 + static_cast<std::uint64_t>(i))));
+        if (!servers.back()->listen(&reason))
+            throw std::runtime_error(reason.toString());
+        proxies.push_back(std::make_unique<FaultProxy>(thread_, servers.back()->port()));
+    }
+    for (int i = 0; i < options.instances; ++i)
+        gateways.push_back(std::make_unique<GatewayProcess>(options.gateway, options.directory,
+                                                            "instance-" + std::to_string(i)));
+}
+
+Fleet::~Fleet()
+{
+    for (const auto &gateway : gateways) {
+        gateway->signal(SIGCONT);
+        gateway->signal(SIGKILL);
+    }
+    thread_.stop();
+    thread_.join();
+    for (const auto &server : servers)
+        server->closeAll();
+    store->closeAll();
+    thread_.runLeftovers();
+    proxies.clear();
+    storeProxy.reset();
+    servers.clear();
+    store.reset();
+    thread_.runLeftovers();
+}
+
+void Fleet::list(std::size_t index)
+{
+    store->write("servers", servers[index]->id(),
+                 {{"service", "svc"},
+                  {"address", "127.0.0.1:" + std::to_string(proxies[index]->port())},
+                  {"zone", "a"},
+                  {"state", "ready"},
+                  {"slots", 32},
+                  {"born", 1}});
+}
+
+void Fleet::start()
+{
+    thread_.start();
+    configure(true);
+    onThread([this] {
+        for (std::size_t i = 0; i < servers.size(); ++i)
+            list(i);
+    });
+    for (std::size_t i = 0; i < gateways.size(); ++i)
+        startGateway(i);
+}
+
+void Fleet::configure(bool hasSecondKey)
+{
+    const nlohmann::json south =
+        hasSecondKey ? nlohmann::json{"key-south"} : nlohmann::json::array();
+    const nlohmann::json configuration{
+        {"version", ++version_},
+        {"routes",
+         {route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
+          route("stream", "stream", 3, true), route("once", "stream", 1, false)}},
+        {"services", {{{"name", "svc"}, {"maxConns", 500}}}},
+        {"tenants",
+         {{{"name", "north"}, {"keys", {"key-north"}}}, {{"name", "south"}, {"keys", south}}}}};
+    onThread([this, &configuration] { store->write("config", "main", configuration); });
+}
+
+void Fleet::startGateway(std::size_t index)
+{
+    GatewayProcess &gateway = *gateways[index];
+    const auto local = [](std::uint16_t port) {
+        return "127.0.0.1:" + std::to_string(port) + "\n";
+    };
+    gateway.start("nodeName=instance-" + std::to_string(index) + "\nzone=a\nlisten.front="
+                  + local(gateway.callersPort) + "listen.ready=" + local(freePort())
+                  + "listen.control=" + local(gateway.adminPort) + "platform.address="
+                  + local(storeProxy->port()) + "bounds.graceS=6\nbounds.budgetExtra=50\n");
+}
+
+std::vector<std::string> Fleet::stop()
+{
+    std::vector<std::string> complaints;
+    for (const auto &gateway : gateways) {
+        gateway->signal(SIGCONT);
+        gateway->signal(SIGTERM);
+    }
+    const auto until = std::chrono::steady_clock::now() + endPatience;
+    for (const auto &gateway : gateways) {
+        while (!gateway->hasEnded() && std::chrono::steady_clock::now() < until)
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        if (gateway->isRunning())
+            complaints.push_back("a gateway did not end within its grace");
+        if (!gateway->complaint().empty())
+            complaints.push_back(gateway->complaint());
+    }
+    return complaints;
+}
+
+} // namespace cuminrail::soak
--- /dev/null
+++ b/programs/cuminrail-soak/Fleet.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "FaultProxy.h"
+#include "platform/testing/StandinServer.h"
+#include "platform/testing/StandinStore.h"
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace cuminrail::soak {
+
+/** What a run is made of. */
+struct SoakOptions
+{
+    std::string gateway;
+    std::uint64_t seed = 1;
+    int seconds = 20;
+    int instances = 3;
+    int servers = 4;
+    int callers = 12;
+    std::string directory;
+};
+
+/** A gateway as a process of its own. Only processes started here are ever signalled. */
+class GatewayProcess
+{
+public:
+    GatewayProcess(std::string program, std::string directory, std::string name);
+
+    void start(const std::string &settings);
+    void signal(int number) const;
+    /** Collects the end if there is one. Returns false while the process runs. */
+    bool hasEnded();
+    bool isRunning() const { return pid_ > 0; }
+    /** Set when the process ended in a way that nobody asked for. */
+    const std::string &complaint() const { return complaint_; }
+    void expectKill() { isKillExpected_ = true; }
+
+    std::uint16_t callersPort = 0;
+    std::uint16_t adminPort = 0;
+
+private:
+    std::string program_;
+    std::string directory_;
+    std::string name_;
+    pid_t pid_ = -1;
+    bool isKillExpected_ = false;
+    std::string complaint_;
+};
+
+/** The store, the servers behind proxies, and the gateways. */
+class Fleet
+{
+public:
+    explicit Fleet(const SoakOptions &options);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    void start();
+    /** Ends all processes and returns what any of them did unasked. */
+    std::vector<std::string> stop();
+    void startGateway(std::size_t index);
+
+    /** Writes a configuration; the second customer's first key can be left out. */
+    void configure(bool hasSecondKey);
+    /** Runs a function on the stand-ins' thread. */
+    void onThread(const std::function<void()> &function) { thread_.run(function); }
+
+    platform::RunRecord &record() { return record_; }
+    std::vector<std::unique_ptr<GatewayProcess>> gateways;
+    std::vector<std::unique_ptr<platform::StandinServer>> servers;
+    std::vector<std::unique_ptr<FaultProxy>> proxies;
+    std::unique_ptr<platform::StandinStore> store;
+    std::unique_ptr<FaultProxy> storeProxy;
+
+private:
+    void list(std::size_t index);
+
+    SoakOptions options_;
+    IoThread thread_;
+    platform::RunRecord record_;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace cuminrail::soak
--- /dev/null
+++ b/programs/cuminrail-soak/main.cpp
@@ -0,0 +1,254 @@
+#include "Callers.h"
+#include "Fleet.h"
+
+#include "runtime/time/BootClock.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <unistd.h>
+
+using namespace cuminrail;
+using namespace cuminrail::soak;
+
+namespace {
+
+constexpr int exitMistake = 2;
+constexpr int exitBroken = 1;
+/** Every fourth seed has no unplanned fault: there a planned stop may cut nothing at all. */
+constexpr std::uint64_t calmEvery = 4;
+
+/** Injects one fault after another, as the seed says. */
+class FaultDriver
+{
+public:
+    FaultDriver(Fleet &fleet, std::uint64_t seed)
+        : fleet_(fleet), random_(seededRandom(seed)), isCalm_(seed % calmEvery == 0)
+    { }
+
+    /** Injects the next fault; what it began ends some steps later. */
+    void step()
+    {
+        reap();
+        const std::size_t index = random_() % fleet_.gateways.size();
+        const std::uint64_t choice = random_() % (isCalm_ ? 2 : 12);
+        switch (choice) {
+        case 0:
+            return planStop(index);
+        case 1:
+            return fleet_.configure(!isWithdrawn_);
+        case 2:
+            fleet_.gateways[index]->expectKill();
+            return fleet_.gateways[index]->signal(SIGKILL);
+        case 3:
+            fleet_.gateways[index]->signal(SIGSTOP);
+            return;
+        case 4:
+        case 5:
+            return fleet_.onThread([this] { harmLink(); });
+        case 6:
+            return fleet_.onThread([this] { fleet_.proxies[anyServer()]->resetAll(); });
+        case 7:
+            return fleet_.onThread([this] { harmStore(); });
+        case 8:
+            return fleet_.onThread([this] { harmStoreLink(); });
+        default:
+            return fleet_.onThread([this] { changeTemper(); });
+        }
+    }
+
+    /** Ends all faults. */
+    void heal()
+    {
+        fleet_.onThread([this] {
+            fleet_.store->setFault(platform::StoreFault::None);
+            fleet_.storeProxy->setFault(LinkFault::None);
+            fleet_.storeProxy->resetAll();
+            for (const auto &proxy : fleet_.proxies)
+                proxy->setFault(LinkFault::None);
+            for (const auto &server : fleet_.servers)
+                server->setTemper({});
+        });
+        for (const auto &gateway : fleet_.gateways)
+            gateway->signal(SIGCONT);
+        reap();
+    }
+
+    /** Withdraws the second customer's key, with everything healed. */
+    Millis withdraw()
+    {
+        isWithdrawn_ = true;
+        fleet_.configure(false);
+        return bootTime();
+    }
+
+    bool isCalm() const { return isCalm_; }
+    const std::vector<std::string> &complaints() const { return complaints_; }
+
+private:
+    /** Starts gateways that ended again, as the platform does. */
+    void reap()
+    {
+        for (std::size_t i = 0; i < fleet_.gateways.size(); ++i) {
+            GatewayProcess &gateway = *fleet_.gateways[i];
+            if (!gateway.hasEnded())
+                continue;
+            if (!gateway.complaint().empty())
+                complaints_.push_back(gateway.complaint());
+            fleet_.startGateway(i);
+        }
+    }
+
+    void planStop(std::size_t index)
+    {
+        for (const auto &gateway : fleet_.gateways)
+            gateway->signal(SIGCONT);
+        fleet_.gateways[index]->signal(SIGTERM);
+    }
+
+    std::size_t anyServer() { return random_() % fleet_.servers.size(); }
+
+    void harmLink()
+    {
+        const auto fault = static_cast<LinkFault>(random_() % 4);
+        fleet_.proxies[anyServer()]->setFault(fault);
+    }
+
+    void harmStore() { fleet_.store->setFault(static_cast<platform::StoreFault>(random_() % 4)); }
+
+    void harmStoreLink()
+    {
+        fleet_.storeProxy->setFault(random_() % 2 == 0 ? LinkFault::None : LinkFault::Silence);
+        fleet_.storeProxy->resetAll();
+    }
+
+    void changeTemper()
+    {
+        platform::ServerTemper temper;
+        temper.refuses = static_cast<int>(random_() % 30);
+        temper.breaks = static_cast<int>(random_() % 30);
+        temper.fails = static_cast<int>(random_() % 20);
+        temper.staysSilent = static_cast<int>(random_() % 8);
+        fleet_.servers[anyServer()]->setTemper(temper);
+    }
+
+    Fleet &fleet_;
+    RandomHook random_;
+    bool isCalm_;
+    bool isWithdrawn_ = false;
+    std::vector<std::string> complaints_;
+};
+
+void sleepFor(Millis span)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(span.count()));
+}
+
+/** Returns what was cut in a run in which nothing may be. */
+std::vector<std::string> cutCalls(const std::vector<CallResult> &results)
+{
+    std::vector<std::string> cut;
+    for (const CallResult &result : results) {
+        // A kept connection can end just as a request is sent; without a byte of an answer the
+        // caller cannot tell, and may send again what has not been read.
+        if (result.wasSent && !result.isWhole && result.status != 0)
+            cut.push_back(result.id + ": cut by planned work");
+    }
+    return cut;
+}
+
+int runSeed(const SoakOptions &options)
+{
+    Fleet fleet(options);
+    fleet.start();
+    sleepFor(Millis(1500));
+    std::vector<std::uint16_t> ports;
+    for (const auto &gateway : fleet.gateways)
+        ports.push_back(gateway->callersPort);
+    Callers callers(ports, options.callers, options.seed);
+    callers.start();
+    FaultDriver driver(fleet, options.seed);
+    const auto random = seededRandom(options.seed + 77);
+    const Millis end = bootTime() + Millis::seconds(options.seconds);
+    while (bootTime() < end) {
+        driver.step();
+        sleepFor(Millis(static_cast<std::int64_t>(200 + random() % 900)));
+    }
+    driver.heal();
+    sleepFor(Millis(4000));
+    const Millis withdrawnAt = driver.withdraw();
+    sleepFor(Millis(6500));
+    callers.stop();
+    std::vector<std::string> broken = fleet.stop();
+    const auto results = callers.results();
+    const auto rules = judge(results, fleet.record(), withdrawnAt);
+    broken.insert(broken.end(), rules.begin(), rules.end());
+    broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
+    if (driver.isCalm()) {
+        const auto cut = cutCalls(results);
+        broken.insert(broken.end(), cut.begin(), cut.end());
+    }
+    std::size_t served = 0;
+    for (const CallResult &result : results)
+        served += result.status == 200 && result.isWhole ? 1 : 0;
+    if (served * 4 < results.size())
+        broken.emplace_back("less than a quarter of the requests were served");
+    std::cout << "seed " << options.seed << (driver.isCalm() ? " (planned work only)" : "") << ": "
+              << results.size() << " requests, " << served << " served, " << broken.size()
+              << " promises broken\n";
+    for (const std::string &line : broken)
+        std::cout << "  " << line << "\n";
+    return broken.empty() ? 0 : exitBroken;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    cxxopts::Options options("cuminrail-soak", "Real gateways under random faults from outside.");
+    options.add_options()("gateway", "the program to run", cxxopts::value<std::string>())(
+        "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seeds", "how many", cxxopts::value<int>()->default_value("1"))(
+        "seconds", "of faults for each", cxxopts::value<int>()->default_value("15"))(
+        "instances", "gateways", cxxopts::value<int>()->default_value("3"))(
+        "callers", "at the same time", cxxopts::value<int>()->default_value("12"))(
+        "keep", "directory for settings and logs; default: one that goes when all is well",
+        cxxopts::value<std::string>());
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("gateway") == 0) {
+            std::cerr << options.help() << "\n";
+            return exitMistake;
+        }
+        SoakOptions soak;
+        soak.gateway = arguments["gateway"].as<std::string>();
+        soak.seconds = arguments["seconds"].as<int>();
+        soak.instances = arguments["instances"].as<int>();
+        soak.callers = arguments["callers"].as<int>();
+        const std::string base = arguments.count("keep") > 0
+            ? arguments["keep"].as<std::string>()
+            : (std::filesystem::temp_directory_path() / ("soak-" + std::to_string(getpid())))
+                  .string();
+        int failed = 0;
+        const int seeds = arguments["seeds"].as<int>();
+        for (int i = 0; i < seeds; ++i) {
+            soak.seed = arguments["seed"].as<std::uint64_t>() + static_cast<std::uint64_t>(i);
+            soak.directory = base + "/" + std::to_string(soak.seed);
+            std::filesystem::create_directories(soak.directory);
+            const bool isBroken = runSeed(soak) != 0;
+            failed += isBroken ? 1 : 0;
+            if (isBroken)
+                std::cout << "  logs: " << soak.directory << std::endl;
+            else if (arguments.count("keep") == 0)
+                std::filesystem::remove_all(soak.directory);
+        }
+        std::cout << seeds - failed << " passed, " << failed << " failed" << std::endl;
+        return failed == 0 ? 0 : exitBroken;
+    } catch (const std::exception &error) {
+        std::cerr << "cuminrail-soak: " << error.what() << "\n";
+        return exitMistake;
+    }
+}
