--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -14,6 +14,8 @@
 constexpr Millis tickEvery = Millis(100);
 /** The balancer asks each second and takes an instance out after two misses. */
 constexpr Millis balancerNotices = Millis(2500);
+/** A caller sends its request within this after its connection was accepted: two travels. */
+constexpr Millis acceptedSends = Millis(300);
 /** Kept for writing the last usage before the platform kills the process. */
 constexpr Millis endReserve = Millis(400);
 /** Calls under authority are not begun with less time than a slow answer takes. */
@@ -308,9 +310,17 @@
     const bool isLate = since > settings_.grace - endReserve;
     if (since < balancerNotices)
         return;
-    const bool isIdle = context_.counters.inProgress == 0 && callers_.busyConnections() == 0;
-    if (isIdle || isLate)
+    // Callers that the balancer goes on sending, or that come by themselves, would keep the process
+    // busy until it is killed with their requests half answered. Refused, they go elsewhere at
+    // once.
+    if (!hasStoppedListening_) {
+        hasStoppedListening_ = true;
         callers_.stopListening();
+    }
+    // What idles is closed a moment later; what was accepted just now still sends its request.
+    if (since >= balancerNotices + acceptedSends)
+        callers_.closeIdle();
+    const bool isIdle = context_.counters.inProgress == 0 && callers_.openConnections() == 0;
     if (isIdle)
         usage_.flush();
     const bool isDone = isIdle && usage_.isFlushed() && lease_.isQuiet();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -108,6 +108,7 @@
     boost::asio::steady_timer timer_;
     bool isDraining_ = false;
     Millis drainStarted_;
+    bool hasStoppedListening_ = false;
     std::function<void()> onDrained_;
 };
 
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -4,6 +4,9 @@
 #include "net/http/HopHeaders.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
 
 namespace cuminrail {
 
@@ -148,6 +151,17 @@
     pending->call = authorityPool_.start(std::move(request), std::move(hooks));
 }
 
+void PlatformClient::later(Millis wait, std::function<void()> function)
+{
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(wait.count()));
+    timer->async_wait([timer, function = std::move(function), weak = std::weak_ptr<bool>(isAlive_)](
+                          const boost::system::error_code &error) {
+        if (!error && !weak.expired())
+            function();
+    });
+}
+
 void PlatformClient::closeAll()
 {
     pool_.closeAll();
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -51,6 +51,8 @@
     PlatformClient &operator=(const PlatformClient &) = delete;
 
     void call(const PlatformCall &call, PlatformCompletion done);
+    /** Runs a function on the event loop after a while, unless this object is gone by then. */
+    void later(Millis wait, std::function<void()> function);
     /** Ends all calls at once, without a report. */
     void closeAll();
 
@@ -82,6 +84,8 @@
     std::unordered_map<std::string, Millis> authorities_;
     UpstreamPool pool_;
     UpstreamPool authorityPool_;
+    /** Tells functions that wait whether this object is still there. */
+    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
 
 } // namespace cuminrail
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -1,5 +1,7 @@
 #include "Fleet.h"
 
+#include "runtime/time/BootClock.h"
+
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
@@ -14,12 +16,28 @@
 
 /** Longer than the gateways' grace: whoever has not ended by then never will. */
 constexpr std::chrono::seconds endPatience(9);
-
-std::uint16_t freePort()
+/** From fork() until the gateway handles signals, with room for a busy machine. */
+constexpr Millis startUp = Millis(300);
+
+/**
+    Returns a port for a gateway, below those that the kernel gives to connections: a gateway that
+   is down for a moment would find its port taken by a caller's connection, or by another run.
+*/
+std::uint16_t gatewayPort()
 {
+    constexpr int lowest = 10000;
+    constexpr int portsOfRun = 100;
+    constexpr int runs = 200;
+    static int given = 0;
+    const int number = lowest + (getpid() % runs) * portsOfRun + given++ % portsOfRun;
     boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
+    boost::system::error_code error;
+    boost::asio::ip::tcp::acceptor acceptor(io);
+    const auto port = static_cast<std::uint16_t>(number);
+    acceptor.open(boost::asio::ip::tcp::v4(), error);
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+    return error ? gatewayPort() : port;
 }
 
 nlohmann::json route(const std::string &name, const std::string &kind, int attempts, bool resumes)
@@ -33,7 +51,7 @@
 } // namespace
 
 GatewayProcess::GatewayProcess(std::string program, std::string directory, std::string name)
-    : callersPort(freePort()), adminPort(freePort()), program_(std::move(program)),
+    : callersPort(gatewayPort()), adminPort(gatewayPort()), program_(std::move(program)),
       directory_(std::move(directory)), name_(std::move(name))
 { }
 
@@ -43,6 +61,8 @@
     std::ofstream(path) << settings;
     const std::string log = directory_ + "/" + name_ + ".log";
     isKillExpected_ = false;
+    complaint_.clear();
+    startedAt_ = bootTime();
     pid_ = fork();
     if (pid_ != 0)
         return;
@@ -55,8 +75,10 @@
     _exit(127);
 }
 
-void GatewayProcess::signal(int number) const
+void GatewayProcess::signal(int number)
 {
+    if (number == SIGTERM)
+        termAt_ = bootTime();
     if (pid_ > 0)
         kill(pid_, number);
 }
@@ -70,7 +92,10 @@
         return false;
     const bool wasKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL && isKillExpected_;
     const bool isOrderly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-    if (!wasKilled && !isOrderly) {
+    // A stop can be asked for before the program's main() has begun; it has nothing to finish then.
+    const bool isStillborn =
+        WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM && termAt_ - startedAt_ < startUp;
+    if (!wasKilled && !isOrderly && !isStillborn) {
         complaint_ = name_ + " ended by itself: "
             + (WIFSIGNALED(status) ? std::string("signal ") + strsignal(WTERMSIG(status))
                                    : "exit code " + std::to_string(WEXITSTATUS(status)));
@@ -165,7 +190,7 @@
         return "127.0.0.1:" + std::to_string(port) + "\n";
     };
     gateway.start("nodeName=instance-" + std::to_string(index) + "\nzone=a\nlisten.front="
-                  + local(gateway.callersPort) + "listen.ready=" + local(freePort())
+                  + local(gateway.callersPort) + "listen.ready=" + local(gatewayPort())
                   + "listen.control=" + local(gateway.adminPort) + "platform.address="
                   + local(storeProxy->port()) + "bounds.graceS=6\nbounds.budgetExtra=50\n");
 }
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -29,7 +29,7 @@
     GatewayProcess(std::string program, std::string directory, std::string name);
 
     void start(const std::string &settings);
-    void signal(int number) const;
+    void signal(int number);
     /** Collects the end if there is one. Returns false while the process runs. */
     bool hasEnded();
     bool isRunning() const { return pid_ > 0; }
@@ -46,6 +46,8 @@
     std::string name_;
     pid_t pid_ = -1;
     bool isKillExpected_ = false;
+    Millis startedAt_;
+    Millis termAt_;
     std::string complaint_;
 };
 
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -5,6 +5,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -19,6 +20,7 @@
 constexpr int exitBroken = 1;
 /** Every fourth seed has no unplanned fault: there a planned stop may cut nothing at all. */
 constexpr std::uint64_t calmEvery = 4;
+constexpr std::size_t mostShown = 20;
 
 /** Injects one fault after another, as the seed says. */
 class FaultDriver
@@ -198,8 +200,11 @@
     std::cout << "seed " << options.seed << (driver.isCalm() ? " (planned work only)" : "") << ": "
               << results.size() << " requests, " << served << " served, " << broken.size()
               << " promises broken\n";
-    for (const std::string &line : broken)
-        std::cout << "  " << line << "\n";
+    const std::size_t shown = std::min(broken.size(), mostShown);
+    for (std::size_t i = 0; i < shown; ++i)
+        std::cout << "  " << broken[i] << "\n";
+    if (shown < broken.size())
+        std::cout << "  and " << broken.size() - shown << " more\n";
     return broken.empty() ? 0 : exitBroken;
 }
 
