--- a/modules/dataplane/retry/RetryAllowance.h
+++ b/modules/dataplane/retry/RetryAllowance.h
@@ -30,7 +30,7 @@
 {
 public:
     /** Stays this far below the system's ratio, as requests still on their way shift windows. */
-    static constexpr double safety = 0.8;
+    static constexpr double safety = 0.6;
 
     explicit RetryAllowance(RetryBounds bounds) : bounds_(bounds) { }
 
