--- a/modules/dataplane/placement/EnginePlacement_test.cpp
+++ b/modules/dataplane/placement/EnginePlacement_test.cpp
@@ -21,7 +21,7 @@
 std::vector<UpstreamPointer> fleet(int prefill, int decode)
 {
     std::vector<UpstreamPointer> engines;
-    engines.reserve(static_cast<std::size_t>(prefill + decode));
+    engines.reserve(static_cast<std::size_t>(prefill) + static_cast<std::size_t>(decode));
     for (int i = 0; i < prefill; ++i)
         engines.push_back(engine("p" + std::to_string(i), EngineStage::Prefill));
     for (int i = 0; i < decode; ++i)
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -12,11 +12,6 @@
 constexpr Millis answerTravel = Millis(30);
 /** With less time than this left no upstream can do anything useful. */
 constexpr Millis leastUseful = Millis(20);
-/**
-    A connection within a region is made in a few milliseconds. A full listen queue drops the first
-    packet, which TCP sends again after a second; another upstream is the better choice by then.
-*/
-constexpr Millis connectPatience = Millis(400);
 /** Connections refused or unanswered before a request is given up; none of them reached anyone. */
 constexpr int mostConnectFailures = 4;
 /** Refusals after which a request is given up: its service has no room. */
@@ -27,8 +22,6 @@
 */
 constexpr Millis idleForUnrepeatable = Millis(300);
 constexpr Millis idleForRepeatable = Millis(4000);
-/** Answers that are no streams are held whole, so that a broken one can still become an error. */
-constexpr std::size_t mostBufferedBytes = 16U << 20U;
 /** The least a stream may pause before an upstream counts as silent, where others could go on. */
 constexpr Millis leastStreamPatience = Millis(1500);
 /** An upstream that showed something to any request within this long counts as alive. */
@@ -296,62 +289,6 @@
     return hooks;
 }
 
-void RequestRelay::onHead(HttpHead &head)
-{
-    silence_.clear();
-    const UpstreamPointer &upstream =
-        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
-    context_.health.progressed(upstream->entry.id, context_.now());
-    attempt_.status = head.status;
-    attempt_.traits = context_.wire.decodeAnswer(head);
-    attempt_.isForeign =
-        head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
-    if (attempt_.isPrefill || attempt_.isForeign)
-        return;
-    attempt_.headers = context_.wire.callerHeaders(head);
-    const bool isSuccess = head.status >= 200 && head.status < 300;
-    attempt_.isStreaming = isSuccess && isStreamRoute(*route_);
-}
-
-void RequestRelay::onBody(std::string_view data)
-{
-    if (isOver_ || attempt_.isForeign || attempt_.traits.isRefusedUnrun)
-        return;
-    if (!attempt_.isStreaming) {
-        if (attempt_.body.size() + data.size() <= mostBufferedBytes)
-            attempt_.body.append(data);
-        else
-            attempt_.isForeign = true;
-        return;
-    }
-    if (!events_.feed(data))
-        attempt_.isForeign = true;
-}
-
-void RequestRelay::onEvent(const SseEvent &event)
-{
-    if (isOver_)
-        return;
-    promptRead();
-    began();
-    context_.health.progressed(attempt_.upstream->entry.id, context_.now());
-    // A resumed stream that begins too early would give the caller pieces twice.
-    if (event.number && lastEvent_ && *event.number <= *lastEvent_)
-        return;
-    if (event.number)
-        lastEvent_ = event.number;
-    if (!isAnswering_) {
-        isAnswering_ = true;
-        firstAnswer();
-        exchange_->beginStream(attempt_.status, attempt_.headers);
-    }
-    exchange_->write(event.bytes);
-    if (!exchange_->isCongested())
-        return;
-    call_.pause();
-    exchange_->onWritable([self = shared_from_this()] { self->call_.resume(); });
-}
-
 void RequestRelay::onEnd(const UpstreamEnd &end)
 {
     silence_.clear();
@@ -522,57 +459,6 @@
     over(attempt_.status < 400 ? RequestOutcome::Served : RequestOutcome::UpstreamError);
 }
 
-void RequestRelay::recordSign(AttemptSign sign)
-{
-    context_.health.record(attempt_.upstream->entry.id, sign, context_.now());
-}
-
-void RequestRelay::promptRead()
-{
-    if (!attempt_.choice || attempt_.isPromptRead)
-        return;
-    attempt_.isPromptRead = true;
-    context_.metrics.promptRead((context_.now() - attempt_.sentAt).toSeconds());
-    context_.engines.promptRead(*attempt_.choice, *inbound_.prompt, attempt_.sentAt,
-                                context_.now());
-}
-
-void RequestRelay::began()
-{
-    if (hasBegun_)
-        return;
-    hasBegun_ = true;
-    if (!customer_.empty() && context_.onBegan)
-        context_.onBegan(customer_);
-}
-
-void RequestRelay::settleAttempt()
-{
-    if (!attempt_.isCounted)
-        return;
-    attempt_.isCounted = false;
-    if (attempt_.choice)
-        context_.engines.finished(*attempt_.choice, attempt_.isPromptRead);
-    else
-        context_.services.finished(attempt_.upstream->entry.id);
-}
-
-void RequestRelay::releaseHandle()
-{
-    if (handle_.empty() || !attempt_.choice || !attempt_.choice->prefill)
-        return;
-    const UpstreamEntry &prefill = attempt_.choice->prefill->entry;
-    UpstreamRequest request;
-    request.address = prefill.address;
-    request.wire = context_.wire.encodeHandleRelease(handle_, prefill);
-    request.isEchoRequired = false;
-    request.timeouts.connect = connectPatience;
-    request.timeouts.firstByte = Millis::seconds(1);
-    request.timeouts.stall = Millis::seconds(1);
-    context_.pool.start(std::move(request), {});
-    handle_.clear();
-}
-
 void RequestRelay::onDeadline()
 {
     if (isOver_)
@@ -622,53 +508,4 @@
     over(RequestOutcome::CallerLeft);
 }
 
-Millis RequestRelay::comeBackAfter() const
-{
-    // Callers that were refused together must not come back together.
-    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id) % 300);
-    return Millis(250 + spread);
-}
-
-void RequestRelay::refuse(int status, std::optional<Millis> retryAfter, const std::string &why)
-{
-    ++context_.counters.refused;
-    logEnd(events::requestRefused, status, why);
-    exchange_->respond(context_.wire.ownAnswer(status, inbound_.id, retryAfter, why));
-    over(RequestOutcome::Refused);
-}
-
-void RequestRelay::giveUp(const std::string &why)
-{
-    const auto self = shared_from_this();
-    if (isAnswering_) {
-        ++context_.counters.failed;
-        logEnd(events::requestFailed, 0, "cut in the stream: " + why);
-        exchange_->abort();
-        return over(RequestOutcome::Failed);
-    }
-    if (!mayHaveRun_)
-        return refuse(503, comeBackAfter(), why);
-    ++context_.counters.failed;
-    const int status = context_.now() >= endsAt_ ? 504 : 502;
-    logEnd(events::requestFailed, status, why);
-    exchange_->respond(context_.wire.ownAnswer(status, inbound_.id, std::nullopt, why));
-    over(RequestOutcome::Failed);
-}
-
-void RequestRelay::firstAnswer()
-{
-    const Millis took = context_.now() - arrivedAt_;
-    context_.metrics.firstAnswer(route_->kind, took.toSeconds());
-}
-
-void RequestRelay::over(RequestOutcome outcome)
-{
-    isOver_ = true;
-    deadline_.clear();
-    silence_.clear();
-    const Millis took = context_.now() - arrivedAt_;
-    const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
-    context_.metrics.requestEnded(kind, outcome, took.toSeconds());
-}
-
 } // namespace cuminrail
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -18,6 +18,12 @@
 class RequestRelay : public std::enable_shared_from_this<RequestRelay>
 {
 public:
+    /**
+        A connection within a region is made in a few milliseconds. A full listen queue drops the
+        first packet, which TCP sends again after a second; another upstream is better by then.
+    */
+    static constexpr Millis connectPatience = Millis(400);
+
     RequestRelay(RelayContext &context, std::shared_ptr<HttpExchange> exchange);
     ~RequestRelay();
     RequestRelay(const RequestRelay &) = delete;
