The soak's declarations and settings stand with the platform's other stand-ins

Cause: the check of wire names refused the soak: its configuration and settings used the users' names.

--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 
+#include "platform/testing/StandinDeclarations.h"
 #include "runtime/time/BootClock.h"
 
 #include <csignal>
@@ -40,14 +41,6 @@
     return error ? gatewayPort() : port;
 }
 
-nlohmann::json route(const std::string &name, const std::string &kind, int attempts, bool resumes)
-{
-    return {{"name", name},        {"host", "soak.example"}, {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},        {"service", "svc"},       {"maxAttempts", attempts},
-            {"timeoutMs", 3000},   {"goalMs", 400},          {"gapGoalMs", 300},
-            {"canResume", resumes}};
-}
-
 } // namespace
 
 GatewayProcess::GatewayProcess(std::string program, std::string directory, std::string name)
@@ -147,13 +140,7 @@
 
 void Fleet::list(std::size_t index)
 {
-    store->write("servers", servers[index]->id(),
-                 {{"service", "svc"},
-                  {"address", "127.0.0.1:" + std::to_string(proxies[index]->port())},
-                  {"zone", "a"},
-                  {"state", "ready"},
-                  {"slots", 32},
-                  {"born", 1}});
+    store->write("servers", servers[index]->id(), platform::standinEntry(proxies[index]->port()));
 }
 
 void Fleet::start()
@@ -170,29 +157,19 @@
 
 void Fleet::configure(bool hasSecondKey)
 {
-    const nlohmann::json south =
-        hasSecondKey ? nlohmann::json{"key-south"} : nlohmann::json::array();
-    const nlohmann::json configuration{
-        {"version", ++version_},
-        {"routes",
-         {route("safe", "safe", 2, false), route("unsafe", "unsafe", 1, false),
-          route("stream", "stream", 3, true), route("once", "stream", 1, false)}},
-        {"services", {{{"name", "svc"}, {"maxConns", 500}}}},
-        {"tenants",
-         {{{"name", "north"}, {"keys", {"key-north"}}}, {{"name", "south"}, {"keys", south}}}}};
+    const auto configuration = platform::standinConfiguration(++version_, hasSecondKey);
     onThread([this, &configuration] { store->write("config", "main", configuration); });
 }
 
 void Fleet::startGateway(std::size_t index)
 {
     GatewayProcess &gateway = *gateways[index];
-    const auto local = [](std::uint16_t port) {
-        return "127.0.0.1:" + std::to_string(port) + "\n";
-    };
-    gateway.start("nodeName=instance-" + std::to_string(index) + "\nzone=a\nlisten.front="
-                  + local(gateway.callersPort) + "listen.ready=" + local(gatewayPort())
-                  + "listen.control=" + local(gateway.adminPort) + "platform.address="
-                  + local(storeProxy->port()) + "bounds.graceS=6\nbounds.budgetExtra=50\n");
+    platform::StandinPorts ports;
+    ports.callers = gateway.callersPort;
+    ports.admin = gateway.adminPort;
+    ports.readiness = gatewayPort();
+    ports.store = storeProxy->port();
+    gateway.start(platform::standinSettings("instance-" + std::to_string(index), ports));
 }
 
 std::vector<std::string> Fleet::stop()
