--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -22,8 +22,8 @@
     double handOverMillis = 40.0;
     /**
         A prompt read where others generate delays their events as well; so handing over may take
-        this much longer. Measured over a day without bound against 1 and 0: 0.62 of the worth
-        earned against 0.43, and 0.27 with no hand-over at all.
+        this much longer. Measured over one day: 0.62 of the worth with every large prompt handed
+        over, 0.43 with the shorter estimate deciding, 0.27 without handing over.
     */
     double ownReadFactor = 3.0;
     double ownReadMillis = 300.0;
--- a/modules/runtime/files/Files.cpp
+++ b/modules/runtime/files/Files.cpp
@@ -8,15 +8,21 @@
 
 std::optional<std::vector<std::string>> filesBelow(const std::string &directory)
 {
+    // The overloads that throw would end the process where one line and an exit code are due. Paths
+    // are made relative by their text: resolving them asks for the working directory, which may be
+    // gone.
     std::error_code error;
-    const std::filesystem::recursive_directory_iterator entries(directory, error);
-    if (error)
-        return std::nullopt;
+    std::filesystem::recursive_directory_iterator entry(directory, error);
+    const std::filesystem::recursive_directory_iterator end;
     std::vector<std::string> names;
-    for (const auto &entry : entries) {
-        if (entry.is_regular_file())
-            names.push_back(std::filesystem::relative(entry.path(), directory).string());
+    while (!error && entry != end) {
+        if (entry->is_regular_file(error) && !error)
+            names.push_back(entry->path().lexically_relative(directory).string());
+        if (!error)
+            entry.increment(error);
     }
+    if (error)
+        return std::nullopt;
     return names;
 }
 
