--- a/modules/runtime/files/Files_test.cpp
+++ b/modules/runtime/files/Files_test.cpp
@@ -33,3 +33,15 @@
     fs::current_path(former);
     fs::remove_all(base);
 }
+
+// A settings directory holds a link that leads to itself. Its operator must read that the directory
+// cannot be read, instead of an abort message of the runtime.
+TEST_CASE("an entry that cannot be looked at makes the directory unreadable, without an exception")
+{
+    namespace fs = std::filesystem;
+    const fs::path base = fs::temp_directory_path() / ("files-loop-" + std::to_string(getpid()));
+    fs::create_directories(base);
+    fs::create_symlink("loop", base / "loop");
+    CHECK_FALSE(filesBelow(base.string()));
+    fs::remove_all(base);
+}
