Regular upstreams that stand in for reclaimed ones stay for a minute

Ruled out: giving them up only when others stand ready.

Change: they are ordered after 1 s of denial in place of 3 s, and stay for 60 s.

--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -3,6 +3,7 @@
 #include "dataplane/model/Configuration.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cuminrail {
 
@@ -20,6 +21,8 @@
     bool isIdle = false;
     /** For how long the platform has had no reclaimable upstreams to give; 0 while it has. */
     Millis deniedFor;
+    /** How long ago it last had none; nothing if it always had some. */
+    std::optional<Millis> deniedAgo;
 };
 
 /** How many of each kind there should be. */
@@ -43,9 +46,14 @@
     */
     double keptShare = 0.17;
     /** After a reclaim, so long without reclaimable upstreams leads to regular ones instead. */
-    Millis denialBorne = Millis(3000);
+    Millis denialBorne = Millis(1000);
     /** The part of the most upstreams that regular ones then make up. */
     double substituteShare = 0.5;
+    /**
+        How long those then stay. Within the operators' bounds a swap first gives up what works: the
+        domain is short for two boots, some 10 s, and what was just reclaimed may be so again.
+    */
+    Millis substitutesStay = Millis::seconds(60);
 };
 
 /**
@@ -62,12 +70,10 @@
     explicit FleetPlan(FleetPlanSettings settings = {}) : settings_(settings) { }
 
     DomainTarget decide(const ScaleBounds &bounds, const DomainFleet &now,
-                        const DomainSupply &supply);
+                        const DomainSupply &supply) const;
 
 private:
     FleetPlanSettings settings_;
-    /** As many reclaimable upstreams as are to be kept of the others stood ready once. */
-    bool hasReclaimable_ = false;
 };
 
 } // namespace cuminrail
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -122,7 +122,12 @@
 {
     counts_[static_cast<std::size_t>(call.kind)].fetch_add(1, std::memory_order_relaxed);
     const auto pending = std::make_shared<Pending>();
-    pending->done = std::move(done);
+    pending->done = [this, done = std::move(done), kind = call.kind,
+                     begunAt = deadlines_.now()](const PlatformAnswer &answer) {
+        if (observer_)
+            observer_(kind, answer.isWhole(), deadlines_.now() - begunAt);
+        done(answer);
+    };
     UpstreamRequest request = toRequest(call);
     if (call.notAfter)
         startUnderAuthority(std::move(request), pending, *call.notAfter);
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -51,6 +51,9 @@
     PlatformClient &operator=(const PlatformClient &) = delete;
 
     void call(const PlatformCall &call, PlatformCompletion done);
+    /** Told of each call that ended, whether by a whole answer, and how long it took. */
+    using Observer = std::function<void(PlatformCallKind kind, bool wasAnswered, Millis took)>;
+    void setObserver(Observer observer) { observer_ = std::move(observer); }
     /** Runs a function on the event loop after a while, unless this object is gone by then. */
     void later(Millis wait, std::function<void()> function);
     /** Ends all calls at once, without a report. */
@@ -78,6 +81,7 @@
     boost::asio::io_context &io_;
     DeadlineList &deadlines_;
     PlatformClientOptions options_;
+    Observer observer_;
     std::uint64_t numbers_ = 0;
     std::array<std::atomic<std::uint64_t>, platformCallKindCount> counts_{};
     /** Ends of authority of the calls under way, by request identity. */
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -135,6 +135,11 @@
         [&log] { return log.dropped(); }};
     auto gateway =
         std::make_unique<Gateway>(settings, platform::makeWire(*client, settings), environment);
+    client->setObserver([&gateway](PlatformCallKind kind, bool wasAnswered, Millis took) {
+        const std::string name(platformCallKindNames.name(kind));
+        if (gateway)
+            gateway->platformCallEnded(name.c_str(), wasAnswered, took);
+    });
     SettingsFollower follower(path, settings, log.sink());
     boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](const boost::system::error_code &error, int) {
