--- a/modules/emulation/load/LoadFile.cpp
+++ b/modules/emulation/load/LoadFile.cpp
@@ -162,7 +162,7 @@
     members.object("own_tokens", [&](Members &size) { readSpread(size, kind.ownTokens); });
     members.object("events", [&](Members &size) { readSpread(size, kind.events); });
     members.positive("goal_ms", kind.goalMs);
-    members.positive("pause_goal_ms", kind.gapGoalMs);
+    members.positive("pause_goal_ms", kind.pauseGoalMs);
     members.positive("deadline_ms", kind.deadlineMs);
     members.number("worth", kind.worth);
     members.number("late_worth", kind.lateWorth);
--- a/modules/emulation/load/LoadPlan.h
+++ b/modules/emulation/load/LoadPlan.h
@@ -37,7 +37,7 @@
     SizeSpread ownTokens;
     SizeSpread events;
     double goalMs = 1000;
-    double gapGoalMs = 1000;
+    double pauseGoalMs = 1000;
     double deadlineMs = 6000;
     /** What an answer on time, and a late one, is worth to the caller. */
     double worth = 1;
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -243,7 +243,7 @@
     instanceOf(index).health.record(flight.choice->engine->entry.id, AttemptSign::Good, now());
     settle(index);
     const bool isOnTime = records_[index].firstAt - requests_[index].atMs <= kind.goalMs
-        && records_[index].longestPauseMs <= kind.gapGoalMs;
+        && records_[index].longestPauseMs <= kind.pauseGoalMs;
     end(index, isOnTime ? LoadEnding::OnTime : LoadEnding::Late);
 }
 
