A success that its upstream does not vouch for reaches nobody

Cause: a 2xx answer without the upstream's stamp, or with an encoded body, was passed on as the upstream's own.

Ruled out: asking for the stamp of failures too, which upstreams may lack when they refuse.

Change: such an answer counts as a broken attempt. The test failed before with 200 and the strange body on three kinds of routes. Four fields that nothing read are gone.

--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -46,8 +46,6 @@
     /** Length of a usage window, and how long after its end its report is due. */
     Millis usageWindow = Millis::seconds(5);
     Millis usageDue = Millis::seconds(10);
-    /** An upstream's entry in the store is renewed this often. */
-    Millis heartbeat = Millis(1200);
 };
 
 } // namespace cuminrail
--- a/modules/dataplane/model/RequestMessages.h
+++ b/modules/dataplane/model/RequestMessages.h
@@ -63,12 +63,8 @@
     bool isRefusedUnrun = false;
     /** Another upstream than the one named has this address; it did not run the request either. */
     bool isOtherUpstream = false;
-    /** The body is a series of events. */
-    bool isEventStream = false;
-    /** The upstream vouches for this answer. */
-    bool isStamped = false;
-    /** After which the upstream would be worth trying again. */
-    std::optional<Millis> retryAfter;
+    /** The upstream vouches for this answer, and its body came as the upstream made it. */
+    bool isVouchedFor = false;
 };
 
 /** A prompt's cache that waits at a prefill engine to be fetched once. */
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -179,7 +179,6 @@
         return;
     context_.index = std::make_shared<const RouteIndex>(std::move(*configuration));
     configurationText_ = text;
-    state_.hasConfiguration = true;
     context_.events(
         Event{&events::configurationInForce,
               {{"version", std::to_string(context_.index->version())}, {"source", source}}});
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -11,7 +11,6 @@
 /** What an instance has read of the store, for its readiness. */
 struct SyncState
 {
-    bool hasConfiguration = false;
     bool hasUpstreams = false;
 };
 
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -22,10 +22,15 @@
     attempt_.traits = context_.wire.decodeAnswer(head);
     attempt_.isForeign =
         head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
-    if (attempt_.isPrefill || attempt_.isForeign)
+    if (attempt_.isPrefill)
         return;
-    attempt_.headers = context_.wire.callerHeaders(head);
     const bool isSuccess = head.status >= 200 && head.status < 300;
+    // Whoever else answered, a caller would take it for the upstream's own answer.
+    if (isSuccess && !attempt_.traits.isVouchedFor)
+        attempt_.isForeign = true;
+    if (attempt_.isForeign)
+        return;
+    attempt_.headers = context_.wire.callerHeaders(head);
     attempt_.isStreaming = isSuccess && route_->kind == RouteKind::Stream;
 }
 
