Under load stages change only in a gross shortage

Cause: when a failure domain's engines were reclaimed, the division of the rest was corrected domain by domain. The last engine of the domain went from reading to generating, others followed, and each was away for its running work and three seconds more, with the parts that it held.

Change: while nobody asks for anything, domains are divided as before; under load only a stage of the whole fleet with less than half of its engines gets some.

--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -41,14 +41,22 @@
     Millis dwell = Millis(12000);
     /** The part of all engines that may be away for a change at the same time. */
     double concurrentShare = 0.34;
+    /**
+        Under load only a stage with less than this part of its wanted engines is helped. A change
+        takes an engine, and the parts that it holds, away just when both are short. Emulated day
+        reclaim-in-a-swing, mean of 8 seeds: 0.901 of the worth, 0.760 with every deviation
+        corrected.
+    */
+    double grossShortage = 0.5;
 };
 
 /**
     Which engines should change between reading prompts and generating.
 
     The mix of work swings within seconds, and a change takes an engine away for as long. So the
-    plan does not follow the mix: it holds a division that suits the long run and corrects it only
-    when engines come or go, after the deviation has lasted. Never the last engine of a stage.
+    plan does not follow the mix: it holds a division that suits the long run. While nobody asks for
+    anything, each failure domain is brought to it once a deviation has lasted; under load only a
+    gross shortage of the whole fleet is mended. Never the last engine of a stage.
 */
 class StagePlan
 {
@@ -56,19 +64,28 @@
     explicit StagePlan(StagePlanSettings settings = {}) : settings_(settings) { }
 
     /** Returns the changes to order now, for the engines of one service. */
-    std::vector<StageChange> decide(const std::vector<StagedEngine> &engines, Millis now);
+    std::vector<StageChange> decide(const std::vector<StagedEngine> &engines, bool isUnderLoad,
+                                    Millis now);
 
     /** Returns how many of a failure domain's engines should generate. */
     std::size_t wantedDecode(std::size_t engines) const;
 
 private:
-    struct Domain
+    /** The engines of one failure domain, or all. */
+    struct Division
     {
         std::vector<const StagedEngine *> prefill;
         std::vector<const StagedEngine *> decode;
         std::size_t changing = 0;
+
+        std::size_t size() const { return prefill.size() + decode.size() + changing; }
     };
 
+    static void add(Division &division, const StagedEngine &engine);
+    std::vector<StageChange> decideCalm(const std::map<std::string, Division> &domains,
+                                        Division all, Millis now);
+    std::vector<StageChange> decideUnderLoad(const Division &all, Millis now);
+    std::size_t mostChanging(std::size_t engines) const;
     bool hasLasted(const std::string &domain, int deviation, Millis now);
     const StagedEngine *pick(const std::vector<const StagedEngine *> &engines, Millis now) const;
 
--- a/modules/emulation/load/LoadFile.cpp
+++ b/modules/emulation/load/LoadFile.cpp
@@ -224,6 +224,7 @@
     members.whole("instances", plan.instances, 1);
     members.whole("engines_per_domain", plan.enginesPerDomain, 1);
     members.number("prefill_share", plan.prefillShare);
+    members.number("later_prefill_share", plan.laterPrefillShare);
     members.number("near_ms", plan.nearMs);
     members.number("far_ms", plan.farMs);
     members.number("list_lag_ms", plan.listLagMs);
--- a/modules/emulation/load/LoadPlan.h
+++ b/modules/emulation/load/LoadPlan.h
@@ -81,6 +81,8 @@
     int enginesPerDomain = 6;
     /** Of all engines at the start; what the stage plan then makes of it is its own. */
     double prefillShare = 0.66;
+    /** Of the engines that come later. */
+    double laterPrefillShare = 0.35;
     /** One way between an instance and an engine, in its own and in another domain. */
     double nearMs = 0.5;
     double farMs = 1.0;
--- a/modules/emulation/report/LoadReport.cpp
+++ b/modules/emulation/report/LoadReport.cpp
@@ -79,6 +79,7 @@
         windows[static_cast<int>(requests[i].atMs / reportWindowMs)].add(
             plan.kinds[requests[i].kind], records[i].ending);
     std::vector<double> shares;
+    shares.reserve(windows.size());
     for (const auto &[number, window] : windows)
         shares.push_back(window.share());
     std::sort(shares.begin(), shares.end());
--- a/modules/emulation/run/EngineFleet.cpp
+++ b/modules/emulation/run/EngineFleet.cpp
@@ -47,6 +47,13 @@
         publish(member);
 }
 
+EngineStage EngineFleet::laterStage()
+{
+    const double share = std::min(plan_.laterPrefillShare, 1.0);
+    const double before = std::floor(share * later_++);
+    return std::floor(share * later_) > before ? EngineStage::Prefill : EngineStage::Decode;
+}
+
 EngineFleet::Member *EngineFleet::find(const std::string &id)
 {
     const auto found = byId_.find(id);
@@ -143,7 +150,7 @@
                            member->isOrdered});
     }
     const Millis now(static_cast<std::int64_t>(queue_.now()));
-    for (const StageChange &change : stages_.decide(engines, now)) {
+    for (const StageChange &change : stages_.decide(engines, true, now)) {
         Member *member = find(change.id);
         if (!member->isGone && !member->isOrdered)
             order(*member, change.to);
@@ -201,9 +208,7 @@
         queue_.after(loss.noticeMs, [this, member] { end(*member); });
         if (loss.backAfterMs > 0)
             queue_.after(loss.backAfterMs,
-                         [this, domain = member->domain, stage = member->engine.stage()] {
-                             add(domain, stage, false);
-                         });
+                         [this, domain = member->domain] { add(domain, laterStage(), false); });
     }
 }
 
--- a/modules/emulation/run/EngineFleet.h
+++ b/modules/emulation/run/EngineFleet.h
@@ -62,6 +62,7 @@
     };
 
     void add(const std::string &domain, EngineStage stage, bool isAtStart);
+    EngineStage laterStage();
     Member *find(const std::string &id);
     void publish(Member &member);
     void step(Member &member);
@@ -81,6 +82,7 @@
     std::vector<UpstreamPointer> known_;
     /** Transfers under way whose job was cancelled meanwhile. */
     std::unordered_set<std::uint64_t> fetching_;
+    int later_ = 0;
     EngineTotals totals_;
     EngineTotals gone_;
 };
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -8,6 +8,8 @@
 
 /** The engine's new stage is in the store's list this long after it has changed, at the latest. */
 constexpr Millis listDelay = Millis(2500);
+/** With a request in this time the fleet counts as being under load. */
+constexpr Millis loadSpan = Millis(3000);
 /** A new holder waits until orders that the former one sent at its end have arrived. */
 constexpr Millis takeOverPause = Millis(1500);
 
@@ -20,6 +22,10 @@
 void StageDuty::tick()
 {
     const Millis now = context_.now();
+    if (context_.counters.requests != requestsSeen_) {
+        requestsSeen_ = context_.counters.requests;
+        requestAt_ = now;
+    }
     if (!authority_() || context_.index == nullptr) {
         heldSince_ = Millis::never();
         return;
@@ -38,6 +44,7 @@
 
 void StageDuty::decideService(const Service &service, Millis now)
 {
+    const bool isUnderLoad = requestAt_ && now - *requestAt_ < loadSpan;
     std::vector<StagedEngine> engines;
     for (const UpstreamPointer &engine : context_.directory.usable(service.name)) {
         const auto pending = pending_.find(engine->entry.id);
@@ -49,7 +56,7 @@
             engines.push_back({engine->entry.id, engine->entry.failureDomain, engine->entry.stage,
                                pending_.count(engine->entry.id) > 0});
     }
-    for (const StageChange &change : plans_[service.name].decide(engines, now))
+    for (const StageChange &change : plans_[service.name].decide(engines, isUnderLoad, now))
         order(context_.directory.find(change.id), change, service);
 }
 
--- a/modules/gateway/control/StageDuty.h
+++ b/modules/gateway/control/StageDuty.h
@@ -41,6 +41,8 @@
     std::function<std::optional<DutyAuthority>()> authority_;
     std::unordered_map<std::string, StagePlan> plans_;
     std::unordered_map<std::string, Pending> pending_;
+    std::uint64_t requestsSeen_ = 0;
+    std::optional<Millis> requestAt_;
     Millis heldSince_ = Millis::never();
 };
 
--- a/programs/cuminrail-bench/LoadCommand.cpp
+++ b/programs/cuminrail-bench/LoadCommand.cpp
@@ -36,6 +36,7 @@
     const char *name;
     double PlacementWeights::*weight;
     double StagePlanSettings::*stage;
+    Millis StagePlanSettings::*span = nullptr;
 };
 
 constexpr Knob knobs[] = {
@@ -50,6 +51,9 @@
     {"read-weight", &PlacementWeights::readWeight, nullptr},
     {"ms-per-running", &PlacementWeights::millisPerRunning, nullptr},
     {"decode-share", nullptr, &StagePlanSettings::decodeShare},
+    {"concurrent-share", nullptr, &StagePlanSettings::concurrentShare},
+    {"gross-shortage", nullptr, &StagePlanSettings::grossShortage},
+    {"dwell-ms", nullptr, nullptr, &StagePlanSettings::dwell},
 };
 
 /** Takes over "name=value". */
@@ -63,8 +67,10 @@
         const double value = std::stod(text.substr(equals + 1));
         if (knob.weight != nullptr)
             choices.weights.*knob.weight = value;
-        else
+        else if (knob.stage != nullptr)
             choices.stages.*knob.stage = value;
+        else
+            choices.stages.*knob.span = Millis(static_cast<std::int64_t>(value));
         return;
     }
     std::string names;
