A reader that stays silent is left while there is time for another engine

Reading apart runs nothing and can always be done elsewhere, but had the request's whole time as its patience.

Ruled out: leaving after 0.6 s, or after 1.5 s with the general span of progress.

Change: patience is three times the estimate, 1.5 s at least, half of what is left at most; and a reader that answered anything within 2.5 s is waited for.

A repeat after an upstream's failure no longer logs that no upstream was available.

--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -60,11 +60,11 @@
         add(domains[engine.failureDomain], engine);
         add(all, engine);
     }
-    return isUnderLoad ? decideUnderLoad(all, now) : decideCalm(domains, std::move(all), now);
+    return isUnderLoad ? decideUnderLoad(all, now) : decideCalm(domains, all, now);
 }
 
 std::vector<StageChange> StagePlan::decideCalm(const std::map<std::string, Division> &domains,
-                                               Division all, Millis now)
+                                               const Division &all, Millis now)
 {
     const std::size_t limit = mostChanging(all.size());
     std::size_t prefill = all.prefill.size();
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -83,7 +83,7 @@
 
     static void add(Division &division, const StagedEngine &engine);
     std::vector<StageChange> decideCalm(const std::map<std::string, Division> &domains,
-                                        Division all, Millis now);
+                                        const Division &all, Millis now);
     std::vector<StageChange> decideUnderLoad(const Division &all, Millis now);
     std::size_t mostChanging(std::size_t engines) const;
     bool hasLasted(const std::string &domain, int deviation, Millis now);
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -1,7 +1,28 @@
 #include "gateway/request/RequestRelay.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
+namespace {
+
+/** The least that a reader may show nothing: the usual delay of a busy one. */
+constexpr Millis leastReaderPatience = Millis(1500);
+/** Estimates know nothing of other instances' prompts; measured readings took up to twice as long.
+ */
+constexpr std::int64_t readerPatienceFactor = 3;
+
+} // namespace
+
+Millis RequestRelay::readerPatience() const
+{
+    // Reading apart runs nothing, so it can always be done elsewhere; half of the time is kept for
+    // that. A reader that answers others is waited for beyond this.
+    const Millis expected(static_cast<std::int64_t>(attempt_.choice->expectedMillis));
+    const Millis half = (endsAt_ - context_.now()) / 2;
+    return std::min(std::max(leastReaderPatience, expected * readerPatienceFactor), half);
+}
+
 void RequestRelay::sendPrefill()
 {
     attempt_.isPrefill = true;
@@ -9,7 +30,7 @@
     OutboundFields fields = outbound(attempt_.choice->prefill->entry);
     fields.prefillOnly = true;
     fields.resumeAfter.reset();
-    send(attempt_.choice->prefill, fields, endsAt_ - context_.now());
+    send(attempt_.choice->prefill, fields, readerPatience());
 }
 
 void RequestRelay::prefillEnded(const UpstreamEnd &end)
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -31,6 +31,11 @@
 constexpr Millis leastStreamPatience = Millis(1500);
 /** An upstream that showed something to any request within this long counts as alive. */
 constexpr Millis progressSpan = Millis(700);
+/**
+    The same for a reader: one instance's share of its answers is small, and a prompt of 50,000
+    tokens takes 1.5 s by itself. Left sooner, busy readers lost work that they had done.
+*/
+constexpr Millis readerProgressSpan = Millis(2500);
 constexpr int configurationMissingRetryMs = 500;
 constexpr int usualUrgency = 3;
 constexpr int hopelessUrgency = 8;
@@ -399,6 +404,8 @@
     if (couldImprove && context_.directory.usable(service_).size() > 1
         && context_.retries.takeRepeat(service_, context_.now())) {
         tried_.insert(attempt_.upstream->entry.id);
+        lastCause_ = GiveUpCause::Broken;
+        lastProblem_ = "the upstream answered " + std::to_string(attempt_.status);
         Attempt failed = std::move(attempt_);
         attempt_ = Attempt();
         attempt_.upstream = failed.upstream;
@@ -452,7 +459,8 @@
         attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
     // An upstream that answers others is busy, not dead. Sent elsewhere, the request would lose
     // its place, and the work done for it, just when there is too little of both.
-    if (context_.health.hasProgressed(upstream->entry.id, progressSpan, context_.now())) {
+    const Millis span = attempt_.isPrefill ? readerProgressSpan : progressSpan;
+    if (context_.health.hasProgressed(upstream->entry.id, span, context_.now())) {
         silence_.setAfter(progressSpan);
         return;
     }
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -75,6 +75,7 @@
     OutboundFields outbound(const UpstreamEntry &upstream) const;
     int urgency() const;
     Millis patience() const;
+    Millis readerPatience() const;
 
     void onHead(HttpHead &head);
     void onBody(std::string_view data);
