--- a/extras/demo.sh
+++ b/extras/demo.sh
@@ -269,6 +269,18 @@
   show_graceful_stop instance-b
   judge_records
   judge_platform
+  show_gateway
+}
+
+# The gateway's path as separate processes: instances over stand-ins of the platform's store and of
+# upstreams, with faults, planned stops and a judge that sees what callers and upstreams see.
+show_gateway() {
+  local log="$work/gateway.log"
+  check "cuminrail-gateway: its settings are checked" 2 \
+    "$("$bin/cuminrail-gateway" --settings /nonexistent --check >/dev/null 2>&1; echo $?)"
+  check "cuminrail-gateway: 8 s of faults, no promise broken" 0 \
+    "$("$bin/cuminrail-soak" --gateway "$bin/cuminrail-gateway" --seed 1 --seeds 1 --seconds 8 >"$log" 2>&1; echo $?)"
+  sed 's/^/          /' "$log" | tail -n 3
 }
 
 echo "cuminrail demo ($mode)"
