A head over the limit is answered 431

Cause: one status, 413, stood for heads and bodies over the limit. Callers of the gateway are told both apart.

Ruled out: changing cuminraild too, whose interface documents 413 for both.

Change: the status is one of the server's limits; the gateway sets 431.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -33,6 +33,7 @@
     limits.message.headBytes = caller.headBytes;
     limits.message.bodyBytes = caller.bodyBytes;
     limits.headTimeout = caller.headTimeout;
+    limits.headTooLargeStatus = 431;
     limits.idleTimeout = caller.idleTimeout;
     // A quarter of the memory for bodies; half of the descriptors for callers.
     limits.allBodyBytes = std::uint64_t{settings.memoryMb} * 1024 * 1024 / 4;
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -41,6 +41,8 @@
     std::uint32_t connections = 10000;
     /** Bytes of all request bodies together, over all threads that share the load. */
     std::uint64_t allBodyBytes = 256 * 1024 * 1024;
+    /** The status for a head over its limit; some interfaces tell it apart from a body. */
+    int headTooLargeStatus = 413;
 };
 
 /** What a server asks of the program it belongs to; called on the server's thread. */
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -18,11 +18,11 @@
 constexpr std::size_t lingerBytes = 1024 * 1024;
 constexpr Millis lingerTime = Millis::seconds(2);
 
-int statusOf(HttpProblemKind kind)
+int statusOf(HttpProblemKind kind, const HttpServerLimits &limits)
 {
-    const bool isTooLarge =
-        kind == HttpProblemKind::HeadTooLarge || kind == HttpProblemKind::BodyTooLarge;
-    return isTooLarge ? 413 : 400;
+    if (kind == HttpProblemKind::HeadTooLarge)
+        return limits.headTooLargeStatus;
+    return kind == HttpProblemKind::BodyTooLarge ? 413 : 400;
 }
 
 void appendNumber(std::string &out, std::uint64_t number, int base)
@@ -208,7 +208,8 @@
 
 void ServerConnection::problemAnswer(const HttpProblem &problem)
 {
-    refuseAndClose(server_.hooks_.onProblem(statusOf(problem.kind), problem.lastReason));
+    refuseAndClose(
+        server_.hooks_.onProblem(statusOf(problem.kind, server_.limits_), problem.lastReason));
 }
 
 void ServerConnection::refuseAndClose(const HttpAnswer &answer)
