--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -161,15 +161,22 @@
     return cut;
 }
 
-int runSeed(const SoakOptions &options)
+/** Starts all processes and waits until they serve. Returns where callers reach them. */
+std::vector<std::uint16_t> startFleet(Fleet &fleet)
 {
-    Fleet fleet(options);
+    constexpr Millis untilServing = Millis(1500);
     fleet.start();
-    sleepFor(Millis(1500));
+    sleepFor(untilServing);
     std::vector<std::uint16_t> ports;
     for (const auto &gateway : fleet.gateways)
         ports.push_back(gateway->callersPort);
-    Callers callers(ports, options.callers, options.seed);
+    return ports;
+}
+
+int runSeed(const SoakOptions &options)
+{
+    Fleet fleet(options);
+    Callers callers(startFleet(fleet), options.callers, options.seed);
     callers.start();
     FaultDriver driver(fleet, options.seed);
     const auto random = seededRandom(options.seed + 77);
@@ -227,12 +234,7 @@
 FloodFigures runFlood(const SoakOptions &options)
 {
     Fleet fleet(options);
-    fleet.start();
-    sleepFor(Millis(1500));
-    std::vector<std::uint16_t> ports;
-    for (const auto &gateway : fleet.gateways)
-        ports.push_back(gateway->callersPort);
-    Callers callers(ports, options.callers, options.seed);
+    Callers callers(startFleet(fleet), options.callers, options.seed);
     callers.start();
     sleepFor(Millis::seconds(options.seconds));
     callers.stop();
