Tickets of due answers are never given twice

An engine that was forgotten and came back started its tickets anew, so the end of an old request could take a new one's expectation away.

--- a/modules/dataplane/placement/EngineMemory.cpp
+++ b/modules/dataplane/placement/EngineMemory.cpp
@@ -80,11 +80,9 @@
     rate_ += (seen > rate_ ? 0.06 : 0.015) * (seen - rate_);
 }
 
-AnswerTicket EngineMemory::expect(double expectedMillis, Millis now)
+void EngineMemory::expect(AnswerTicket ticket, double expectedMillis, Millis now)
 {
-    const AnswerTicket ticket = nextTicket_++;
     expected_.emplace(ticket, Expected{now, expectedMillis});
-    return ticket;
 }
 
 void EngineMemory::answered(AnswerTicket ticket, Millis now)
--- a/modules/dataplane/placement/EngineMemory.h
+++ b/modules/dataplane/placement/EngineMemory.h
@@ -49,7 +49,7 @@
     double rate_ = usual;
 };
 
-/** Names an answer that is due from one engine; 0 is none. */
+/** Names an answer that is due from an engine; 0 is none. */
 using AnswerTicket = std::uint64_t;
 
 /**
@@ -80,7 +80,7 @@
         much: the work of other instances is invisible, and without this an engine looked idle from
         the moment it stopped answering until its first late answer.
     */
-    AnswerTicket expect(double expectedMillis, Millis now);
+    void expect(AnswerTicket ticket, double expectedMillis, Millis now);
     /** It came, so much later than expected as others' work delayed it. */
     void answered(AnswerTicket ticket, Millis now);
     /** It is not waited for any more. What it was overdue by remains known for a while. */
@@ -118,7 +118,6 @@
     int running_ = 0;
     /** Answers that are still due, in the order of sending. */
     std::map<AnswerTicket, Expected> expected_;
-    AnswerTicket nextTicket_ = 1;
     double lag_ = 0;
     Millis lagSeen_;
 };
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -179,8 +179,8 @@
     EngineMemory &reading = state(reader->entry.id);
     reading.start(choice.freshTokens);
     const double rate = rateOf(reader->entry).tokensPerMilli();
-    choice.readTicket =
-        reading.expect(EngineMemory::fixedMillis + reading.openTokens() / rate, now);
+    choice.readTicket = nextTicket_++;
+    reading.expect(choice.readTicket, EngineMemory::fixedMillis + reading.openTokens() / rate, now);
     reading.remember(chain);
     if (choice.prefill)
         state(choice.engine->entry.id).start(0);
@@ -198,8 +198,9 @@
 void EnginePlacement::handedOver(EngineChoice &choice, const PromptShape &prompt, Millis now)
 {
     const double transfer = weights_.transferMillisPerToken * prompt.inputTokens;
-    choice.runTicket =
-        state(choice.engine->entry.id).expect(EngineMemory::fixedMillis + transfer, now);
+    choice.runTicket = nextTicket_++;
+    state(choice.engine->entry.id)
+        .expect(choice.runTicket, EngineMemory::fixedMillis + transfer, now);
 }
 
 void EnginePlacement::runBegan(EngineChoice &choice, Millis now)
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -130,7 +130,6 @@
     const EngineMemory *memory(const std::string &id) const;
 
 private:
-    struct Homes;
     struct Candidate
     {
         UpstreamPointer engine;
@@ -155,6 +154,8 @@
     /** Of engines that only read, and of those that also generate. */
     ReadingRate prefillRate_;
     ReadingRate decodeRate_;
+    /** Never given twice: an engine that is forgotten and comes back must not mistake old ones. */
+    AnswerTicket nextTicket_ = 1;
 };
 
 } // namespace cuminrail
