Stages are divided half a second after the engines are listed

Replayed with logs, five of 24 engines were ordered to another stage 0.7 s before the first requests, two seconds after they were listed, and refused what came until 2.3 s after these.

Ruled out: orders as soon as one engine is listed; the division of the first few differs.

Change: while nobody asks for anything a wrong division is borne for 0.5 s in place of 1.5 and 2 s.

--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -21,7 +21,7 @@
         known = Deviation{sign, now};
     if (sign == 0)
         return false;
-    return now - known.since >= (sign > 0 ? settings_.missingDecode : settings_.missingPrefill);
+    return now - known.since >= settings_.borne;
 }
 
 const StagedEngine *StagePlan::pick(const std::vector<const StagedEngine *> &engines,
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -33,10 +33,13 @@
         of the present workloads (some 70 tokens in for one out) a third is enough to generate.
     */
     double decodeShare = 0.34;
-    /** How long too few generating engines are put up with: they may be coming back. */
-    Millis missingDecode = Millis(1500);
-    /** The same for too few reading engines, where generating ones can still read. */
-    Millis missingPrefill = Millis(2000);
+    /**
+        How long a wrong division lasts before it is corrected, while nobody asks for anything. New
+        engines are listed within a quarter of a second of each other. Every moment more takes the
+        change further into the first requests: on a recorded day engines were away until 2.3 s
+        after these, and 0.75 of the worth was earned in that time against 0.92 over the day.
+    */
+    Millis borne = Millis(500);
     /** How long an engine keeps its stage: several times what a change costs. */
     Millis dwell = Millis(12000);
     /** The part of all engines that may be away for a change at the same time. */
