--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -234,7 +234,6 @@
     } else {
         const double pause = queue_.now() - flight.lastEventAt;
         record.longestPauseMs = std::max(record.longestPauseMs, pause);
-        instance.placement->paused(*flight.choice, Millis(static_cast<std::int64_t>(pause)), now());
     }
     flight.lastEventAt = queue_.now();
 }
--- a/modules/emulation/run/Placement.h
+++ b/modules/emulation/run/Placement.h
@@ -40,7 +40,6 @@
     virtual void promptRead(EngineChoice &, Millis, Millis) { }
     virtual void handedOver(EngineChoice &, const PromptShape &, Millis) { }
     virtual void runBegan(EngineChoice &, Millis) { }
-    virtual void paused(const EngineChoice &, Millis, Millis) { }
     virtual void finished(EngineChoice &choice, bool wasRead, Millis now) = 0;
     virtual void refused(const std::string &, Millis) { }
 };
