Figures of decisions can be set by name on the gateway's command line

Cause: experiments that switch a mechanism off needed an edited build, and the load bench had a table of figures of its own. Defaults are unchanged.

--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -17,6 +17,7 @@
 #include "dataplane/model/RouteIndex.h"
 #include "dataplane/model/UpstreamEntry.h"
 #include "dataplane/placement/EnginePlacement.h"
+#include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
 #include "dataplane/roles/StagePlan.h"
 #include "dataplane/usage/UsageLedger.h"
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time/Millis.h"
+#include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
 
 #include <cstdint>
@@ -41,6 +42,8 @@
     std::uint32_t memoryMb = 256;
     std::uint32_t descriptors = 1024;
     RetryBounds retries;
+    /** Given on the command line; the settings file has nothing of it. */
+    DecisionSettings decisions;
     /** After a stop was asked for, the process is killed this much later. */
     Millis grace = Millis::seconds(8);
     /** Length of a usage window, and how long after its end its report is due. */
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -20,7 +20,7 @@
 LoadRun::LoadRun(const LoadPlan &plan, const std::vector<LoadRequest> &requests,
                  const LoadChoices &choices)
     : plan_(plan), requests_(requests),
-      fleet_(plan, queue_, choices.stages,
+      fleet_(plan, queue_, choices.decisions.stages,
              {[this](const EngineOutput &output) { onOutput(output); },
               [this](std::uint64_t job, bool mayHaveRun) { lost(job, mayHaveRun); }}),
       flights_(requests.size()), records_(requests.size()), stopwatch_(choices.stopwatch)
@@ -32,7 +32,7 @@
     for (int i = 0; i < plan.instances; ++i) {
         Instance instance;
         instance.domain = plan.domains[std::size_t(i) % plan.domains.size()];
-        instance.placement = makePlacement(choices.placement, choices.weights);
+        instance.placement = makePlacement(choices.placement, choices.decisions.placement);
         instance.retries = std::make_unique<RetryAllowance>(bounds);
         instance.retries->setInstances(std::size_t(plan.instances));
         instances_.push_back(std::move(instance));
--- a/modules/emulation/run/LoadRun.h
+++ b/modules/emulation/run/LoadRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dataplane/fleet/UpstreamHealth.h"
+#include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
 #include "emulation/run/EngineFleet.h"
 #include "emulation/run/Placement.h"
@@ -13,8 +14,7 @@
 struct LoadChoices
 {
     PlacementKind placement = PlacementKind::Cuminrail;
-    PlacementWeights weights;
-    StagePlanSettings stages;
+    DecisionSettings decisions;
     /** A real clock in microseconds, to measure decisions with; none are measured without. */
     std::function<double()> stopwatch;
 };
--- a/modules/emulation/run/LoadRun_test.cpp
+++ b/modules/emulation/run/LoadRun_test.cpp
@@ -77,9 +77,9 @@
 {
     const LoadPlan plan = exampleLoad("mix-swings");
     LoadChoices whereTheyRun;
-    whereTheyRun.weights.ownReadFactor = 1;
-    whereTheyRun.weights.ownReadMillis = 0;
-    whereTheyRun.weights.leastHandOverTokens = 1200;
+    whereTheyRun.decisions.placement.ownReadFactor = 1;
+    whereTheyRun.decisions.placement.ownReadMillis = 0;
+    whereTheyRun.decisions.placement.leastHandOverTokens = 1200;
     const Means before = play(plan, whereTheyRun);
     const Means now = play(plan);
     CHECK(now.earned > before.earned + 0.05);
@@ -114,7 +114,7 @@
 {
     const LoadPlan plan = exampleLoad("reclaim-in-a-swing");
     LoadChoices correcting;
-    correcting.stages.grossShortage = 1;
+    correcting.decisions.stages.grossShortage = 1;
     const Means corrected = play(plan, correcting);
     const Means now = play(plan);
     CHECK(now.earned > corrected.earned + 0.05);
--- a/modules/gateway/control/ScaleDuty.cpp
+++ b/modules/gateway/control/ScaleDuty.cpp
@@ -51,7 +51,8 @@
     }
     for (const auto &[domain, fleet] : fleets) {
         const Subject subject{service.name, domain};
-        State &state = states_[subject];
+        State &state = states_.try_emplace(subject, FleetPlan(context_.settings.decisions.fleet))
+                           .first->second;
         const auto denied = state.reclaimable.deniedSince;
         const auto last = state.reclaimable.deniedLast;
         const DomainSupply supply{isIdle, denied ? now - *denied : Millis(0),
--- a/modules/gateway/control/ScaleDuty.h
+++ b/modules/gateway/control/ScaleDuty.h
@@ -48,6 +48,8 @@
     };
     struct State
     {
+        explicit State(const FleetPlan &fleetPlan) : plan(fleetPlan) { }
+
         FleetPlan plan;
         Line regular;
         Line reclaimable;
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -56,7 +56,9 @@
             engines.push_back({engine->entry.id, engine->entry.failureDomain, engine->entry.stage,
                                pending_.count(engine->entry.id) > 0});
     }
-    for (const StageChange &change : plans_[service.name].decide(engines, isUnderLoad, now))
+    const StagePlan fresh(context_.settings.decisions.stages);
+    StagePlan &plan = plans_.try_emplace(service.name, fresh).first->second;
+    for (const StageChange &change : plan.decide(engines, isUnderLoad, now))
         order(context_.directory.find(change.id), change, service);
 }
 
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -20,7 +20,7 @@
     RelayContext(const GatewayWire &gatewayWire, DeadlineList &deadlineList,
                  UpstreamPool &upstreams, const InstanceSettings &instanceSettings)
         : wire(gatewayWire), deadlines(deadlineList), pool(upstreams), settings(instanceSettings),
-          retries(instanceSettings.retries)
+          engines(instanceSettings.decisions.placement), retries(instanceSettings.retries)
     { }
 
     Millis now() const { return deadlines.now(); }
--- a/programs/cuminrail-bench/LoadCommand.cpp
+++ b/programs/cuminrail-bench/LoadCommand.cpp
@@ -34,54 +34,12 @@
     double decisionP99 = 0;
 };
 
-/** The figures that an experiment may change, by the name on the command line. */
-struct Knob
-{
-    const char *name;
-    double PlacementWeights::*weight;
-    double StagePlanSettings::*stage;
-    Millis StagePlanSettings::*span = nullptr;
-};
-
-constexpr Knob knobs[] = {
-    {"domain-ms-per-kb", &PlacementWeights::domainMillisPerKilobyte, nullptr},
-    {"hand-over-ms", &PlacementWeights::handOverMillis, nullptr},
-    {"own-read-factor", &PlacementWeights::ownReadFactor, nullptr},
-    {"own-read-ms", &PlacementWeights::ownReadMillis, nullptr},
-    {"least-hand-over-tokens", &PlacementWeights::leastHandOverTokens, nullptr},
-    {"transfer-ms-per-token", &PlacementWeights::transferMillisPerToken, nullptr},
-    {"home-confidence", &PlacementWeights::homeConfidence, nullptr},
-    {"second-home-confidence", &PlacementWeights::secondHomeConfidence, nullptr},
-    {"read-weight", &PlacementWeights::readWeight, nullptr},
-    {"ms-per-running", &PlacementWeights::millisPerRunning, nullptr},
-    {"most-candidates", &PlacementWeights::mostCandidates, nullptr},
-    {"decode-share", nullptr, &StagePlanSettings::decodeShare},
-    {"concurrent-share", nullptr, &StagePlanSettings::concurrentShare},
-    {"gross-shortage", nullptr, &StagePlanSettings::grossShortage},
-    {"dwell-ms", nullptr, nullptr, &StagePlanSettings::dwell},
-};
-
 /** Takes over "name=value". */
-void set(LoadChoices &choices, const std::string &text)
+void set(DecisionSettings &decisions, const std::string &text)
 {
-    const std::size_t equals = text.find('=');
-    const std::string name = text.substr(0, equals);
-    for (const Knob &knob : knobs) {
-        if (name != knob.name || equals == std::string::npos)
-            continue;
-        const double value = std::stod(text.substr(equals + 1));
-        if (knob.weight != nullptr)
-            choices.weights.*knob.weight = value;
-        else if (knob.stage != nullptr)
-            choices.stages.*knob.stage = value;
-        else
-            choices.stages.*knob.span = Millis(static_cast<std::int64_t>(value));
-        return;
-    }
-    std::string names;
-    for (const Knob &knob : knobs)
-        names += std::string(names.empty() ? "" : ", ") + knob.name;
-    throw std::invalid_argument("--set: NAME=VALUE with one of " + names);
+    Reason reason;
+    if (!decisions.set(text, &reason))
+        throw std::invalid_argument("--set: " + reason.toString());
 }
 
 LoadPlan readPlan(const std::string &path)
@@ -216,7 +174,7 @@
     LoadChoices choices;
     if (arguments.count("set") > 0) {
         for (const std::string &text : arguments["set"].as<std::vector<std::string>>())
-            set(choices, text);
+            set(choices.decisions, text);
     }
     playAll(plan, choices, cells, std::max(1U, arguments["threads"].as<unsigned>()));
     if (arguments.count("series") > 0) {
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -183,7 +183,9 @@
     cxxopts::Options options("cuminrail-gateway", "One instance that serves declared routes.");
     options.add_options()("settings", "settings file; default: the one that the platform names",
                           cxxopts::value<std::string>())(
-        "check", "check the settings file and end")("h,help", "this text");
+        "set", "NAME=VALUE,…: other figures for decisions, for an experiment",
+        cxxopts::value<std::vector<std::string>>())("check", "check the settings and end")(
+        "h,help", "this text");
     try {
         const auto arguments = options.parse(argc, argv);
         if (arguments.count("help") > 0) {
@@ -198,9 +200,15 @@
         if (path.empty())
             return complain({"settings", "no file is named, by flag or environment"}, exitMistake);
         Reason reason;
-        const auto settings = readSettings(path, &reason);
+        auto settings = readSettings(path, &reason);
         if (!settings)
             return complain(reason, exitMistake);
+        if (arguments.count("set") > 0) {
+            for (const auto &text : arguments["set"].as<std::vector<std::string>>()) {
+                if (!settings->decisions.set(text, &reason))
+                    return complain({"--set " + reason.where, reason.what}, exitMistake);
+            }
+        }
         if (arguments.count("check") > 0) {
             std::cout << path << ": ok\n";
             return 0;
