--- a/modules/dataplane/policy/DecisionSettings.cpp
+++ b/modules/dataplane/policy/DecisionSettings.cpp
@@ -57,7 +57,7 @@
         {"ms-per-running", 0, anyWeight, weight(&PlacementWeights::millisPerRunning)},
         {"most-candidates", 1, anyWeight, weight(&PlacementWeights::mostCandidates)},
         {"ms-per-bad-share", 0, anyWeight, weight(&PlacementWeights::millisPerBadShare)},
-        {"decode-share", 0.05, 0.95, stage(&StagePlanSettings::decodeShare)},
+        {"decode-share", 0, 1, stage(&StagePlanSettings::decodeShare)},
         {"concurrent-share", 0, 1, stage(&StagePlanSettings::concurrentShare)},
         {"gross-shortage", 0, 1, stage(&StagePlanSettings::grossShortage)},
         {"dwell-ms", 0, anyWeight,
