--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -23,6 +23,7 @@
         &requestServed,
         &requestFailed,
         &callerLeft,
+        &requestHeld,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
@@ -53,6 +54,8 @@
         &peerLinkReplaced,
         &peerSecretsReloaded,
         &peerSecretsNotReloaded,
+        &peerLinksOpen,
+        &peerLinksNotOpen,
         // 7xx leases and orders
         &leaseTaken,
         &leaseLost,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -63,6 +63,11 @@
     207, EventLevel::Info, "caller-left",
     "The caller closed its connection before its answer was complete; the work was cancelled."};
 
+inline constexpr EventKind requestHeld{
+    208, EventLevel::Info, "request-held",
+    "A prompt that would be late waits here until engines have room; the estimate is in the "
+    "fields."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
@@ -144,6 +149,12 @@
 inline constexpr EventKind peerSecretsNotReloaded{
     613, EventLevel::Error, "peer-secrets-not-reloaded",
     "The file of shared secrets changed and is bad; the former secrets stay in force."};
+inline constexpr EventKind peerLinksOpen{
+    614, EventLevel::Info, "peer-links-open",
+    "The instances' shared secret was read from the store, and links are taken."};
+inline constexpr EventKind peerLinksNotOpen{
+    615, EventLevel::Warning, "peer-links-not-open",
+    "Links between instances cannot be taken; placement knows only this instance's own work."};
 
 // 7xx leases and orders
 inline constexpr EventKind leaseTaken{701, EventLevel::Info, "lease-taken",
--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -21,3 +21,4 @@
 #include "dataplane/retry/RetryAllowance.h"
 #include "dataplane/roles/StagePlan.h"
 #include "dataplane/usage/UsageLedger.h"
+#include "dataplane/waiting/PromptDeferral.h"
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -31,6 +31,8 @@
     HostPort readiness;
     /** Where other instances and operators ask for the state and the metrics. */
     HostPort admin;
+    /** Where other instances' links come in; not set where there are none. */
+    HostPort links;
     /** The platform's store. */
     std::string store;
     /** The platform's interface for duties; empty where there are none. */
--- a/modules/dataplane/placement/EngineMemory.cpp
+++ b/modules/dataplane/placement/EngineMemory.cpp
@@ -1,7 +1,5 @@
 #include "dataplane/placement/EngineMemory.h"
 
-#include "core/hash/StableHash.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -11,71 +9,30 @@
 
 /** A sample with less work says more about the fixed part than about the rate. */
 constexpr double sampleTokens = 1500.0;
+/** Two network delays and a step; and far more than any present engine's first step. */
+constexpr double leastFixedMillis = 5.0;
+constexpr double mostFixedMillis = 400.0;
 constexpr double slowestRate = 4.0;
 constexpr double fastestRate = 80.0;
 
 } // namespace
 
-PromptChain PromptChain::of(const PromptShape &prompt)
-{
-    PromptChain chain;
-    StableHash hash;
-    hash.add(prompt.model);
-    chain.sharedKey = hash.value();
-    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
-        hash.add(prompt.parts[i].id);
-        chain.links.push_back({hash.value(), prompt.parts[i].tokens});
-        chain.tokens += prompt.parts[i].tokens;
-        if (i + 2 == prompt.parts.size())
-            chain.sharedKey = hash.value();
-    }
-    chain.tokens = std::max(chain.tokens, prompt.inputTokens);
-    return chain;
-}
-
-std::uint32_t EngineMemory::cachedTokens(const PromptChain &chain) const
-{
-    std::uint32_t cached = 0;
-    for (const ChainLink &link : chain.links) {
-        if (byKey_.count(link.key) == 0)
-            break;
-        cached += link.tokens;
-    }
-    return cached;
-}
-
-void EngineMemory::remember(const PromptChain &chain)
-{
-    for (const ChainLink &link : chain.links) {
-        const auto found = byKey_.find(link.key);
-        if (found != byKey_.end()) {
-            recent_.splice(recent_.begin(), recent_, found->second);
-            continue;
-        }
-        recent_.push_front(link);
-        byKey_[link.key] = recent_.begin();
-        held_ += link.tokens;
-    }
-    while (held_ > rememberedTokens && !recent_.empty()) {
-        held_ -= recent_.back().tokens;
-        byKey_.erase(recent_.back().key);
-        recent_.pop_back();
-    }
-}
-
 void EngineMemory::start(double freshTokens)
 {
     openTokens_ += freshTokens;
+    tokensSinceTold_ += freshTokens;
     ++running_;
 }
 
 void ReadingRate::sample(double freshTokens, Millis took)
 {
     const double millis = static_cast<double>(took.count());
-    if (freshTokens < sampleTokens || millis <= EngineMemory::fixedMillis)
+    const double besides = millis - freshTokens / rate_;
+    fixedMillis_ += (besides < fixedMillis_ ? 0.2 : 0.01) * (besides - fixedMillis_);
+    fixedMillis_ = std::clamp(fixedMillis_, leastFixedMillis, mostFixedMillis);
+    if (freshTokens < sampleTokens || millis <= fixedMillis_)
         return;
-    const double seen =
-        std::clamp(freshTokens / (millis - EngineMemory::fixedMillis), slowestRate, fastestRate);
+    const double seen = std::clamp(freshTokens / (millis - fixedMillis_), slowestRate, fastestRate);
     // Waiting makes samples too low; parts cached unexpectedly make a few too high.
     rate_ += (seen > rate_ ? 0.06 : 0.015) * (seen - rate_);
 }
@@ -143,8 +100,19 @@
     return lag_ * std::exp2(-age / lagHalfLifeMillis);
 }
 
+void EngineMemory::told(double waitMillis, Millis now)
+{
+    told_ = waitMillis;
+    toldAt_ = now;
+    tokensSinceTold_ = 0;
+}
+
 double EngineMemory::waitMillis(double rate, Millis now) const
 {
+    if (toldAt_ && now - *toldAt_ < toldHolds) {
+        const double left = told_ + tokensSinceTold_ / rate - double((now - *toldAt_).count());
+        return std::max({0.0, left, overdue(now)});
+    }
     return openTokens_ / rate + std::max(lagAt(now), overdue(now));
 }
 
--- a/modules/dataplane/placement/EngineMemory.h
+++ b/modules/dataplane/placement/EngineMemory.h
@@ -1,34 +1,13 @@
 #pragma once
 
 #include "core/time/Millis.h"
-#include "dataplane/model/RequestMessages.h"
+#include "dataplane/placement/RememberedParts.h"
 
-#include <list>
 #include <map>
-#include <unordered_map>
-#include <vector>
+#include <optional>
 
 namespace cuminrail {
 
-/** One part of a prompt together with all that comes before it. */
-struct ChainLink
-{
-    /** Covers the model and every part up to this one: only then can a cache be used again. */
-    std::uint64_t key = 0;
-    std::uint32_t tokens = 0;
-};
-
-/** A prompt as the sequence of its parts. */
-struct PromptChain
-{
-    std::vector<ChainLink> links;
-    std::uint32_t tokens = 0;
-    /** Names what requests of the same kind have in common: all links but the last. */
-    std::uint64_t sharedKey = 0;
-
-    static PromptChain of(const PromptShape &prompt);
-};
-
 /**
     How fast engines of one kind read prompts, learned from how long reading took.
 
@@ -42,11 +21,20 @@
     /** Prompt tokens in a millisecond until measured: between the present kinds. */
     static constexpr double usual = 30.0;
 
+    /** What an answer takes besides reading, until measured: a small idle engine's. */
+    static constexpr double usualFixedMillis = 45.0;
+
     void sample(double freshTokens, Millis took);
     double tokensPerMilli() const { return rate_; }
+    /**
+        Connecting, the engine's set-up and its first step: what the quickest answers took besides
+        reading. It differs between kinds of engines by 100 ms, a quarter of the tightest goal.
+    */
+    double fixedMillis() const { return fixedMillis_; }
 
 private:
     double rate_ = usual;
+    double fixedMillis_ = usualFixedMillis;
 };
 
 /** Names an answer that is due from an engine; 0 is none. */
@@ -59,19 +47,19 @@
 class EngineMemory
 {
 public:
-    /** Parts remembered, in tokens: what an engine of the present kinds holds, less running work.
-     */
-    static constexpr std::uint64_t rememberedTokens = 280000;
-    /** Connecting, the engine's set-up and its first step; measured on an idle engine. */
-    static constexpr double fixedMillis = 45.0;
     /** The delay of others' work fades by half in this time. */
     static constexpr double lagHalfLifeMillis = 800.0;
+    /** What was told holds for so long; then too much unseen work may have come. */
+    static constexpr Millis toldHolds = Millis(1500);
     /** The wait that a refusal stands for; with that half-life it is tried again after seconds. */
     static constexpr double refusalLagMillis = 2000.0;
 
     /** Returns how many of the prompt's tokens the engine probably holds. */
-    std::uint32_t cachedTokens(const PromptChain &chain) const;
-    void remember(const PromptChain &chain);
+    std::uint32_t cachedTokens(const PromptChain &chain) const
+    {
+        return parts_.cachedTokens(chain);
+    }
+    void remember(const PromptChain &chain) { parts_.remember(chain); }
 
     /** A request was sent there, with so many prompt tokens to read. */
     void start(double freshTokens);
@@ -94,6 +82,9 @@
     */
     void refused(Millis now);
 
+    /** Whoever knows the work of all instances there tells how long a prompt waits. */
+    void told(double waitMillis, Millis now);
+
     /** Returns how long a prompt waits there before it is read. */
     double waitMillis(double rate, Millis now) const;
     int running() const { return running_; }
@@ -110,9 +101,7 @@
     double overdue(Millis now) const;
     void learn(double lateMillis, Millis now);
 
-    std::list<ChainLink> recent_;
-    std::unordered_map<std::uint64_t, std::list<ChainLink>::iterator> byKey_;
-    std::uint64_t held_ = 0;
+    RememberedParts parts_;
     /** Prompt tokens sent by this instance and not yet read. */
     double openTokens_ = 0;
     int running_ = 0;
@@ -120,6 +109,10 @@
     std::map<AnswerTicket, Expected> expected_;
     double lag_ = 0;
     Millis lagSeen_;
+    double told_ = 0;
+    std::optional<Millis> toldAt_;
+    /** Prompt tokens sent by this instance since then. */
+    double tokensSinceTold_ = 0;
 };
 
 } // namespace cuminrail
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -101,10 +101,14 @@
     for (std::size_t rank = 0; rank < fitting.size(); ++rank) {
         const UpstreamEntry &entry = fitting[rank]->entry;
         const EngineMemory &memory = state(entry.id);
-        Candidate candidate{fitting[rank], expectedFresh(memory, chain, rank), 0};
+        const auto offer = query.offer ? query.offer(entry.id) : std::nullopt;
+        double fresh = expectedFresh(memory, chain, rank);
+        if (offer)
+            fresh = offer->knowsParts ? offer->freshTokens : std::min(fresh, offer->freshTokens);
+        Candidate candidate{fitting[rank], fresh, 0, 0};
         const double rate = rateOf(entry).tokensPerMilli();
-        candidate.millis = memory.waitMillis(rate, query.now)
-            + weights_.readWeight * candidate.fresh / rate
+        candidate.waitMillis = offer ? offer->waitMillis : memory.waitMillis(rate, query.now);
+        candidate.millis = candidate.waitMillis + weights_.readWeight * candidate.fresh / rate
             + weights_.millisPerRunning * memory.running()
             + weights_.millisPerBadShare * query.badShare(entry.id) + detour(entry, query);
         candidates.push_back(std::move(candidate));
@@ -121,6 +125,7 @@
         return std::nullopt;
     const auto reader = cheapest(readers);
     EngineChoice choice{reader->engine, nullptr, reader->fresh, reader->millis};
+    estimate(choice, reader->waitMillis);
     if (!query.allowsHandOver || reader->fresh < weights_.leastHandOverTokens)
         return choice;
     const auto prefills = rate(engines, EngineStage::Prefill, query, chain);
@@ -134,7 +139,31 @@
     const double bearable = weights_.ownReadFactor * reader->millis + weights_.ownReadMillis;
     if (split >= bearable)
         return choice;
-    return EngineChoice{runner, prefill->engine, prefill->fresh, split};
+    EngineChoice apart{runner, prefill->engine, prefill->fresh, split};
+    estimate(apart, prefill->waitMillis);
+    return apart;
+}
+
+void EnginePlacement::estimate(EngineChoice &choice, double waitMillis)
+{
+    const UpstreamPointer &reader = choice.prefill ? choice.prefill : choice.engine;
+    choice.waitMillis = waitMillis;
+    choice.firstEventMillis = waitMillis + rateOf(reader->entry).fixedMillis()
+        + choice.freshTokens / rateOf(reader->entry).tokensPerMilli()
+        + (choice.prefill ? weights_.handOverMillis : 0);
+}
+
+std::vector<UpstreamPointer>
+EnginePlacement::likelyReaders(const std::vector<UpstreamPointer> &engines,
+                               const PlacementQuery &query, std::size_t most)
+{
+    auto readers = rate(engines, EngineStage::Prefill, query, PromptChain::of(*query.prompt));
+    std::sort(readers.begin(), readers.end(),
+              [](const Candidate &a, const Candidate &b) { return a.millis < b.millis; });
+    std::vector<UpstreamPointer> likely;
+    for (std::size_t i = 0; i < std::min(most, readers.size()); ++i)
+        likely.push_back(readers[i].engine);
+    return likely;
 }
 
 UpstreamPointer EnginePlacement::leastBusy(const std::vector<Candidate> &readers,
@@ -180,7 +209,8 @@
     reading.start(choice.freshTokens);
     const double rate = rateOf(reader->entry).tokensPerMilli();
     choice.readTicket = nextTicket_++;
-    reading.expect(choice.readTicket, EngineMemory::fixedMillis + reading.openTokens() / rate, now);
+    reading.expect(choice.readTicket,
+                   rateOf(reader->entry).fixedMillis() + reading.openTokens() / rate, now);
     reading.remember(chain);
     if (choice.prefill)
         state(choice.engine->entry.id).start(0);
@@ -200,7 +230,7 @@
     const double transfer = weights_.transferMillisPerToken * prompt.inputTokens;
     choice.runTicket = nextTicket_++;
     state(choice.engine->entry.id)
-        .expect(choice.runTicket, EngineMemory::fixedMillis + transfer, now);
+        .expect(choice.runTicket, rateOf(choice.engine->entry).fixedMillis() + transfer, now);
 }
 
 void EnginePlacement::runBegan(EngineChoice &choice, Millis now)
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -3,6 +3,7 @@
 #include "dataplane/fleet/UpstreamDirectory.h"
 #include "dataplane/model/RequestMessages.h"
 #include "dataplane/placement/EngineMemory.h"
+#include "dataplane/placement/ReadingOffer.h"
 
 #include <functional>
 #include <set>
@@ -63,8 +64,11 @@
     UpstreamPointer prefill;
     /** Prompt tokens that the reading engine must work through, as far as is known here. */
     double freshTokens = 0;
-    /** Expected time to the first event. */
+    /** What this choice costs, in the placement's weighed milliseconds. */
     double expectedMillis = 0;
+    /** Expected wait at the reading engine, and expected time to the first event. */
+    double waitMillis = 0;
+    double firstEventMillis = 0;
     /** What is due from the reading engine, and from another one that generates. */
     AnswerTicket readTicket = 0;
     AnswerTicket runTicket = 0;
@@ -84,6 +88,8 @@
     /** Share of bad outcomes, and whether an engine is set aside; asked for each candidate. */
     std::function<double(const std::string &id)> badShare;
     std::function<bool(const std::string &id)> isSetAside;
+    /** What the engine's book says of this prompt, where it was asked; may be empty. */
+    std::function<std::optional<ReadingOffer>(const std::string &id)> offer;
 };
 
 /**
@@ -106,6 +112,17 @@
     std::optional<EngineChoice> choose(const std::vector<UpstreamPointer> &engines,
                                        const PlacementQuery &query);
 
+    /** Returns the prefill engines that suit a prompt best by what is known here, best first. */
+    std::vector<UpstreamPointer> likelyReaders(const std::vector<UpstreamPointer> &engines,
+                                               const PlacementQuery &query, std::size_t most);
+    /** An engine's book told how long a prompt waits there now. */
+    void told(const std::string &id, double waitMillis, Millis now)
+    {
+        state(id).told(waitMillis, now);
+    }
+    /** How fast prefill engines read. */
+    const ReadingRate &prefillRate() const { return prefillRate_; }
+
     /** Returns the engine that should generate for a prompt that has been read already. */
     UpstreamPointer chooseRunner(const std::vector<UpstreamPointer> &engines,
                                  const PlacementQuery &query);
@@ -135,6 +152,7 @@
         UpstreamPointer engine;
         double fresh = 0;
         double millis = 0;
+        double waitMillis = 0;
     };
     struct Ranked;
 
@@ -147,6 +165,7 @@
     UpstreamPointer leastBusy(const std::vector<Candidate> &readers, const PlacementQuery &query);
     double expectedFresh(const EngineMemory &memory, const PromptChain &chain,
                          std::size_t homeRank) const;
+    void estimate(EngineChoice &choice, double waitMillis);
     double detour(const UpstreamEntry &entry, const PlacementQuery &query) const;
 
     PlacementWeights weights_;
--- /dev/null
+++ b/modules/dataplane/placement/ReadingOffer.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace cuminrail {
+
+/** What awaits a prompt at an engine. */
+struct ReadingOffer
+{
+    /** Until the engine has read what is before it. */
+    double waitMillis = 0;
+    /** Prompt tokens that the engine does not hold, as far as is known. */
+    double freshTokens = 0;
+    /** False while the book is too young to have seen all that the engine holds. */
+    bool knowsParts = false;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/dataplane/placement/RememberedParts.cpp
@@ -0,0 +1,56 @@
+#include "dataplane/placement/RememberedParts.h"
+
+#include "core/hash/StableHash.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+PromptChain PromptChain::of(const PromptShape &prompt)
+{
+    PromptChain chain;
+    StableHash hash;
+    hash.add(prompt.model);
+    chain.sharedKey = hash.value();
+    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
+        hash.add(prompt.parts[i].id);
+        chain.links.push_back({hash.value(), prompt.parts[i].tokens});
+        chain.tokens += prompt.parts[i].tokens;
+        if (i + 2 == prompt.parts.size())
+            chain.sharedKey = hash.value();
+    }
+    chain.tokens = std::max(chain.tokens, prompt.inputTokens);
+    return chain;
+}
+
+std::uint32_t RememberedParts::cachedTokens(const PromptChain &chain) const
+{
+    std::uint32_t cached = 0;
+    for (const ChainLink &link : chain.links) {
+        if (byKey_.count(link.key) == 0)
+            break;
+        cached += link.tokens;
+    }
+    return cached;
+}
+
+void RememberedParts::remember(const PromptChain &chain)
+{
+    for (const ChainLink &link : chain.links) {
+        const auto found = byKey_.find(link.key);
+        if (found != byKey_.end()) {
+            recent_.splice(recent_.begin(), recent_, found->second);
+            continue;
+        }
+        recent_.push_front(link);
+        byKey_[link.key] = recent_.begin();
+        held_ += link.tokens;
+    }
+    while (held_ > bound_ && !recent_.empty()) {
+        held_ -= recent_.back().tokens;
+        byKey_.erase(recent_.back().key);
+        recent_.pop_back();
+    }
+}
+
+} // namespace cuminrail
--- a/modules/dataplane/policy/DecisionSettings.cpp
+++ b/modules/dataplane/policy/DecisionSettings.cpp
@@ -34,6 +34,12 @@
     return [member](DecisionSettings &settings, double value) { settings.fleet.*member = value; };
 }
 
+std::function<void(DecisionSettings &, double)> deferral(double DeferralSettings::*member)
+{
+    return
+        [member](DecisionSettings &settings, double value) { settings.deferral.*member = value; };
+}
+
 Millis asMillis(double value)
 {
     return Millis(static_cast<std::int64_t>(value));
@@ -68,6 +74,12 @@
          [](DecisionSettings &settings, double value) {
              settings.fleet.denialBorne = asMillis(value);
          }},
+        {"on-time-share", 0, anyWeight, deferral(&DeferralSettings::goalShare)},
+        {"idle-wait-ms", 0, anyWeight, deferral(&DeferralSettings::idleWaitMillis)},
+        {"books-asked", 0, 16,
+         [](DecisionSettings &settings, double value) { settings.booksAsked = value; }},
+        {"least-book-tokens", 0, anyWeight,
+         [](DecisionSettings &settings, double value) { settings.leastBookTokens = value; }},
         {"substitutes-stay-ms", 0, anyWeight,
          [](DecisionSettings &settings, double value) {
              settings.fleet.substitutesStay = asMillis(value);
--- a/modules/dataplane/policy/DecisionSettings.h
+++ b/modules/dataplane/policy/DecisionSettings.h
@@ -4,6 +4,7 @@
 #include "dataplane/fleet/FleetPlan.h"
 #include "dataplane/placement/EnginePlacement.h"
 #include "dataplane/roles/StagePlan.h"
+#include "dataplane/waiting/PromptDeferral.h"
 
 #include <string>
 #include <vector>
@@ -19,6 +20,11 @@
     PlacementWeights placement;
     StagePlanSettings stages;
     FleetPlanSettings fleet;
+    DeferralSettings deferral;
+    /** Of how many engines the books are asked before a long prompt is placed; 0 for none. */
+    double booksAsked = 8;
+    /** Prompts with fewer tokens to read are placed without asking, and not entered. */
+    double leastBookTokens = 1000;
 
     /**
         Takes over "NAME=VALUE". Returns false, with a reason that names the figure and its bounds,
--- /dev/null
+++ b/modules/dataplane/waiting/PromptDeferral_test.cpp
@@ -0,0 +1,56 @@
+#include <doctest/doctest.h>
+
+#include "dataplane/waiting/CallerPatience.h"
+#include "dataplane/waiting/PromptDeferral.h"
+
+using namespace cuminrail;
+
+// Prompts come faster than engines read them. Sent all the same, each one delays all that follow,
+// until callers get nothing in time although engines are busy all the while.
+TEST_CASE("a prompt goes out while it can be on time, or where there is room")
+{
+    struct Row
+    {
+        const char *what;
+        double waitMillis;
+        double firstEventMillis;
+        int elapsed;
+        PromptDecision decision;
+    };
+    const Row rows[] = {
+        {"an idle engine", 0, 300, 0, PromptDecision::Send},
+        {"just on time", 400, 700, 20, PromptDecision::Send},
+        {"late, and others wait there", 500, 800, 0, PromptDecision::Hold},
+        {"late because it waited here", 100, 400, 400, PromptDecision::Hold},
+        {"late by its own size alone", 0, 1500, 0, PromptDecision::Send},
+        {"late, but there is room now", 40, 400, 1500, PromptDecision::Send},
+        {"its caller leaves before it could begin", 500, 900, 2900, PromptDecision::Refuse},
+        {"its caller leaves, although there is room", 0, 500, 2800, PromptDecision::Refuse},
+        {"its caller is still there by then", 500, 700, 2900, PromptDecision::Hold},
+    };
+    const PromptDeferral deferral;
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        PromptOutlook outlook;
+        outlook.waitMillis = row.waitMillis;
+        outlook.firstEventMillis = row.firstEventMillis;
+        outlook.elapsed = Millis(row.elapsed);
+        outlook.goal = Millis(800);
+        outlook.patience = Millis(3200);
+        CHECK(deferral.decide(outlook) == row.decision);
+    }
+}
+
+TEST_CASE("callers wait two seconds, four goals or eight good pauses, whichever is longest")
+{
+    struct Row
+    {
+        int goal;
+        int gapGoal;
+        int patience;
+    };
+    for (const Row &row : {Row{400, 200, 2000}, Row{800, 250, 3200}, Row{400, 400, 3200}}) {
+        CAPTURE(row.patience);
+        CHECK(callerPatience(Millis(row.goal), Millis(row.gapGoal)) == Millis(row.patience));
+    }
+}
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -1,5 +1,7 @@
 #include "emulation/run/LoadRun.h"
 
+#include "dataplane/waiting/CallerPatience.h"
+
 #include <algorithm>
 
 namespace cuminrail::emulation {
@@ -13,8 +15,17 @@
 constexpr int usualUrgency = 3;
 constexpr int hopelessUrgency = 8;
 constexpr double sampleEveryMs = 1000;
+constexpr double heldEveryMs = 25;
 constexpr const char *service = "engines";
 
+/** How long a caller waits for a first event. */
+double patienceMs(const LoadKind &kind)
+{
+    const Millis goal(static_cast<std::int64_t>(kind.goalMs));
+    const Millis gapGoal(static_cast<std::int64_t>(kind.pauseGoalMs));
+    return static_cast<double>(callerPatience(goal, gapGoal).count());
+}
+
 } // namespace
 
 LoadRun::LoadRun(const LoadPlan &plan, const std::vector<LoadRequest> &requests,
@@ -23,7 +34,9 @@
       fleet_(plan, queue_, choices.decisions.stages,
              {[this](const EngineOutput &output) { onOutput(output); },
               [this](std::uint64_t job, bool mayHaveRun) { lost(job, mayHaveRun); }}),
-      flights_(requests.size()), records_(requests.size()), stopwatch_(choices.stopwatch)
+      flights_(requests.size()), records_(requests.size()), deferral_(choices.decisions.deferral),
+      booksAsked_(static_cast<std::size_t>(choices.decisions.booksAsked)),
+      leastBookTokens_(choices.decisions.leastBookTokens), stopwatch_(choices.stopwatch)
 {
     RetryBounds bounds;
     bounds.ratio = plan.repeatRatio;
@@ -39,6 +52,11 @@
     }
     for (std::size_t i = 0; i < requests.size(); ++i)
         queue_.at(requests[i].atMs, [this, i] { arrive(i); });
+    for (double at = 0; at < plan.lengthMs + 8000; at += heldEveryMs)
+        queue_.at(at, [this] {
+            for (Instance &instance : instances_)
+                sendHeld(instance);
+        });
     for (double at = 0; at < plan.lengthMs; at += sampleEveryMs)
         queue_.at(at, [this] { samples_.push_back(fleet_.sample()); });
 }
@@ -60,7 +78,15 @@
 
 void LoadRun::arrive(std::size_t index)
 {
-    flights_[index].endsAt = queue_.now() + kindOf(index).deadlineMs - answerTravelMs;
+    const LoadKind &kind = kindOf(index);
+    flights_[index].endsAt = queue_.now() + kind.deadlineMs - answerTravelMs;
+    // Nothing came in all that time: the caller leaves, and its work at engines is ended.
+    queue_.at(queue_.now() + patienceMs(kind), [this, index] {
+        if (flights_[index].isOver || flights_[index].eventsGot > 0)
+            return;
+        settle(index);
+        end(index, LoadEnding::Failed);
+    });
     queue_.at(flights_[index].endsAt, [this, index] {
         if (flights_[index].isOver)
             return;
@@ -82,6 +108,10 @@
     query.tried = &flights_[index].tried;
     query.now = now();
     query.allowsHandOver = flights_[index].allowsHandOver;
+    query.offer = [&offers = flights_[index].offers](const std::string &id) {
+        const auto found = offers.find(id);
+        return found == offers.end() ? std::nullopt : std::optional<ReadingOffer>(found->second);
+    };
     query.badShare = [&instance](const std::string &id) { return instance.health.badShare(id); };
     query.isSetAside = [&instance, at = now()](const std::string &id) {
         return instance.health.isSetAside(id, at);
@@ -113,8 +143,95 @@
     flight.choice = instance.placement->choose(fleet_.known(), queryFor(index));
     if (stopwatch_)
         decisionMicros_.push_back(stopwatch_() - began);
+    const bool isKnownBusy =
+        flight.wasAsked && flight.choice && decide(index) != PromptDecision::Send;
+    if (flight.choice && flight.choice->prefill && isBooked(*flight.choice) && !isKnownBusy)
+        askBooks(index);
     if (!flight.choice)
         return giveUp(index);
+    if (isRepeat)
+        return place(index);
+    const PromptDecision decision = decide(index);
+    if (decision == PromptDecision::Send)
+        return place(index);
+    flight.choice.reset();
+    if (decision == PromptDecision::Refuse)
+        return giveUp(index);
+    instance.held.push_back(index);
+}
+
+bool LoadRun::isBooked(const EngineChoice &choice) const
+{
+    return booksAsked_ > 0 && choice.freshTokens >= leastBookTokens_;
+}
+
+void LoadRun::askBooks(std::size_t index)
+{
+    Flight &flight = flights_[index];
+    EnginePlacement *own = instanceOf(index).placement->own();
+    if (own == nullptr)
+        return;
+    flight.wasAsked = true;
+    const PromptChain chain = PromptChain::of(requests_[index].prompt);
+    const PlacementQuery query = queryFor(index);
+    for (const auto &reader : own->likelyReaders(fleet_.known(), query, booksAsked_)) {
+        const std::string &id = reader->entry.id;
+        flight.offers[id] = books_[id].offer(chain, now());
+        own->told(id, flight.offers[id].waitMillis, now());
+    }
+    flight.choice = own->choose(fleet_.known(), query);
+    flight.offers.clear();
+}
+
+void LoadRun::announce(std::size_t index)
+{
+    Flight &flight = flights_[index];
+    EnginePlacement *own = instanceOf(index).placement->own();
+    if (own == nullptr || !flight.choice->prefill || !isBooked(*flight.choice))
+        return;
+    flight.book = flight.choice->prefill->entry.id;
+    flight.ticket.number = flight.job;
+    const ReadingRate &rate = own->prefillRate();
+    books_[flight.book].enter(flight.ticket, PromptChain::of(requests_[index].prompt),
+                              {rate.tokensPerMilli(), rate.fixedMillis()}, now());
+}
+
+void LoadRun::takeBack(std::size_t index)
+{
+    Flight &flight = flights_[index];
+    if (!flight.book.empty())
+        books_[flight.book].takeBack(flight.ticket, now());
+    flight.book.clear();
+}
+
+PromptDecision LoadRun::decide(std::size_t index) const
+{
+    const LoadKind &kind = kindOf(index);
+    const EngineChoice &choice = *flights_[index].choice;
+    const auto millis = [](double value) { return Millis(static_cast<std::int64_t>(value)); };
+    PromptOutlook outlook;
+    outlook.waitMillis = choice.waitMillis;
+    outlook.firstEventMillis = choice.firstEventMillis;
+    outlook.elapsed = millis(queue_.now() - requests_[index].atMs);
+    outlook.goal = millis(kind.goalMs);
+    outlook.patience = millis(patienceMs(kind));
+    return deferral_.decide(outlook);
+}
+
+void LoadRun::sendHeld(Instance &instance)
+{
+    const std::vector<std::size_t> held = std::move(instance.held);
+    instance.held.clear();
+    for (const std::size_t index : held) {
+        if (!flights_[index].isOver)
+            dispatch(index);
+    }
+}
+
+void LoadRun::place(std::size_t index)
+{
+    Flight &flight = flights_[index];
+    Instance &instance = instanceOf(index);
     instance.placement->dispatched(*flight.choice, requests_[index].prompt, now());
     flight.sentAt = now();
     const bool isPrefill = flight.choice->prefill != nullptr;
@@ -140,6 +257,7 @@
     const LoadKind &kind = kindOf(index);
     flight.job = nextJob_++;
     flight.isReading = isPrefill;
+    announce(index);
     byJob_[flight.job] = index;
     EngineJob job;
     job.id = flight.job;
@@ -214,6 +332,9 @@
     Flight &flight = flights_[index];
     Instance &instance = instanceOf(index);
     instance.placement->promptRead(*flight.choice, flight.sentAt, now());
+    if (!flight.book.empty())
+        books_[flight.book].read(flight.ticket, now());
+    flight.book.clear();
     instance.health.record(flight.choice->prefill->entry.id, AttemptSign::Good, now());
     flight.isPromptRead = true;
     sendFetched(index);
@@ -297,6 +418,7 @@
 void LoadRun::settle(std::size_t index)
 {
     Flight &flight = flights_[index];
+    takeBack(index);
     if (!flight.choice)
         return;
     fleet_.cancel(flight.choice->engine->entry.id, flight.job);
--- a/modules/emulation/run/LoadRun.h
+++ b/modules/emulation/run/LoadRun.h
@@ -5,7 +5,9 @@
 #include "dataplane/retry/RetryAllowance.h"
 #include "emulation/run/EngineFleet.h"
 #include "emulation/run/Placement.h"
+#include "readingbooks/book/ReadingBook.h"
 
+#include <map>
 #include <set>
 
 namespace cuminrail::emulation {
@@ -49,6 +51,8 @@
         std::unique_ptr<Placement> placement;
         UpstreamHealth health;
         std::unique_ptr<RetryAllowance> retries;
+        /** Prompts that wait here until engines have room, in the order of their arrival. */
+        std::vector<std::size_t> held;
     };
 
     /** A request on its way. */
@@ -68,10 +72,22 @@
         bool allowsHandOver = true;
         bool mayHaveRun = false;
         bool isOver = false;
+        bool wasAsked = false;
+        /** In which engine's book the reading is entered, and as what; empty for none. */
+        std::string book;
+        ReadingTicket ticket;
+        std::map<std::string, ReadingOffer> offers;
     };
 
     void arrive(std::size_t index);
     void dispatch(std::size_t index);
+    bool isBooked(const EngineChoice &choice) const;
+    void askBooks(std::size_t index);
+    void announce(std::size_t index);
+    void takeBack(std::size_t index);
+    PromptDecision decide(std::size_t index) const;
+    void place(std::size_t index);
+    void sendHeld(Instance &instance);
     bool mayRepeat(std::size_t index);
     PlacementQuery queryFor(std::size_t index) const;
     void send(std::size_t index, const std::string &engine, bool isPrefill);
@@ -104,6 +120,11 @@
     std::unordered_map<std::uint64_t, std::size_t> byJob_;
     std::uint64_t nextJob_ = 1;
     int repeats_ = 0;
+    PromptDeferral deferral_;
+    /** One for each engine. Asked without delay: two instances are a millisecond apart. */
+    std::map<std::string, ReadingBook> books_;
+    std::size_t booksAsked_;
+    double leastBookTokens_;
     std::function<double()> stopwatch_;
     std::vector<double> decisionMicros_;
 };
--- a/modules/emulation/run/LoadRun_test.cpp
+++ b/modules/emulation/run/LoadRun_test.cpp
@@ -133,3 +133,40 @@
         CHECK(play(plan).earned > play(plan, affinityOnly).earned + 0.03);
     }
 }
+
+// A domain's cheap engines are reclaimed while planners send three times their usual prompts. Sent
+// to engines at once, nearly all of them get there in time to be late, and callers leave after
+// three seconds with nothing.
+TEST_CASE("replay: prompts that would be late are kept back, and others are on time")
+{
+    const LoadPlan plan = exampleLoad("rosters-reclaimed");
+    LoadChoices atOnce;
+    REQUIRE(atOnce.decisions.set("on-time-share=1000", nullptr));
+    const Means before = play(plan, atOnce);
+    const Means now = play(plan);
+    CHECK(now.earned > before.earned + 0.05);
+    CHECK(now.worstWindows > before.worstWindows + 0.2);
+}
+
+// Nine instances each see a ninth of the load. What looks idle to one is where all others have just
+// sent their prompts, and the part that it holds is read a second time elsewhere.
+TEST_CASE("replay: instances that ask each other's books place prompts where there is room")
+{
+    struct Row
+    {
+        const char *load;
+        double earnedMore;
+        double worstWindowsMore;
+    };
+    for (const Row &row : {Row{"rosters-reclaimed", 0.05, 0.15},
+                           Row{"reclaim-in-a-swing", 0.03, 0.1}, Row{"crashes", 0.01, 0.03}}) {
+        CAPTURE(row.load);
+        const LoadPlan plan = exampleLoad(row.load);
+        LoadChoices blind;
+        REQUIRE(blind.decisions.set("books-asked=0", nullptr));
+        const Means before = play(plan, blind);
+        const Means now = play(plan);
+        CHECK(now.earned > before.earned + row.earnedMore);
+        CHECK(now.worstWindows > before.worstWindows + row.worstWindowsMore);
+    }
+}
--- a/modules/emulation/run/Placement.cpp
+++ b/modules/emulation/run/Placement.cpp
@@ -36,6 +36,7 @@
         engines_.finished(choice, wasRead, now);
     }
     void refused(const std::string &id, Millis now) override { engines_.refused(id, now); }
+    EnginePlacement *own() override { return &engines_; }
 
 private:
     EnginePlacement engines_;
--- a/modules/emulation/run/Placement.h
+++ b/modules/emulation/run/Placement.h
@@ -42,6 +42,8 @@
     virtual void runBegan(EngineChoice &, Millis) { }
     virtual void finished(EngineChoice &choice, bool wasRead, Millis now) = 0;
     virtual void refused(const std::string &, Millis) { }
+    /** Returns what instances run, for what only that has; null for a baseline. */
+    virtual EnginePlacement *own() { return nullptr; }
 };
 
 /** @c weights are for the instances' own placement. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -20,6 +20,8 @@
 constexpr Millis endReserve = Millis(400);
 /** Calls under authority are not begun with less time than a slow answer takes. */
 constexpr Millis leastAuthority = Millis(1000);
+/** Each sweep of the deadlines; the time-outs looked for are no longer than that. */
+constexpr Millis bookTickEvery = Millis(10);
 constexpr const char *fleetDuty = "fleet";
 /** Instances that look at the lease often. */
 constexpr std::size_t candidates = 3;
@@ -120,7 +122,8 @@
       admin_(environment_.io, environment_.deadlines, adminPages()),
       sync_(environment_.io, context_, environment_.store, environment_.random),
       registry_({InstanceId(settings_.name),
-                 settings_.admin.isSet() ? settings_.admin.toString() : std::string()},
+                 settings_.admin.isSet() ? settings_.admin.toString() : std::string(),
+                 settings_.links.isSet() ? settings_.links.toString() : std::string()},
                 environment_.store, environment_.clock, environment_.random),
       lease_(fleetDuty, lifeOf(settings_, environment_.wallMillis()), leaseTiming(),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
@@ -129,6 +132,16 @@
              [this](const std::string &text) {
                  sync_.takeConfigurationText(text, "another instance");
              }),
+      fabric_({environment_.io, environment_.clock, environment_.store, environment_.events},
+              settings_.links,
+              [this](const PeerAddress &from, const std::string &frame) {
+                  context_.books->received(from, frame);
+              }),
+      bookTick_(environment_.deadlines,
+                [this] {
+                    context_.books->tick();
+                    bookTick_.setAfter(bookTickEvery);
+                }),
       wallOffset_(environment_.wallMillis() - environment_.clock.now().count()),
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
@@ -140,6 +153,11 @@
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
     sync_.onConfiguration = [this] { applyLimits(); };
+    if (settings_.links.isSet()) {
+        context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
+                                                        fabric_.transport(), environment_.clock);
+        bookTick_.setAfter(bookTickEvery);
+    }
 }
 
 Gateway::~Gateway() = default;
@@ -239,6 +257,7 @@
 {
     if (!isDraining_)
         registry_.tick();
+    tickPeers();
     peers_.tick(sync_.isConfigurationSilent());
     const std::size_t instances = registry_.instances().size();
     context_.retries.setInstances(instances);
@@ -255,6 +274,23 @@
         tickDrain();
 }
 
+void Gateway::tickPeers()
+{
+    if (!context_.books)
+        return;
+    fabric_.tick();
+    if (peersRevision_ == registry_.revision())
+        return;
+    peersRevision_ = registry_.revision();
+    std::vector<BookPeer> peers;
+    for (const RegisteredInstance &instance : registry_.instances()) {
+        const bool isSelf = instance.instance.text() == settings_.name;
+        if (isSelf || !instance.links.empty())
+            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
+    }
+    context_.books->setPeers(std::move(peers));
+}
+
 void Gateway::tickLease()
 {
     const auto rank =
@@ -299,6 +335,7 @@
 {
     timer_.cancel();
     sync_.stop();
+    fabric_.stop();
     callers_.closeAll();
     readiness_.closeAll();
     admin_.closeAll();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
 #include "gateway/control/UsageDuty.h"
+#include "gateway/peers/PeerFabric.h"
 #include "gateway/request/RelayContext.h"
 #include "lease/keeper/DutyLease.h"
 #include "net/server/HttpServer.h"
@@ -86,6 +87,7 @@
     void armTick();
     void tick();
     void tickDrain();
+    void tickPeers();
     void tickLease();
     std::optional<DutyAuthority> authority() const;
     std::int64_t trueTime() const;
@@ -106,6 +108,10 @@
     DutyLease lease_;
     Millis nextLeaseTick_;
     PeerConfiguration peers_;
+    PeerFabric fabric_;
+    /** Looks for questions to other instances whose time is over. */
+    Deadline bookTick_;
+    std::uint64_t peersRevision_ = 0;
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
     StageDuty stages_;
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -135,6 +135,8 @@
         static_cast<double>(counters.repeats));
     set("cuminrail_resumes", "Streams that went on at another upstream",
         static_cast<double>(counters.resumes));
+    set("cuminrail_held", "Prompts that waited at the instance until engines had room",
+        static_cast<double>(counters.held));
     set("cuminrail_hand_overs", "Prompts read by a prefill engine first",
         static_cast<double>(counters.handOvers));
     set("cuminrail_hand_overs_failed", "Of these, given up",
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -45,9 +45,11 @@
     Broken,
     RepeatLimit,
     TimeOver,
+    /** Its caller will have left before any engine can begin with it. */
+    Overload,
 };
 
-inline constexpr NameTable<GiveUpCause, 10> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 11> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -58,6 +60,7 @@
     {GiveUpCause::Broken, "broken"},
     {GiveUpCause::RepeatLimit, "repeat-limit"},
     {GiveUpCause::TimeOver, "time-over"},
+    {GiveUpCause::Overload, "overload"},
 }}};
 
 /** Values that only exist while somebody looks. */
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -11,6 +11,13 @@
 constexpr Millis firstList = Millis(1200);
 constexpr Millis retryAfter = Millis::seconds(2);
 
+/** An entry that cannot be read still counts as an instance, one that cannot be reached. */
+std::string textMember(const nlohmann::json &entry, const char *name)
+{
+    const auto found = entry.is_object() ? entry.find(name) : entry.end();
+    return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 } // namespace
 
 InstanceRegistry::InstanceRegistry(RegisteredInstance self, ObjectStore store, Clock clock,
@@ -25,7 +32,8 @@
     const Millis now = clock_.now();
     if (!isLeaving_ && now >= nextRefresh_) {
         nextRefresh_ = now + refreshEvery;
-        const nlohmann::json value{{"address", self_.address}, {"refreshes", ++refreshes_}};
+        const nlohmann::json value{
+            {"address", self_.address}, {"links", self_.links}, {"refreshes", ++refreshes_}};
         store_.put(StorePut{path_, value.dump(), std::nullopt}, [this](const StoreReply &reply) {
             if (reply.status != StoreStatus::Ok)
                 nextRefresh_ = clock_.now() + retryAfter;
@@ -58,10 +66,10 @@
             continue;
         }
         const auto json = nlohmann::json::parse(object.value, nullptr, false);
-        const std::string address =
-            json.is_object() ? json.value("address", std::string()) : std::string();
-        instances_.push_back({InstanceId(object.path.substr(std::string(prefix).size())), address});
+        instances_.push_back({InstanceId(object.path.substr(std::string(prefix).size())),
+                              textMember(json, "address"), textMember(json, "links")});
     }
+    ++revision_;
 }
 
 void InstanceRegistry::leave()
--- a/modules/gateway/control/InstanceRegistry.h
+++ b/modules/gateway/control/InstanceRegistry.h
@@ -3,6 +3,7 @@
 #include "core/ids/Ids.h"
 #include "core/random/Random.h"
 #include "core/time/Clock.h"
+#include "ports/peers/PeerTransport.h"
 #include "ports/store/ObjectStore.h"
 
 #include <map>
@@ -17,6 +18,8 @@
     InstanceId instance;
     /** Where it answers other instances; empty where it does not. */
     std::string address;
+    /** Where it takes links; empty where it takes none. */
+    PeerAddress links;
 };
 
 /**
@@ -43,6 +46,8 @@
     /** Returns all instances known, this one included. */
     const std::vector<RegisteredInstance> &instances() const { return instances_; }
     std::vector<InstanceId> names() const;
+    /** Rises each time the instances were read from the store. */
+    std::uint64_t revision() const { return revision_; }
 
 private:
     struct Seen
@@ -61,6 +66,7 @@
     std::vector<RegisteredInstance> instances_;
     std::map<std::string, Seen> seen_;
     std::uint64_t refreshes_ = 0;
+    std::uint64_t revision_ = 1;
     Millis nextRefresh_;
     Millis nextList_;
     bool isLeaving_ = false;
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -117,6 +117,8 @@
     if (!attempt_.isCounted)
         return;
     attempt_.isCounted = false;
+    if (context_.books)
+        context_.books->takeBack(entry_);
     if (attempt_.choice)
         context_.engines.finished(*attempt_.choice, attempt_.isPromptRead, context_.now());
     else
@@ -169,6 +171,7 @@
     isOver_ = true;
     deadline_.clear();
     silence_.clear();
+    heldLook_.clear();
     const Millis took = context_.now() - arrivedAt_;
     const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
     context_.metrics.requestEnded(kind, outcome, took.toSeconds());
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -4,10 +4,12 @@
 #include "dataplane/dataplane.h"
 #include "dataplane/model/InstanceSettings.h"
 #include "dataplane/placement/LeastLoaded.h"
+#include "dataplane/waiting/CallerPatience.h"
 #include "gateway/GatewayWire.h"
 #include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
 #include "net/upstream/UpstreamPool.h"
+#include "readingbooks/readingbooks.h"
 #include "runtime/time/DeadlineList.h"
 
 #include <memory>
@@ -20,7 +22,8 @@
     RelayContext(const GatewayWire &gatewayWire, DeadlineList &deadlineList,
                  UpstreamPool &upstreams, const InstanceSettings &instanceSettings)
         : wire(gatewayWire), deadlines(deadlineList), pool(upstreams), settings(instanceSettings),
-          engines(instanceSettings.decisions.placement), retries(instanceSettings.retries)
+          engines(instanceSettings.decisions.placement),
+          deferral(instanceSettings.decisions.deferral), retries(instanceSettings.retries)
     { }
 
     Millis now() const { return deadlines.now(); }
@@ -37,6 +40,9 @@
     UpstreamDirectory directory;
     UpstreamHealth health;
     EnginePlacement engines;
+    PromptDeferral deferral;
+    /** Null where instances have no links. */
+    std::unique_ptr<BookExchange> books;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RelayCounters.h
+++ b/modules/gateway/request/RelayCounters.h
@@ -18,6 +18,8 @@
     std::uint64_t resumes = 0;
     std::uint64_t handOvers = 0;
     std::uint64_t handOversFailed = 0;
+    /** Prompts that waited here for engines to have room. */
+    std::uint64_t held = 0;
     std::uint32_t inProgress = 0;
 };
 
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -30,6 +30,12 @@
     OutboundFields fields = outbound(attempt_.choice->prefill->entry);
     fields.prefillOnly = true;
     fields.resumeAfter.reset();
+    if (isBooked()) {
+        const ReadingRate &rate = context_.engines.prefillRate();
+        const ReadingPace pace{rate.tokensPerMilli(), rate.fixedMillis()};
+        entry_ = context_.books->enter(PromptChain::of(*inbound_.prompt),
+                                       engineKey(*attempt_.choice->prefill), pace);
+    }
     send(attempt_.choice->prefill, fields, readerPatience());
 }
 
@@ -68,6 +74,8 @@
 {
     context_.health.record(attempt_.choice->prefill->entry.id, AttemptSign::Good, context_.now());
     promptRead();
+    if (context_.books)
+        context_.books->read(entry_);
     // The engine that was to generate may be on its way out by now. That is nobody's failure and no
     // send: another one fetches the prompt instead.
     if (!attempt_.choice->engine->isLeaving) {
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -36,6 +36,8 @@
                  {"bad_share_pct", text(100 * context_.health.badShare(upstream.id))}}};
     if (attempt_.choice) {
         event.fields.emplace_back("expected_ms", text(attempt_.choice->expectedMillis));
+        event.fields.emplace_back("wait_ms", text(attempt_.choice->waitMillis));
+        event.fields.emplace_back("first_event_ms", text(attempt_.choice->firstEventMillis));
         event.fields.emplace_back("fresh_tokens", text(attempt_.choice->freshTokens));
     } else {
         event.fields.emplace_back("own_open", std::to_string(context_.services.open(upstream.id)));
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -51,6 +51,11 @@
     : context_(context), exchange_(std::move(exchange)),
       deadline_(context.deadlines, [this] { onDeadline(); }),
       silence_(context.deadlines, [this] { onSilence(); }),
+      heldLook_(context.deadlines,
+                [this] {
+                    const auto self = shared_from_this();
+                    dispatch();
+                }),
       events_([this](const SseEvent &event) { onEvent(event); })
 {
     ++context_.counters.inProgress;
@@ -136,6 +141,14 @@
         return giveUpAsBefore();
     if (!choose())
         return giveUpAsBefore();
+    // Engines that are known to be busy need not be asked of again.
+    if (!isRepeat && ((wasAsked_ && isKeptBack()) || asksBooks() || isKeptBack()))
+        return;
+    sendChosen();
+}
+
+void RequestRelay::sendChosen()
+{
     if (attempt_.choice && attempt_.choice->prefill)
         sendPrefill();
     else
@@ -179,6 +192,10 @@
     query.isSetAside = [this](const std::string &id) {
         return context_.health.isSetAside(id, context_.now());
     };
+    query.offer = [this](const std::string &id) {
+        const auto found = offers_.find(id);
+        return found == offers_.end() ? std::nullopt : std::optional<ReadingOffer>(found->second);
+    };
     return query;
 }
 
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -66,6 +66,16 @@
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
     PlacementQuery placementQuery() const;
     bool choosePlain(const std::vector<UpstreamPointer> &upstreams);
+    /** Returns true when the prompt is not sent now: it waits here, or was refused. */
+    bool isKeptBack();
+    /** Returns true when books were asked; booksAnswered() goes on. */
+    bool asksBooks();
+    void booksAnswered(const std::vector<UpstreamPointer> &readers,
+                       const BookExchange::Offers &offers);
+    /** True for prompts that are worth a question and an entry. */
+    bool isBooked() const;
+    void sendChosen();
+    void hold(const PromptOutlook &outlook);
     bool mayRepeat();
     bool takeRepeat();
     void sendPrefill();
@@ -127,6 +137,8 @@
     Deadline deadline_;
     /** Runs while nothing of an answer has come, where another upstream may take over. */
     Deadline silence_;
+    /** Runs while the prompt is kept back. */
+    Deadline heldLook_;
 
     UpstreamCall call_;
     Attempt attempt_;
@@ -141,6 +153,11 @@
     bool isFirstCounted_ = false;
     /** An upstream may have run it; no refusal may say otherwise any more. */
     bool mayHaveRun_ = false;
+    bool wasHeld_ = false;
+    bool wasAsked_ = false;
+    /** What books say of this prompt; filled only while an engine is chosen by it. */
+    std::unordered_map<std::string, ReadingOffer> offers_;
+    BookExchange::Entry entry_;
     bool isHandOverAllowed_ = true;
     /** A reader had this prompt once. */
     bool wasReadApart_ = false;
--- /dev/null
+++ b/modules/readingbooks/book/ReadingBook_test.cpp
@@ -0,0 +1,124 @@
+#include <doctest/doctest.h>
+
+#include "readingbooks/book/ReadingBook.h"
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr ReadingPace pace{50, 100};
+
+PromptChain chainOf(std::uint64_t shared, std::uint64_t own)
+{
+    PromptChain chain;
+    chain.links = {{shared, 10000}, {own, 2000}};
+    chain.tokens = 12000;
+    chain.sharedKey = shared;
+    return chain;
+}
+
+} // namespace
+
+TEST_CASE("a prompt waits for what all instances have sent before")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(1000));
+    book.enter({"b", 1}, chainOf(3, 4), pace, Millis(1000));
+    CHECK(book.offer(chainOf(5, 6), Millis(1000)).waitMillis == doctest::Approx(480));
+    // The engine reads on whether anybody asks or not.
+    CHECK(book.offer(chainOf(5, 6), Millis(1300)).waitMillis == doctest::Approx(180));
+    book.read({"a", 1}, Millis(1340));
+    CHECK(book.offer(chainOf(5, 6), Millis(1500)).waitMillis == doctest::Approx(0));
+}
+
+TEST_CASE("a part that any instance sent there is not read again")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    CHECK(book.offer(chainOf(1, 3), Millis(0)).freshTokens == doctest::Approx(2000));
+    CHECK(book.offer(chainOf(7, 3), Millis(0)).freshTokens == doctest::Approx(12000));
+}
+
+TEST_CASE("a young book does not claim to know the engine's parts")
+{
+    ReadingBook book;
+    CHECK_FALSE(book.offer(chainOf(1, 2), Millis(50000)).knowsParts);
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(50000));
+    CHECK_FALSE(
+        book.offer(chainOf(1, 2), Millis(50000) + ReadingBook::learningSpan / 2).knowsParts);
+    CHECK(book.offer(chainOf(1, 2), Millis(50000) + ReadingBook::learningSpan).knowsParts);
+}
+
+TEST_CASE("answers correct when the engine will be free")
+{
+    struct Row
+    {
+        const char *what;
+        int answeredAt;
+        double waitMillis;
+    };
+    // Two prompts of 240 ms each; the first answer is due at 340.
+    for (const Row &row : {Row{"as foreseen", 340, 140}, Row{"100 ms late", 440, 90},
+                           Row{"100 ms early", 240, 190}}) {
+        CAPTURE(row.what);
+        ReadingBook book;
+        book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+        book.enter({"a", 2}, chainOf(3, 4), pace, Millis(0));
+        book.read({"a", 1}, Millis(row.answeredAt));
+        const double wait = book.offer(chainOf(5, 6), Millis(row.answeredAt)).waitMillis;
+        CHECK(wait == doctest::Approx(row.waitMillis));
+    }
+}
+
+// An engine dies with prompts in it. Nobody answers, so nobody tells the book; by the plan alone
+// the engine would look idle again, and draw every prompt.
+TEST_CASE("an engine that answers nothing does not look idle")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    CHECK(book.offer(chainOf(3, 4), Millis(2000)).waitMillis > 1500);
+}
+
+TEST_CASE("a reading that does not take place leaves its time to others")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    book.enter({"a", 2}, chainOf(3, 4), pace, Millis(0));
+    book.takeBack({"a", 1}, Millis(100));
+    CHECK(book.offer(chainOf(5, 6), Millis(100)).waitMillis == doctest::Approx(240));
+    // Taken back twice, or by somebody who never entered it: nothing happens.
+    book.takeBack({"a", 1}, Millis(100));
+    book.read({"b", 9}, Millis(100));
+    CHECK(book.offer(chainOf(5, 6), Millis(100)).waitMillis == doctest::Approx(240));
+}
+
+// The message about a reading's end is lost. Until it is forgotten the engine must not look stuck,
+// since all instances would leave a good engine alone for seconds.
+TEST_CASE("an answer shows that all readings before it are over")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    book.enter({"b", 1}, chainOf(3, 4), pace, Millis(0));
+    book.read({"b", 1}, Millis(580));
+    CHECK(book.offer(chainOf(5, 6), Millis(3000)).waitMillis == doctest::Approx(0));
+    // What comes later counts as before.
+    book.enter({"c", 1}, chainOf(5, 6), pace, Millis(3000));
+    CHECK(book.offer(chainOf(7, 8), Millis(3000)).waitMillis == doctest::Approx(240));
+}
+
+TEST_CASE("a doubled entry counts once")
+{
+    ReadingBook book;
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    book.enter({"a", 1}, chainOf(1, 2), pace, Millis(0));
+    CHECK(book.offer(chainOf(5, 6), Millis(0)).waitMillis == doctest::Approx(240));
+}
+
+// An instance dies between its entry and its end. The entry must not weigh for ever.
+TEST_CASE("an entry that nobody ends is forgotten")
+{
+    ReadingBook book;
+    book.enter({"dead", 1}, chainOf(1, 2), pace, Millis(0));
+    const Millis later = ReadingBook::longestReading + Millis(1);
+    CHECK(book.offer(chainOf(5, 6), later).waitMillis == doctest::Approx(0));
+}
--- /dev/null
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/time/Clock.h"
+#include "readingbooks/book/ReadingBook.h"
+#include "readingbooks/exchange/BookKeepers.h"
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace cuminrail {
+
+/** Counters since the start. */
+struct BookExchangeStats
+{
+    std::uint64_t questions = 0;
+    /** Questions to other instances that were not answered in time. */
+    std::uint64_t unanswered = 0;
+    std::uint64_t framesSent = 0;
+    /** Frames that were no message. */
+    std::uint64_t framesRefused = 0;
+};
+
+/**
+    One instance's part in the books: it keeps those of some engines, and asks for the others.
+
+    Belongs to one thread. Messages go out by the transport and come in by received(); nothing here
+    waits. An answer that does not come in time is done without.
+*/
+class BookExchange
+{
+public:
+    /**
+        How long an answer is waited for. Instances are 1 to 3 ms apart and answer at once; a
+        machine that used up its share of a processor answers up to 100 ms later, which is a
+        quarter of the tightest present goal and not worth waiting for.
+    */
+    static constexpr Millis answerTimeout = Millis(15);
+    /** A book that nobody used for so long is dropped; its engine is gone. */
+    static constexpr Millis bookIdle = Millis::seconds(60);
+
+    /** Names an entry that was made; empty when none was. */
+    struct Entry
+    {
+        std::uint64_t number = 0;
+        EngineKey engine = 0;
+        PeerAddress keeper;
+
+        bool isSet() const { return number != 0; }
+    };
+    using Offers = std::unordered_map<EngineKey, ReadingOffer>;
+    using Completion = std::function<void(const Offers &offers)>;
+
+    BookExchange(std::string self, PeerTransport transport, Clock clock);
+
+    /** All instances, this one first; with an address where they take links. */
+    void setPeers(std::vector<BookPeer> peers) { keepers_.setPeers(std::move(peers)); }
+
+    /**
+        Asks what a prompt would meet at engines. The completion is called once, with what is known
+        by then: before this returns where all books are kept here, else at the last answer or at a
+        tick() after the time-out.
+    */
+    void ask(const PromptChain &chain, const std::vector<EngineKey> &engines, Completion done);
+    /** The prompt is being sent to an engine. */
+    Entry enter(const PromptChain &chain, EngineKey engine, const ReadingPace &pace);
+    /** Its prompt was read. Clears the entry. */
+    void read(Entry &entry) { end(entry, true); }
+    /** It will not be read there. Clears the entry. */
+    void takeBack(Entry &entry) { end(entry, false); }
+
+    /** A frame came from another instance. Returns false if it is no message. */
+    bool received(const PeerAddress &from, const std::string &frame);
+    /** Ends questions whose time is over; to be called every few milliseconds. */
+    void tick();
+
+    const BookExchangeStats &stats() const { return stats_; }
+    std::size_t books() const { return books_.size(); }
+
+private:
+    struct Pending
+    {
+        Completion done;
+        Offers offers;
+        /** Engines of which each keeper was asked. */
+        std::map<PeerAddress, std::vector<EngineKey>> asked;
+        Millis until;
+    };
+    struct Kept
+    {
+        ReadingBook book;
+        Millis usedAt;
+    };
+
+    ReadingBook &book(EngineKey engine);
+    void send(const PeerAddress &to, const BookMessage &message);
+    void end(Entry &entry, bool wasRead);
+    void finish(std::uint64_t number);
+    void dropOldBooks(Millis now);
+
+    void on(const PeerAddress &from, const BookQuestion &question);
+    void on(const PeerAddress &from, const BookAnswer &answer);
+    void on(const PeerAddress &from, const BookEntry &entry);
+    void on(const PeerAddress &from, const BookEnd &end);
+
+    std::string self_;
+    PeerTransport transport_;
+    Clock clock_;
+    BookKeepers keepers_;
+    std::unordered_map<EngineKey, Kept> books_;
+    std::map<std::uint64_t, Pending> pending_;
+    std::uint64_t nextNumber_ = 1;
+    Millis nextDrop_;
+    BookExchangeStats stats_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/readingbooks/exchange/BookExchange_test.cpp
@@ -0,0 +1,250 @@
+#include <doctest/doctest.h>
+
+#include "core/random/Random.h"
+#include "readingbooks/exchange/BookExchange.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr ReadingPace pace{50, 100};
+constexpr EngineKey engines[] = {11, 22, 33, 44, 55, 66};
+
+PromptChain chainOf(std::uint64_t shared, std::uint64_t own)
+{
+    PromptChain chain;
+    chain.links = {{shared, 10000}, {own, 2000}};
+    chain.tokens = 12000;
+    return chain;
+}
+
+/** Instances in virtual time, with messages that a test can lose, double or hold up. */
+class Network
+{
+public:
+    explicit Network(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            start(i);
+        for (int i = 0; i < count; ++i)
+            introduce(i, count);
+    }
+
+    /** Starts an instance, or starts it again with nothing in its memory. */
+    void start(int i)
+    {
+        PeerTransport transport;
+        transport.send = [this, i](const PeerAddress &to, std::string frame) {
+            if (dead.count(name(i)) > 0 || dead.count(to) > 0 || (random_() % 100) < lossPercent)
+                return;
+            const int copies = (random_() % 100) < doublePercent ? 2 : 1;
+            for (int copy = 0; copy < copies; ++copy)
+                frames_.push_back({name(i), to, frame});
+        };
+        instances[name(i)] =
+            std::make_unique<BookExchange>(name(i), transport, Clock([this] { return now; }));
+    }
+
+    void introduce(int self, int count)
+    {
+        std::vector<BookPeer> peers{{InstanceId(name(self)), {}}};
+        for (int i = 0; i < count; ++i) {
+            if (i != self)
+                peers.push_back({InstanceId(name(i)), name(i)});
+        }
+        instances[name(self)]->setPeers(peers);
+    }
+
+    /** Time passes; what is on the way arrives first. */
+    void pass(Millis span)
+    {
+        while (!frames_.empty()) {
+            const Frame frame = frames_.front();
+            frames_.pop_front();
+            if (dead.count(frame.to) == 0)
+                instances[frame.to]->received(frame.from, frame.bytes);
+        }
+        now = now + span;
+        for (auto &[name, instance] : instances) {
+            if (dead.count(name) == 0)
+                instance->tick();
+        }
+    }
+
+    /** Asks for all engines; returns what the asker got, by the time that the question ended. */
+    BookExchange::Offers ask(int i, const PromptChain &chain)
+    {
+        BookExchange::Offers got;
+        int completions = 0;
+        instances[name(i)]->ask(chain, {std::begin(engines), std::end(engines)},
+                                [&](const BookExchange::Offers &offers) {
+                                    got = offers;
+                                    ++completions;
+                                });
+        for (int step = 0; step < 10; ++step)
+            pass(Millis(5));
+        CHECK(completions == 1);
+        return got;
+    }
+
+    BookExchange &at(int i) { return *instances[name(i)]; }
+    static std::string name(int i) { return "10.0.0." + std::to_string(i + 1) + ":7000"; }
+
+    Millis now = Millis(100000);
+    std::set<std::string> dead;
+    unsigned lossPercent = 0;
+    unsigned doublePercent = 0;
+    std::map<std::string, std::unique_ptr<BookExchange>> instances;
+
+private:
+    struct Frame
+    {
+        std::string from;
+        std::string to;
+        std::string bytes;
+    };
+
+    std::deque<Frame> frames_;
+    RandomHook random_ = seededRandom(5);
+};
+
+} // namespace
+
+TEST_CASE("what one instance sends to an engine is known to all")
+{
+    Network network(5);
+    auto entry = network.at(0).enter(chainOf(1, 2), 33, pace);
+    network.pass(Millis(1));
+    for (int i = 0; i < 5; ++i) {
+        CAPTURE(i);
+        const auto offers = network.ask(i, chainOf(1, 9));
+        REQUIRE(offers.size() == std::size(engines));
+        CHECK(offers.at(33).freshTokens == doctest::Approx(2000));
+        CHECK(offers.at(22).freshTokens == doctest::Approx(12000));
+    }
+    network.at(0).read(entry);
+    CHECK_FALSE(entry.isSet());
+}
+
+TEST_CASE("books are spread over all instances, and each is kept by one")
+{
+    Network network(8);
+    std::set<PeerAddress> keepers;
+    for (std::uint64_t engine = 1; engine <= 100; ++engine) {
+        auto entry = network.at(0).enter(chainOf(1, 2), engine, pace);
+        auto same = network.at(1).enter(chainOf(3, 4), engine, pace);
+        const PeerAddress one = entry.keeper.empty() ? Network::name(0) : entry.keeper;
+        const PeerAddress other = same.keeper.empty() ? Network::name(1) : same.keeper;
+        CHECK(one == other);
+        keepers.insert(one);
+    }
+    CHECK(keepers.size() == 8);
+}
+
+// The keeper of a book dies and stays in the registry for a minute. Requests would wait for it at
+// every placement, or be placed blindly for all that time.
+TEST_CASE("a keeper that leaves questions unanswered is passed over, and its books taken over")
+{
+    Network network(4);
+    const auto entry = network.at(0).enter(chainOf(1, 2), 33, pace);
+    const PeerAddress keeper = entry.keeper.empty() ? Network::name(0) : entry.keeper;
+    const int asker = keeper == Network::name(1) ? 2 : 1;
+    network.dead.insert(keeper);
+    network.ask(asker, chainOf(5, 6));
+    network.ask(asker, chainOf(5, 6));
+    const std::uint64_t unanswered = network.at(asker).stats().unanswered;
+    CHECK(unanswered >= 2);
+    const auto offers = network.ask(asker, chainOf(5, 6));
+    CHECK(offers.size() == std::size(engines));
+    CHECK(network.at(asker).stats().unanswered == unanswered);
+    auto next = network.at(asker).enter(chainOf(5, 6), 33, pace);
+    CHECK(next.keeper != keeper);
+    // Once it answers again, it keeps its books again.
+    network.dead.clear();
+    network.pass(BookKeepers::passedOverFor);
+    CHECK(network.ask(asker, chainOf(5, 6)).size() == std::size(engines));
+    CHECK(network.at(asker).enter(chainOf(7, 8), 33, pace).keeper == keeper);
+}
+
+TEST_CASE("an instance that starts again keeps its books from nothing")
+{
+    Network network(3);
+    auto entry = network.at(0).enter(chainOf(1, 2), 33, pace);
+    const PeerAddress keeper = entry.keeper.empty() ? Network::name(0) : entry.keeper;
+    network.pass(Millis(1));
+    for (int i = 0; i < 3; ++i) {
+        if (Network::name(i) == keeper) {
+            network.start(i);
+            network.introduce(i, 3);
+        }
+    }
+    const auto offers = network.ask(1, chainOf(1, 9));
+    REQUIRE(offers.count(33) == 1);
+    CHECK(offers.at(33).waitMillis == doctest::Approx(0));
+    CHECK_FALSE(offers.at(33).knowsParts);
+    // The end of an entry that the new life never had changes nothing.
+    network.at(0).read(entry);
+    network.pass(Millis(1));
+    CHECK(network.ask(1, chainOf(1, 9)).at(33).waitMillis == doctest::Approx(0));
+}
+
+// Links lose, double and cut messages. Whatever comes of it, each question ends once and in time,
+// and no entry weighs for longer than a reading can last.
+TEST_CASE("under loss and doubling every question ends once and entries fade")
+{
+    Network network(6);
+    network.lossPercent = 30;
+    network.doublePercent = 20;
+    const RandomHook random = seededRandom(9);
+    std::vector<BookExchange::Entry> open;
+    for (int round = 0; round < 300; ++round) {
+        const int instance = static_cast<int>(random() % 6);
+        network.ask(instance, chainOf(random() % 5, random()));
+        open.push_back(network.at(instance).enter(chainOf(random() % 5, random()),
+                                                  engines[random() % 6], pace));
+        if (random() % 2 == 0)
+            network.at(instance).read(open.back());
+    }
+    network.lossPercent = 0;
+    network.doublePercent = 0;
+    network.pass(ReadingBook::longestReading + Millis(1));
+    network.pass(BookKeepers::passedOverFor);
+    const auto offers = network.ask(0, chainOf(1, 2));
+    CHECK(offers.size() == std::size(engines));
+    for (const auto &[engine, offer] : offers)
+        CHECK(offer.waitMillis == doctest::Approx(0));
+}
+
+TEST_CASE("answers that were not asked for, late or of another size are left alone")
+{
+    Network network(2);
+    int completions = 0;
+    const std::string other = Network::name(1);
+    network.dead.insert(other);
+    network.at(0).ask(chainOf(1, 2), {std::begin(engines), std::end(engines)},
+                      [&](const BookExchange::Offers &) { ++completions; });
+    CHECK(network.at(0).received(other, encodeBookMessage(BookAnswer{1, {}})));
+    CHECK(network.at(0).received("10.9.9.9:1", encodeBookMessage(BookAnswer{1, {{1, 1, true}}})));
+    CHECK(network.at(0).received(other, encodeBookMessage(BookAnswer{77, {{1, 1, true}}})));
+    CHECK(completions == 0);
+    network.pass(BookExchange::answerTimeout);
+    CHECK(completions == 1);
+    CHECK(network.at(0).received(other, encodeBookMessage(BookAnswer{1, {{1, 1, true}}})));
+    CHECK(completions == 1);
+    CHECK_FALSE(network.at(0).received(other, "nonsense"));
+    CHECK(network.at(0).stats().framesRefused == 1);
+}
+
+TEST_CASE("books that nobody uses are dropped")
+{
+    Network network(1);
+    network.at(0).enter(chainOf(1, 2), 33, pace);
+    CHECK(network.at(0).books() == 1);
+    network.pass(BookExchange::bookIdle + Millis(1));
+    network.pass(Millis(1));
+    CHECK(network.at(0).books() == 0);
+}
--- /dev/null
+++ b/modules/readingbooks/exchange/BookKeepers.cpp
@@ -0,0 +1,48 @@
+#include "readingbooks/exchange/BookKeepers.h"
+
+#include "core/hash/StableHash.h"
+
+namespace cuminrail {
+
+void BookKeepers::setPeers(std::vector<BookPeer> peers)
+{
+    peers_.clear();
+    for (BookPeer &peer : peers) {
+        const std::uint64_t hash = StableHash().add(peer.instance.text()).value();
+        peers_.push_back({std::move(peer), hash});
+    }
+}
+
+bool BookKeepers::isPassedOver(const PeerAddress &peer, Millis now) const
+{
+    const auto found = silence_.find(peer);
+    return found != silence_.end() && now < found->second.passedOverUntil;
+}
+
+const PeerAddress &BookKeepers::keeperOf(EngineKey engine, Millis now) const
+{
+    const Ranked *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const Ranked &candidate : peers_) {
+        const std::uint64_t score = StableHash().add(candidate.hash).add(engine).value();
+        if (best != nullptr && score <= bestScore)
+            continue;
+        if (isPassedOver(candidate.peer.address, now))
+            continue;
+        best = &candidate;
+        bestScore = score;
+    }
+    return best == nullptr ? self_ : best->peer.address;
+}
+
+void BookKeepers::leftUnanswered(const PeerAddress &peer, Millis now)
+{
+    Silence &silence = silence_[peer];
+    if (++silence.count < silenceBorne)
+        return;
+    silence.passedOverUntil = now + passedOverFor;
+    // One more silence after that time is enough to pass it over again.
+    silence.count = silenceBorne - 1;
+}
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/readingbooks/exchange/BookKeepers.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/ids/Ids.h"
+#include "core/time/Millis.h"
+#include "ports/peers/PeerTransport.h"
+#include "readingbooks/messages/BookMessages.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cuminrail {
+
+/** An instance that may keep books. */
+struct BookPeer
+{
+    InstanceId instance;
+    /** Where it takes links; empty for this instance itself. */
+    PeerAddress address;
+};
+
+/**
+    Which instance keeps the book of an engine.
+
+    All instances work it out alike by rendezvous hashing over those that are registered, so nothing
+    has to be agreed. A registered instance can be dead for a minute before its entry lapses: one
+    that leaves questions unanswered is passed over for a while, and the next in order takes its
+    books over, empty at first.
+*/
+class BookKeepers
+{
+public:
+    /** Unanswered questions in a row after which a keeper is passed over, and for how long. */
+    static constexpr int silenceBorne = 2;
+    static constexpr Millis passedOverFor = Millis(2000);
+
+    /** The first is this instance. */
+    void setPeers(std::vector<BookPeer> peers);
+    bool isEmpty() const { return peers_.empty(); }
+
+    /** Returns the keeper's address; empty for this instance. */
+    const PeerAddress &keeperOf(EngineKey engine, Millis now) const;
+    void answered(const PeerAddress &peer) { silence_.erase(peer); }
+    void leftUnanswered(const PeerAddress &peer, Millis now);
+
+private:
+    struct Silence
+    {
+        int count = 0;
+        Millis passedOverUntil;
+    };
+
+    struct Ranked
+    {
+        BookPeer peer;
+        std::uint64_t hash = 0;
+    };
+
+    bool isPassedOver(const PeerAddress &peer, Millis now) const;
+
+    std::vector<Ranked> peers_;
+    std::unordered_map<PeerAddress, Silence> silence_;
+    PeerAddress self_;
+};
+
+} // namespace cuminrail
--- /dev/null
+++ b/modules/readingbooks/messages/BookMessages_test.cpp
@@ -0,0 +1,120 @@
+#include <doctest/doctest.h>
+
+#include "core/random/Random.h"
+#include "membership/messages/CborArray.h"
+#include "readingbooks/messages/BookMessages.h"
+
+using namespace cuminrail;
+
+namespace {
+
+PromptChain someChain(std::size_t links)
+{
+    PromptChain chain;
+    for (std::size_t i = 0; i < links; ++i)
+        chain.links.push_back({0xfedcba9876543210ULL + i, static_cast<std::uint32_t>(100 + i)});
+    chain.tokens = 17020;
+    return chain;
+}
+
+std::vector<std::string> samples()
+{
+    return {
+        encodeBookMessage(BookQuestion{7, someChain(3), {1, 2, 0xffffffffffffffffULL}}),
+        encodeBookMessage(BookAnswer{7, {{120, 3000, true}, {0, 17020, false}}}),
+        encodeBookMessage(BookEntry{8, 99, someChain(2), {61.25, 131}}),
+        encodeBookMessage(BookEnd{8, 99, true}),
+    };
+}
+
+template<typename Message>
+Message decoded(const BookMessage &message)
+{
+    const auto back = decodeBookMessage(encodeBookMessage(message));
+    REQUIRE(back);
+    REQUIRE(std::holds_alternative<Message>(*back));
+    return std::get<Message>(*back);
+}
+
+} // namespace
+
+TEST_CASE("messages come back as they were sent")
+{
+    const auto question = decoded<BookQuestion>(BookQuestion{7, someChain(3), {5, 6}});
+    CHECK(question.number == 7);
+    CHECK(question.chain.tokens == 17020);
+    REQUIRE(question.chain.links.size() == 3);
+    CHECK(question.chain.links[2].key == 0xfedcba9876543212ULL);
+    CHECK(question.chain.links[2].tokens == 102);
+    CHECK(question.engines == std::vector<EngineKey>{5, 6});
+    const auto answer = decoded<BookAnswer>(BookAnswer{9, {{120.4, 3000, true}}});
+    REQUIRE(answer.offers.size() == 1);
+    CHECK(answer.offers[0].waitMillis == doctest::Approx(120));
+    CHECK(answer.offers[0].knowsParts);
+    const auto entry = decoded<BookEntry>(BookEntry{8, 99, someChain(2), {61.25, 131}});
+    CHECK(entry.engine == 99);
+    CHECK(entry.pace.tokensPerMilli == doctest::Approx(61.25));
+    CHECK(entry.pace.fixedMillis == doctest::Approx(131));
+    const auto end = decoded<BookEnd>(BookEnd{8, 99, true});
+    CHECK(end.wasRead);
+}
+
+TEST_CASE("a prompt of many parts is told by its first ones")
+{
+    const auto entry = decoded<BookEntry>(BookEntry{8, 99, someChain(200), {60, 45}});
+    CHECK(entry.chain.links.size() == BookMessageLimits::links);
+    CHECK(entry.chain.tokens == 17020);
+}
+
+TEST_CASE("what is no message is refused whole")
+{
+    using nlohmann::json;
+    const std::pair<const char *, json> rows[] = {
+        {"no array", json("question")},
+        {"empty", json::array()},
+        {"another format", json::array({0x21, 7, 100, json::array(), json::array()})},
+        {"a missing element", json::array({0x14, 8, 99})},
+        {"one element too many", json::array({0x14, 8, 99, true, 0})},
+        {"a text for a number", json::array({0x14, "8", 99, true})},
+        {"a negative number", json::array({0x14, 8, -1, true})},
+        {"half a link", json::array({0x13, 8, 99, 100, json::array({5}), 6000, 45})},
+        {"half an offer", json::array({0x12, 8, json::array({5, 6})})},
+    };
+    for (const auto &[what, value] : rows) {
+        CAPTURE(std::string(what));
+        CHECK_FALSE(decodeBookMessage(encodeCbor(value)));
+    }
+    json many = json::array();
+    for (std::uint64_t i = 0; i <= BookMessageLimits::engines; ++i)
+        many.push_back(i);
+    CHECK_FALSE(decodeBookMessage(encodeCbor(json::array({0x11, 7, 100, json::array(), many}))));
+}
+
+// A peer of another build, or a frame damaged on the way past all checks, may hold any bytes.
+TEST_CASE("random damage is refused or gives a message within bounds")
+{
+    const RandomHook random = seededRandom(20);
+    for (int round = 0; round < 20000; ++round) {
+        const auto all = samples();
+        std::string frame = all[random() % all.size()];
+        const int changes = 1 + static_cast<int>(random() % 4);
+        for (int i = 0; i < changes && !frame.empty(); ++i) {
+            const std::size_t place = random() % frame.size();
+            switch (random() % 3) {
+            case 0:
+                frame[place] = static_cast<char>(random());
+                break;
+            case 1:
+                frame.erase(place, 1 + random() % 4);
+                break;
+            default:
+                frame.insert(place, 1, static_cast<char>(random()));
+            }
+        }
+        const auto message = decodeBookMessage(frame);
+        if (!message || !std::holds_alternative<BookQuestion>(*message))
+            continue;
+        CHECK(std::get<BookQuestion>(*message).engines.size() <= BookMessageLimits::engines);
+        CHECK(std::get<BookQuestion>(*message).chain.links.size() <= BookMessageLimits::links);
+    }
+}
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -179,6 +179,7 @@
     ports.callers = gateway.callersPort;
     ports.admin = gateway.adminPort;
     ports.readiness = gatewayPort();
+    ports.links = gatewayPort();
     ports.store = storeProxy->port();
     gateway.start(platform::standinSettings("instance-" + std::to_string(index), ports),
                   options_.isLogUnread);
