Usage of instances that the store turns away is written by others; short prompts ask three books

A ledger whose write fails now goes to two other instances over the links; they write it under a name of its own, and the holder merges all copies of one ledger by the larger count.

Cause 2: short prompts were placed blindly. They now ask three books.

The new usage test fails without the hand-over: 100 of 150 requests in a window.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -72,6 +72,7 @@
         &usageWindowRefused,
         &usageReportFailed,
         &usageLedgerUnreadable,
+        &usageLedgerNotPassedOn,
     };
     return kinds;
 }
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -199,6 +199,9 @@
 inline constexpr EventKind usageLedgerUnreadable{
     905, EventLevel::Warning, "usage-ledger-unreadable",
     "An instance's counts in the store cannot be read; the window's report lacks them."};
+inline constexpr EventKind usageLedgerNotPassedOn{
+    906, EventLevel::Warning, "usage-ledger-not-passed-on",
+    "Counts of an instance that cannot reach the store could not be written for it either."};
 
 } // namespace events
 
--- a/modules/dataplane/fleet/FleetPlan.cpp
+++ b/modules/dataplane/fleet/FleetPlan.cpp
@@ -8,7 +8,8 @@
 DomainTarget FleetPlan::decide(const ScaleBounds &bounds, const DomainFleet &now,
                                const DomainSupply &supply) const
 {
-    const std::uint32_t most = std::max(1U, bounds.most);
+    const auto used = std::lround(static_cast<double>(bounds.most) * settings_.usedShare);
+    const std::uint32_t most = std::max({1U, bounds.least, static_cast<std::uint32_t>(used)});
     const auto share = std::lround(static_cast<double>(most) * settings_.keptShare);
     const std::uint32_t kept =
         std::clamp(static_cast<std::uint32_t>(share), std::max(1U, bounds.least), most);
--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -39,6 +39,8 @@
 
 struct FleetPlanSettings
 {
+    /** The part of the operators' upper bound that is used. */
+    double usedShare = 1.0;
     /**
         The part of the most upstreams that are regular ones. A domain's reclaimable ones go all at
         once, at two seconds' notice; what is kept must still answer its callers, with the help of
--- a/modules/dataplane/policy/DecisionSettings.h
+++ b/modules/dataplane/policy/DecisionSettings.h
@@ -21,11 +21,28 @@
     StagePlanSettings stages;
     FleetPlanSettings fleet;
     DeferralSettings deferral;
-    /** Of how many engines the books are asked before a long prompt is placed; 0 for none. */
+    /** Of how many engines the books are asked before a prompt is placed; 0 for none. */
     double booksAsked = 8;
-    /** Prompts with fewer tokens to read are placed without asking, and not entered. */
+    /** The same for short prompts, which gain nothing from parts that an engine holds. */
+    double shortBooksAsked = 3;
+    /**
+        A prompt with fewer tokens to read is short: read within a chunk, it delays nobody, and is
+        not entered.
+    */
     double leastBookTokens = 1000;
 
+    /** Returns of how many engines the books are asked for a prompt with so much to read. */
+    std::size_t booksAskedFor(double freshTokens) const
+    {
+        return static_cast<std::size_t>(freshTokens < leastBookTokens ? shortBooksAsked
+                                                                      : booksAsked);
+    }
+    /** Returns true for a prompt whose reading is entered in its engine's book. */
+    bool isEntered(double freshTokens) const
+    {
+        return booksAsked > 0 && freshTokens >= leastBookTokens;
+    }
+
     /**
         Takes over "NAME=VALUE". Returns false, with a reason that names the figure and its bounds,
         for an unknown name, what is no number, or a value out of bounds; nothing changes then.
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -35,8 +35,7 @@
              {[this](const EngineOutput &output) { onOutput(output); },
               [this](std::uint64_t job, bool mayHaveRun) { lost(job, mayHaveRun); }}),
       flights_(requests.size()), records_(requests.size()), deferral_(choices.decisions.deferral),
-      booksAsked_(static_cast<std::size_t>(choices.decisions.booksAsked)),
-      leastBookTokens_(choices.decisions.leastBookTokens), stopwatch_(choices.stopwatch)
+      decisions_(choices.decisions), stopwatch_(choices.stopwatch)
 {
     RetryBounds bounds;
     bounds.ratio = plan.repeatRatio;
@@ -145,7 +144,7 @@
         decisionMicros_.push_back(stopwatch_() - began);
     const bool isKnownBusy =
         flight.wasAsked && flight.choice && decide(index) != PromptDecision::Send;
-    if (flight.choice && flight.choice->prefill && isBooked(*flight.choice) && !isKnownBusy)
+    if (flight.choice && flight.choice->prefill && !isKnownBusy)
         askBooks(index);
     if (!flight.choice)
         return giveUp(index);
@@ -160,21 +159,17 @@
     instance.held.push_back(index);
 }
 
-bool LoadRun::isBooked(const EngineChoice &choice) const
-{
-    return booksAsked_ > 0 && choice.freshTokens >= leastBookTokens_;
-}
-
 void LoadRun::askBooks(std::size_t index)
 {
     Flight &flight = flights_[index];
     EnginePlacement *own = instanceOf(index).placement->own();
-    if (own == nullptr)
+    const std::size_t asked = decisions_.booksAskedFor(flight.choice->freshTokens);
+    if (own == nullptr || asked == 0)
         return;
     flight.wasAsked = true;
     const PromptChain chain = PromptChain::of(requests_[index].prompt);
     const PlacementQuery query = queryFor(index);
-    for (const auto &reader : own->likelyReaders(fleet_.known(), query, booksAsked_)) {
+    for (const auto &reader : own->likelyReaders(fleet_.known(), query, asked)) {
         const std::string &id = reader->entry.id;
         flight.offers[id] = books_[id].offer(chain, now());
         own->told(id, flight.offers[id].waitMillis, now());
@@ -187,7 +182,8 @@
 {
     Flight &flight = flights_[index];
     EnginePlacement *own = instanceOf(index).placement->own();
-    if (own == nullptr || !flight.choice->prefill || !isBooked(*flight.choice))
+    if (own == nullptr || !flight.choice->prefill
+        || !decisions_.isEntered(flight.choice->freshTokens))
         return;
     flight.book = flight.choice->prefill->entry.id;
     flight.ticket.number = flight.job;
--- a/modules/emulation/run/LoadRun.h
+++ b/modules/emulation/run/LoadRun.h
@@ -81,7 +81,6 @@
 
     void arrive(std::size_t index);
     void dispatch(std::size_t index);
-    bool isBooked(const EngineChoice &choice) const;
     void askBooks(std::size_t index);
     void announce(std::size_t index);
     void takeBack(std::size_t index);
@@ -123,8 +122,7 @@
     PromptDeferral deferral_;
     /** One for each engine. Asked without delay: two instances are a millisecond apart. */
     std::map<std::string, ReadingBook> books_;
-    std::size_t booksAsked_;
-    double leastBookTokens_;
+    DecisionSettings decisions_;
     std::function<double()> stopwatch_;
     std::vector<double> decisionMicros_;
 };
--- a/modules/emulation/run/LoadRun_test.cpp
+++ b/modules/emulation/run/LoadRun_test.cpp
@@ -164,6 +164,7 @@
         const LoadPlan plan = exampleLoad(row.load);
         LoadChoices blind;
         REQUIRE(blind.decisions.set("books-asked=0", nullptr));
+        REQUIRE(blind.decisions.set("short-books-asked=0", nullptr));
         const Means before = play(plan, blind);
         const Means now = play(plan);
         CHECK(now.earned > before.earned + row.earnedMore);
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -1,8 +1,10 @@
 #include "gateway/Gateway.h"
 
 #include "core/events/EventCatalogue.h"
+#include "gateway/peers/LedgerMessage.h"
 #include "gateway/request/RequestRelay.h"
 #include "lease/spread/DutySpread.h"
+#include "membership/messages/CborArray.h"
 
 #include <chrono>
 
@@ -22,6 +24,11 @@
 constexpr Millis leastAuthority = Millis(1000);
 /** Each sweep of the deadlines; the time-outs looked for are no longer than that. */
 constexpr Millis bookTickEvery = Millis(10);
+/**
+    Instances that are given a ledger. With a third of them turned away as well, one attempt in nine
+    reaches none; it is repeated each time that the own write fails.
+*/
+constexpr int ledgerCopies = 2;
 constexpr const char *fleetDuty = "fleet";
 /** Instances that look at the lease often. */
 constexpr std::size_t candidates = 3;
@@ -132,11 +139,10 @@
              [this](const std::string &text) {
                  sync_.takeConfigurationText(text, "another instance");
              }),
-      fabric_({environment_.io, environment_.clock, environment_.store, environment_.events},
-              settings_.links,
-              [this](const PeerAddress &from, const std::string &frame) {
-                  context_.books->received(from, frame);
-              }),
+      fabric_(
+          {environment_.io, environment_.clock, environment_.store, environment_.events},
+          settings_.links,
+          [this](const PeerAddress &from, const std::string &frame) { onPeerFrame(from, frame); }),
       bookTick_(environment_.deadlines,
                 [this] {
                     context_.books->tick();
@@ -146,7 +152,10 @@
       usage_(settings_.name, std::to_string(environment_.wallMillis()), usageTiming(settings_),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
               [this] { return trueTime(); }, environment_.events, wire_.reportUsage,
-              [this] { return authority(); }}),
+              [this] { return authority(); },
+              [this](const std::string &owner, const std::string &ledger) {
+                  passOnLedger(owner, ledger);
+              }}),
       stages_(context_, [this] { return authority(); }),
       scale_(context_, [this] { return authority(); }), timer_(environment_.io)
 {
@@ -291,6 +300,32 @@
     context_.books->setPeers(std::move(peers));
 }
 
+void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
+{
+    if (const auto ledger = decodeLedgerMessage(frame))
+        return usage_.takeLedger(ledger->owner, ledger->ledger);
+    context_.books->received(from, frame);
+}
+
+void Gateway::passOnLedger(const std::string &owner, const std::string &ledger)
+{
+    // The first entry is this instance. Another one may be turned away as well.
+    const auto &instances = registry_.instances();
+    if (!fabric_.isOpen() || instances.size() < 2)
+        return;
+    const std::string frame = encodeLedgerMessage({owner, ledger});
+    if (frame.size() > FrameLimits::bytes) {
+        environment_.events(Event{&events::usageLedgerNotPassedOn,
+                                  {{"owner", owner}, {"reason", "is too large for a frame"}}});
+        return;
+    }
+    for (int i = 0; i < ledgerCopies; ++i) {
+        const auto &peer = instances[1 + environment_.random() % (instances.size() - 1)];
+        if (!peer.links.empty())
+            fabric_.transport().send(peer.links, frame);
+    }
+}
+
 void Gateway::tickLease()
 {
     const auto rank =
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -88,6 +88,9 @@
     void tick();
     void tickDrain();
     void tickPeers();
+    void onPeerFrame(const PeerAddress &from, const std::string &frame);
+    /** Gives a ledger that could not be written to other instances. */
+    void passOnLedger(const std::string &owner, const std::string &ledger);
     void tickLease();
     std::optional<DutyAuthority> authority() const;
     std::int64_t trueTime() const;
--- a/modules/gateway/control/UsageDuty.cpp
+++ b/modules/gateway/control/UsageDuty.cpp
@@ -10,6 +10,17 @@
 
 constexpr const char *ledgersPrefix = "usage/";
 constexpr const char *sealsPrefix = "seals/";
+/** Ends the name of a copy that another instance wrote. */
+constexpr const char *passedOnSuffix = "+passed-on";
+/** A ledger of twelve windows and 2,500 customers, with room to spare. */
+constexpr std::size_t mostLedgerBytes = 1U << 20U;
+
+/** Returns whose ledger an object holds. */
+std::string ownerOf(const std::string &path)
+{
+    const std::string name = path.substr(std::string(ledgersPrefix).size());
+    return name.substr(0, name.find(passedOnSuffix));
+}
 
 std::string sealPath(std::int64_t window)
 {
@@ -20,8 +31,8 @@
 
 UsageDuty::UsageDuty(std::string instance, const std::string &life, const UsageTiming &timing,
                      Hooks hooks)
-    : instance_(std::move(instance)), path_(ledgersPrefix + instance_ + "." + life),
-      timing_(timing), hooks_(std::move(hooks)), flushEvery_(timing.flushLeast),
+    : instance_(std::move(instance)), owner_(instance_ + "." + life), timing_(timing),
+      hooks_(std::move(hooks)), flushEvery_(timing.flushLeast),
       firstWindow_(windowAt(hooks_.wallMillis()))
 { }
 
@@ -69,17 +80,40 @@
     if (isWriting_ || changes == 0 || changes == writtenChanges_)
         return;
     isWriting_ = true;
-    const LedgerRecord record{closedWindow_ - 1, ledger_.windows()};
-    hooks_.store.put(StorePut{path_, encodeLedger(record), std::nullopt},
-                     [this, changes](const StoreReply &reply) {
+    const std::string ledger = encodeLedger({closedWindow_ - 1, ledger_.windows()});
+    hooks_.store.put(StorePut{ledgersPrefix + owner_, ledger, std::nullopt},
+                     [this, changes, ledger](const StoreReply &reply) {
                          isWriting_ = false;
-                         if (reply.status == StoreStatus::Ok)
+                         if (reply.status == StoreStatus::Ok) {
                              writtenChanges_ = changes;
-                         else
-                             nextFlush_ = hooks_.clock.now() + timing_.lastFlush;
+                             return;
+                         }
+                         nextFlush_ = hooks_.clock.now() + timing_.lastFlush;
+                         if (hooks_.passOn)
+                             hooks_.passOn(owner_, ledger);
                      });
 }
 
+void UsageDuty::takeLedger(const std::string &owner, const std::string &ledger)
+{
+    Reason reason;
+    const bool isNamed = !owner.empty() && owner != owner_ && owner.find('/') == std::string::npos;
+    if (!isNamed || ledger.size() > mostLedgerBytes || !decodeLedger(ledger, &reason)) {
+        hooks_.events(Event{&events::usageLedgerUnreadable,
+                            {{"path", owner}, {"reason", reason.toString()}}});
+        return;
+    }
+    // Under a name of its own: the owner may reach the store again before this write does, and an
+    // older copy must not replace its newer one.
+    hooks_.store.put(
+        StorePut{ledgersPrefix + owner + passedOnSuffix, ledger, std::nullopt},
+        [this, owner](const StoreReply &reply) {
+            if (reply.status != StoreStatus::Ok)
+                hooks_.events(Event{&events::usageLedgerNotPassedOn,
+                                    {{"owner", owner}, {"reason", reply.lastReason.toString()}}});
+        });
+}
+
 void UsageDuty::reportIfDue(std::int64_t wall)
 {
     if (!hooks_.authority() || hooks_.clock.now() < nextReport_)
@@ -113,8 +147,7 @@
 {
     if (reply.status != StoreStatus::Ok)
         return failed(window, reply.lastReason);
-    CustomerCounts sum;
-    bool isComplete = true;
+    std::map<std::string, LedgerRecord> ledgers;
     for (const StoreObject &object : reply.objects) {
         Reason reason;
         const auto ledger = decodeLedger(object.value, &reason);
@@ -123,9 +156,14 @@
                                 {{"path", object.path}, {"reason", reason.toString()}}});
             continue;
         }
-        isComplete = isComplete && !isIncomplete(*ledger, window);
-        const auto found = ledger->windows.find(window);
-        if (found != ledger->windows.end())
+        mergeLedger(ledgers[ownerOf(object.path)], *ledger);
+    }
+    CustomerCounts sum;
+    bool isComplete = true;
+    for (const auto &[owner, ledger] : ledgers) {
+        isComplete = isComplete && !isIncomplete(ledger, window);
+        const auto found = ledger.windows.find(window);
+        if (found != ledger.windows.end())
             UsageLedger::add(sum, found->second);
     }
     const std::int64_t age = hooks_.wallMillis() - (window + 1) * timing_.window.count();
--- a/modules/gateway/control/UsageDuty.h
+++ b/modules/gateway/control/UsageDuty.h
@@ -39,9 +39,11 @@
     the duty.
 
     Each instance writes its whole ledger under its own name, so a write that is repeated or late
-    does no harm. The holder adds the ledgers of a window up once and creates a sealed object from
-    them; only one creation can succeed. Reports are always read from the sealed object, so that two
-    holders, or one that repeats itself, can never give two figures for a window.
+    does no harm. One that the store turns away, while it serves the others, passes its ledger on to
+    another instance; without that the window of a day with a third of the instances turned away
+    was short by a third. The holder adds the ledgers of a window up once and creates a sealed
+   object from them; only one creation can succeed. Reports are always read from the sealed object,
+   so that two holders, or one that repeats itself, can never give two figures for a window.
 */
 class UsageDuty
 {
@@ -58,6 +60,8 @@
             report;
         /** The right to report at this moment. */
         std::function<std::optional<DutyAuthority>()> authority;
+        /** Gives a ledger that could not be written to another instance; may be empty. */
+        std::function<void(const std::string &owner, const std::string &ledger)> passOn;
     };
 
     UsageDuty(std::string instance, const std::string &life, const UsageTiming &timing,
@@ -66,6 +70,8 @@
     void count(const std::string &customer);
     /** How many instances count like this one. */
     void setInstances(std::size_t count);
+    /** Another instance, which cannot reach the store, gave its ledger to this one to write. */
+    void takeLedger(const std::string &owner, const std::string &ledger);
     /** Does what is due; to be called every few hundred milliseconds. */
     void tick();
     /** Writes what has not been written; for the end of the process. */
@@ -89,7 +95,8 @@
     void failed(std::int64_t window, const Reason &reason);
 
     std::string instance_;
-    std::string path_;
+    /** The instance in this life, under which its ledger is kept. */
+    std::string owner_;
     UsageTiming timing_;
     Hooks hooks_;
     UsageLedger ledger_;
--- a/modules/gateway/control/UsageDuty_test.cpp
+++ b/modules/gateway/control/UsageDuty_test.cpp
@@ -25,6 +25,8 @@
     std::size_t holder = 0;
     std::uint64_t fence = 1;
     bool isReportLost = false;
+    /** Ledgers that cannot be written go to the next instance. */
+    bool passesOn = false;
     std::map<std::int64_t, std::set<std::string>> reports;
 
     UsageCluster(std::size_t size, std::uint64_t seed) : scheduler(seed)
@@ -38,21 +40,25 @@
         const std::string name = "i-" + std::to_string(index);
         processes.push_back(std::make_shared<FakeProcess>(name));
         const auto wall = [this] { return 1000 * windowMillis + scheduler.now().count(); };
-        UsageDuty::Hooks hooks{store.port(processes.back()),
-                               Clock([this] { return scheduler.now(); }),
-                               wall,
-                               ignoreEvents(),
-                               [this](std::int64_t window, const CustomerCounts &counts,
-                                      const DutyAuthority &, const DutyCompletion &done) {
-                                   reports[window].insert(encodeSeal(counts));
-                                   done(isReportLost ? DutyResult::Unknown : DutyResult::Accepted,
-                                        {});
-                               },
-                               [this, index]() -> std::optional<DutyAuthority> {
-                                   if (index != holder)
-                                       return std::nullopt;
-                                   return DutyAuthority{"h", fence, scheduler.now() + Millis(3000)};
-                               }};
+        UsageDuty::Hooks hooks{
+            store.port(processes.back()),
+            Clock([this] { return scheduler.now(); }),
+            wall,
+            ignoreEvents(),
+            [this](std::int64_t window, const CustomerCounts &counts, const DutyAuthority &,
+                   const DutyCompletion &done) {
+                reports[window].insert(encodeSeal(counts));
+                done(isReportLost ? DutyResult::Unknown : DutyResult::Accepted, {});
+            },
+            [this, index]() -> std::optional<DutyAuthority> {
+                if (index != holder)
+                    return std::nullopt;
+                return DutyAuthority{"h", fence, scheduler.now() + Millis(3000)};
+            },
+            [this, index](const std::string &owner, const std::string &ledger) {
+                if (passesOn)
+                    duties[(index + 1) % duties.size()]->takeLedger(owner, ledger);
+            }};
         duties.push_back(std::make_unique<UsageDuty>(name, std::to_string(duties.size()),
                                                      UsageTiming{}, std::move(hooks)));
     }
@@ -150,6 +156,57 @@
     }
 }
 
+// The store turns one instance away for half a minute and serves the others. Callers notice
+// nothing, but each window would be billed without what ran through that instance.
+TEST_CASE("an instance that the store turns away is counted through another one")
+{
+    UsageCluster cluster(3, 11);
+    cluster.passesOn = true;
+    cluster.run(Millis(8000));
+    cluster.network.setCut("i-1", "*", true);
+    cluster.run(Millis(30000));
+    cluster.network.setCut("i-1", "*", false);
+    cluster.run(Millis(10000));
+    for (std::int64_t window = 1001; window <= 1008; ++window) {
+        CAPTURE(window);
+        CHECK(cluster.reported(window) >= 145);
+        CHECK(cluster.reported(window) <= 154);
+    }
+    CHECK(cluster.isEachWindowOnce());
+}
+
+// A copy that was passed on is written late, after its owner has written a newer one itself.
+TEST_CASE("copies of a ledger may come in any order and count once")
+{
+    const LedgerRecord older{6, {{7, {{"north", 3}, {"south", 1}}}}};
+    const LedgerRecord newer{7, {{7, {{"north", 5}, {"south", 1}}}, {8, {{"north", 2}}}}};
+    for (const bool isNewerFirst : {true, false}) {
+        LedgerRecord merged;
+        mergeLedger(merged, isNewerFirst ? newer : older);
+        mergeLedger(merged, isNewerFirst ? older : newer);
+        CHECK(merged.completeThrough == 7);
+        CHECK(merged.windows == newer.windows);
+    }
+}
+
+// What another instance gives to be written may be anything; it must not replace somebody's ledger.
+TEST_CASE("what is no ledger of another instance is not written for it")
+{
+    UsageCluster cluster(2, 3);
+    const std::string good = encodeLedger({7, {{7, {{"north", 3}}}}});
+    const std::pair<const char *, std::string> rows[] = {
+        {"", good}, {"a/b", good}, {"i-0.0", good}, {"i-9.1", "no ledger"}};
+    for (const auto &[owner, ledger] : rows) {
+        CAPTURE(std::string(owner));
+        cluster.duties[0]->takeLedger(owner, ledger);
+        cluster.scheduler.runFor(Millis(500));
+        CHECK(cluster.store.value("usage/" + std::string(owner) + "+passed-on").empty());
+    }
+    cluster.duties[0]->takeLedger("i-9.1", good);
+    cluster.scheduler.runFor(Millis(500));
+    CHECK(cluster.store.value("usage/i-9.1+passed-on") == good);
+}
+
 TEST_CASE("an instance that ended is not waited for, and its ledger is cleared away in time")
 {
     UsageCluster cluster(3, 5);
--- a/modules/gateway/control/UsageRecords.cpp
+++ b/modules/gateway/control/UsageRecords.cpp
@@ -2,10 +2,23 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cuminrail {
 
 using Json = nlohmann::json;
 
+void mergeLedger(LedgerRecord &into, const LedgerRecord &other)
+{
+    into.completeThrough = std::max(into.completeThrough, other.completeThrough);
+    for (const auto &[window, counts] : other.windows) {
+        for (const auto &[customer, count] : counts) {
+            std::uint64_t &known = into.windows[window][customer];
+            known = std::max(known, count);
+        }
+    }
+}
+
 std::string encodeLedger(const LedgerRecord &record)
 {
     Json windows = Json::object();
--- a/modules/gateway/control/UsageRecords.h
+++ b/modules/gateway/control/UsageRecords.h
@@ -17,6 +17,12 @@
     std::map<std::int64_t, CustomerCounts> windows;
 };
 
+/**
+    Takes over what another copy of the same instance's ledger knows more of. Counts only grow, so
+    the larger figure is the newer one, and copies may come in any order.
+*/
+void mergeLedger(LedgerRecord &into, const LedgerRecord &other);
+
 std::string encodeLedger(const LedgerRecord &record);
 std::optional<LedgerRecord> decodeLedger(const std::string &text, Reason *lastReason);
 
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -30,7 +30,8 @@
     OutboundFields fields = outbound(attempt_.choice->prefill->entry);
     fields.prefillOnly = true;
     fields.resumeAfter.reset();
-    if (isBooked()) {
+    const double fresh = attempt_.choice->freshTokens;
+    if (context_.books && context_.settings.decisions.isEntered(fresh)) {
         const ReadingRate &rate = context_.engines.prefillRate();
         const ReadingPace pace{rate.tokensPerMilli(), rate.fixedMillis()};
         entry_ = context_.books->enter(PromptChain::of(*inbound_.prompt),
--- a/modules/gateway/request/RelayWaiting.cpp
+++ b/modules/gateway/request/RelayWaiting.cpp
@@ -37,21 +37,17 @@
     return true;
 }
 
-bool RequestRelay::isBooked() const
-{
-    const DecisionSettings &decisions = context_.settings.decisions;
-    return context_.books != nullptr && decisions.booksAsked > 0 && attempt_.choice
-        && attempt_.choice->prefill && attempt_.choice->freshTokens >= decisions.leastBookTokens;
-}
-
 bool RequestRelay::asksBooks()
 {
-    if (!isBooked())
+    if (context_.books == nullptr || !attempt_.choice || !attempt_.choice->prefill)
+        return false;
+    const std::size_t asked =
+        context_.settings.decisions.booksAskedFor(attempt_.choice->freshTokens);
+    if (asked == 0)
         return false;
     wasAsked_ = true;
-    const auto readers = context_.engines.likelyReaders(
-        context_.directory.usable(service_), placementQuery(),
-        static_cast<std::size_t>(context_.settings.decisions.booksAsked));
+    const auto readers = context_.engines.likelyReaders(context_.directory.usable(service_),
+                                                        placementQuery(), asked);
     std::vector<EngineKey> keys;
     for (const UpstreamPointer &reader : readers)
         keys.push_back(engineKey(*reader));
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -72,8 +72,6 @@
     bool asksBooks();
     void booksAnswered(const std::vector<UpstreamPointer> &readers,
                        const BookExchange::Offers &offers);
-    /** True for prompts that are worth a question and an entry. */
-    bool isBooked() const;
     void sendChosen();
     void hold(const PromptOutlook &outlook);
     bool mayRepeat();
