In large failure domains two instances watch the store for the others

Change: from eight instances in a failure domain on, two of them (by rendezvous hashing) watch with short waits and tell the others over the links what came, with the revisions that it covers. Versions of objects decide which of two words is newer. Ledgers are written once a window where the interval is as long as the window. A restarted instance lists the others at once instead of after 1.2 s.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -29,6 +29,13 @@
     reaches none; it is repeated each time that the own write fails.
 */
 constexpr int ledgerCopies = 2;
+/**
+    Instances of a failure domain that watch the store for the others there, and from how many on
+    this is worth it: each watcher makes some 100 calls a minute, an instance by itself 15 to 90.
+*/
+constexpr std::size_t watchersEach = 2;
+constexpr std::size_t leastForWatchers = 8;
+constexpr const char *feedDuty = "feeds";
 constexpr const char *fleetDuty = "fleet";
 /** Instances that look at the lease often. */
 constexpr std::size_t candidates = 3;
@@ -130,7 +137,8 @@
       sync_(environment_.io, context_, environment_.store, environment_.random),
       registry_({InstanceId(settings_.name),
                  settings_.admin.isSet() ? settings_.admin.toString() : std::string(),
-                 settings_.links.isSet() ? settings_.links.toString() : std::string()},
+                 settings_.links.isSet() ? settings_.links.toString() : std::string(),
+                 settings_.failureDomain},
                 environment_.store, environment_.clock, environment_.random),
       lease_(fleetDuty, lifeOf(settings_, environment_.wallMillis()), leaseTiming(),
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
@@ -162,6 +170,7 @@
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
     sync_.onConfiguration = [this] { applyLimits(); };
+    sync_.onWatched = [this](const FeedUpdate &update) { passOnChanges(update); };
     if (settings_.links.isSet()) {
         context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
                                                         fabric_.transport(), environment_.clock);
@@ -298,10 +307,46 @@
             peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
     }
     context_.books->setPeers(std::move(peers));
+    chooseFeedRole();
+}
+
+void Gateway::chooseFeedRole()
+{
+    std::vector<InstanceId> domain;
+    for (const RegisteredInstance &instance : registry_.instances()) {
+        if (instance.failureDomain == settings_.failureDomain && !instance.links.empty())
+            domain.push_back(instance.instance);
+    }
+    followers_.clear();
+    if (domain.size() < leastForWatchers)
+        return sync_.setRole(FeedRole::Alone);
+    const auto isWatcher = [&](const InstanceId &instance) {
+        return DutySpread::rank(feedDuty, instance, domain, watchersEach).has_value();
+    };
+    if (!isWatcher(InstanceId(settings_.name)))
+        return sync_.setRole(FeedRole::Follower);
+    sync_.setRole(FeedRole::Watcher);
+    for (const RegisteredInstance &instance : registry_.instances()) {
+        if (instance.failureDomain == settings_.failureDomain && !instance.links.empty()
+            && !isWatcher(instance.instance))
+            followers_.push_back(instance.links);
+    }
+}
+
+void Gateway::passOnChanges(const FeedUpdate &update)
+{
+    const auto frame = encodeFeedUpdate(update);
+    // Not told, followers read the change themselves a moment later.
+    if (!frame)
+        return;
+    for (const PeerAddress &follower : followers_)
+        fabric_.transport().send(follower, *frame);
 }
 
 void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
 {
+    if (const auto update = decodeFeedUpdate(frame))
+        return sync_.takeUpdate(*update);
     if (const auto ledger = decodeLedgerMessage(frame))
         return usage_.takeLedger(ledger->owner, ledger->ledger);
     context_.books->received(from, frame);
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -88,6 +88,8 @@
     void tick();
     void tickDrain();
     void tickPeers();
+    void chooseFeedRole();
+    void passOnChanges(const FeedUpdate &update);
     void onPeerFrame(const PeerAddress &from, const std::string &frame);
     /** Gives a ledger that could not be written to other instances. */
     void passOnLedger(const std::string &owner, const std::string &ledger);
@@ -115,6 +117,8 @@
     /** Looks for questions to other instances whose time is over. */
     Deadline bookTick_;
     std::uint64_t peersRevision_ = 0;
+    /** Whom a watcher tells what it learns. */
+    std::vector<PeerAddress> followers_;
     std::int64_t wallOffset_ = 0;
     UsageDuty usage_;
     StageDuty stages_;
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -7,7 +7,10 @@
 namespace {
 
 constexpr const char *prefix = "instances/";
-/** After the own entry was written, when those of the others have been too. */
+/**
+    After the first list, which shows who was there before a restart: when those that started
+    together with this instance have written their entries too.
+*/
 constexpr Millis firstList = Millis(1200);
 constexpr Millis retryAfter = Millis::seconds(2);
 
@@ -24,7 +27,7 @@
                                    RandomHook random)
     : self_(std::move(self)), path_(prefix + self_.instance.text()), store_(std::move(store)),
       clock_(std::move(clock)), random_(std::move(random)), instances_{self_},
-      nextRefresh_(clock_.now()), nextList_(clock_.now() + firstList)
+      nextRefresh_(clock_.now()), nextList_(clock_.now())
 { }
 
 void InstanceRegistry::tick()
@@ -32,8 +35,10 @@
     const Millis now = clock_.now();
     if (!isLeaving_ && now >= nextRefresh_) {
         nextRefresh_ = now + refreshEvery;
-        const nlohmann::json value{
-            {"address", self_.address}, {"links", self_.links}, {"refreshes", ++refreshes_}};
+        const nlohmann::json value{{"address", self_.address},
+                                   {"links", self_.links},
+                                   {"domain", self_.failureDomain},
+                                   {"refreshes", ++refreshes_}};
         store_.put(StorePut{path_, value.dump(), std::nullopt}, [this](const StoreReply &reply) {
             if (reply.status != StoreStatus::Ok)
                 nextRefresh_ = clock_.now() + retryAfter;
@@ -42,7 +47,7 @@
     if (now >= nextList_) {
         // Spread, as all instances may have started in the same second.
         const auto spread = static_cast<std::int64_t>(random_() % 5000);
-        nextList_ = now + refreshEvery + Millis(spread);
+        nextList_ = now + (lists_++ == 0 ? firstList : refreshEvery + Millis(spread));
         store_.list(prefix, [this](const StoreReply &reply) { listed(reply); });
     }
 }
@@ -67,7 +72,8 @@
         }
         const auto json = nlohmann::json::parse(object.value, nullptr, false);
         instances_.push_back({InstanceId(object.path.substr(std::string(prefix).size())),
-                              textMember(json, "address"), textMember(json, "links")});
+                              textMember(json, "address"), textMember(json, "links"),
+                              textMember(json, "domain")});
     }
     ++revision_;
 }
--- a/modules/gateway/control/InstanceRegistry.h
+++ b/modules/gateway/control/InstanceRegistry.h
@@ -20,6 +20,7 @@
     std::string address;
     /** Where it takes links; empty where it takes none. */
     PeerAddress links;
+    std::string failureDomain;
 };
 
 /**
@@ -67,6 +68,8 @@
     std::map<std::string, Seen> seen_;
     std::uint64_t refreshes_ = 0;
     std::uint64_t revision_ = 1;
+    /** Lists asked for so far. */
+    int lists_ = 0;
     Millis nextRefresh_;
     Millis nextList_;
     bool isLeaving_ = false;
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -18,9 +18,18 @@
                                                  false,
                                                  firstRetry,
                                                  0,
-                                                 boost::asio::steady_timer(io)},
-      upstreams_{context.wire.upstreamsPath,   0, false, false, firstRetry, 0,
-                 boost::asio::steady_timer(io)}
+                                                 boost::asio::steady_timer(io),
+                                                 std::nullopt,
+                                                 {}},
+      upstreams_{context.wire.upstreamsPath,
+                 0,
+                 false,
+                 false,
+                 firstRetry,
+                 0,
+                 boost::asio::steady_timer(io),
+                 std::nullopt,
+                 {}}
 { }
 
 void StoreSync::start()
@@ -51,10 +60,24 @@
     };
 }
 
+Millis StoreSync::watchWait() const
+{
+    if (role_ == FeedRole::Watcher)
+        return watcherWait;
+    return isInDoubt() || role_ == FeedRole::Follower ? doubtfulWait : calmWait;
+}
+
+bool StoreSync::isFollowing(const Feed &feed) const
+{
+    return role_ == FeedRole::Follower && feed.confirmedAt
+        && context_.now() - *feed.confirmedAt < confirmationHolds;
+}
+
 void StoreSync::watch(Feed &feed)
 {
-    store_.watch(feed.prefix, feed.seen, isInDoubt() ? doubtfulWait : calmWait,
-                 current(feed, &StoreSync::watchDone));
+    if (isFollowing(feed))
+        return watchAfter(feed, followerLook);
+    store_.watch(feed.prefix, feed.seen, watchWait(), current(feed, &StoreSync::watchDone));
 }
 
 void StoreSync::watchAfter(Feed &feed, Millis wait)
@@ -96,6 +119,9 @@
     answered(feed);
     feed.isListed = true;
     feed.seen = reply.version;
+    feed.ages.clear();
+    for (const StoreObject &object : reply.objects)
+        isNews(feed, object);
     if (&feed == &upstreams_) {
         takeUpstreams(reply.objects);
         state_.hasUpstreams = true;
@@ -116,17 +142,57 @@
     if (reply.status != StoreStatus::Ok)
         return failed(feed, reply);
     answered(feed);
+    const ObjectVersion from = feed.seen;
     feed.seen = std::max(feed.seen, reply.version);
-    for (const StoreObject &object : reply.objects) {
+    takeChanges(feed, reply.objects);
+    const bool isWatcher = role_ == FeedRole::Watcher;
+    if (isWatcher && onWatched) {
+        const FeedKind kind =
+            &feed == &configuration_ ? FeedKind::Configuration : FeedKind::Upstreams;
+        onWatched(FeedUpdate{kind, from, feed.seen, reply.objects});
+    }
+    if (reply.objects.empty())
+        watch(feed);
+    else
+        watchAfter(feed, isWatcher ? watcherGathering : gathering_);
+}
+
+void StoreSync::takeUpdate(const FeedUpdate &update)
+{
+    Feed &feed = update.kind == FeedKind::Configuration ? configuration_ : upstreams_;
+    // Changes between what is known here and the update's beginning were not told: the next look
+    // finds no confirmation, and reads them from the store.
+    if (!feed.isListed || update.from > feed.seen)
+        return;
+    takeChanges(feed, update.objects);
+    feed.seen = std::max(feed.seen, update.to);
+    feed.confirmedAt = context_.now();
+    answered(feed);
+}
+
+bool StoreSync::isNews(Feed &feed, const StoreObject &object)
+{
+    if (object.version == 0)
+        return true;
+    // A removal may bear the version that it removed, so it counts as a little newer.
+    const std::uint64_t age = object.version * 2 + (object.removed ? 1 : 0);
+    std::uint64_t &known = feed.ages[object.path];
+    const bool isNews = age > known;
+    known = std::max(known, age);
+    return isNews;
+}
+
+void StoreSync::takeChanges(Feed &feed, const std::vector<StoreObject> &objects)
+{
+    for (const StoreObject &object : objects) {
+        // Two watchers tell of the same change, and the slower one's word may be the older state.
+        if (!isNews(feed, object))
+            continue;
         if (&feed == &configuration_)
             takeConfiguration(object);
         else
             takeUpstream(object);
     }
-    if (reply.objects.empty())
-        watch(feed);
-    else
-        watchAfter(feed, gathering_);
 }
 
 void StoreSync::answered(Feed &feed)
--- a/modules/gateway/control/UsageDuty.cpp
+++ b/modules/gateway/control/UsageDuty.cpp
@@ -65,7 +65,9 @@
     const Millis now = hooks_.clock.now();
     const std::int64_t closed = windowAt(wall - timing_.lastFlush.count());
     const bool isClosing = closed != closedWindow_;
-    if (!isClosing && now < nextFlush_)
+    // One that waits as long as a window writes at its end only; twice would say nothing new.
+    const bool isDue = now >= nextFlush_ && (flushEvery_ < timing_.window || hasFailed_);
+    if (!isClosing && !isDue)
         return;
     if (isClosing && closedWindow_ != 0)
         writtenChanges_ = 0; // what is complete is news, even without new counts
@@ -84,7 +86,8 @@
     hooks_.store.put(StorePut{ledgersPrefix + owner_, ledger, std::nullopt},
                      [this, changes, ledger](const StoreReply &reply) {
                          isWriting_ = false;
-                         if (reply.status == StoreStatus::Ok) {
+                         hasFailed_ = reply.status != StoreStatus::Ok;
+                         if (!hasFailed_) {
                              writtenChanges_ = changes;
                              return;
                          }
--- a/modules/gateway/control/UsageDuty.h
+++ b/modules/gateway/control/UsageDuty.h
@@ -102,6 +102,8 @@
     UsageLedger ledger_;
     std::uint64_t writtenChanges_ = 0;
     bool isWriting_ = false;
+    /** The last write came to nothing, or may have. */
+    bool hasFailed_ = false;
     Millis flushEvery_;
     Millis nextFlush_;
     Millis nextReport_;
