Prompts are refused at once when those before them wait in vain; cuminrailctl summary

A prompt that would be kept back is now refused at once if the oldest one of its route has already waited so long that the caller would leave; it is told to come back after half of that time.

cuminrailctl summary LOG... counts each request once by route and by the step or cause that cost it, and gives the times of the steps. The last line of a served request says by which goal it was late.

--- a/modules/ctl/commands/CommandLine.cpp
+++ b/modules/ctl/commands/CommandLine.cpp
@@ -41,6 +41,7 @@
         {"state", 1, 1, false, {}, "state IP:PORT: an instance's whole state"},
         {"status", 0, 0, true, {"admin"}, "status: which instance has which settings in force"},
         {"explain", 2, 1000, false, {}, "explain REQUEST-ID LOG...: what logs say of a request"},
+        {"summary", 1, 1000, false, {}, "summary LOG...: by route, where requests lost time"},
     };
     return rows;
 }
--- a/modules/ctl/commands/Commands.cpp
+++ b/modules/ctl/commands/Commands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/commands/Commands.h"
 
 #include "ctl/commands/CommandSession.h"
+#include "ctl/explain/LoadSummary.h"
 #include "ctl/explain/RequestStory.h"
 #include "platform/adapters/HttpObjectStore.h"
 
@@ -10,21 +11,30 @@
 
 namespace {
 
-/** Reads gateways' logs; asks nobody. */
-CtlReport explain(const CtlArguments &arguments)
+/** Has a reader read logs from an operand on; false with a report for one that cannot be read. */
+template<typename Reader>
+bool readLogs(const CtlArguments &arguments, std::size_t first, Reader &reader, CtlReport &report)
 {
-    CtlReport report;
-    StoryReader reader(arguments.operands.front());
-    for (std::size_t i = 1; i < arguments.operands.size(); ++i) {
+    for (std::size_t i = first; i < arguments.operands.size(); ++i) {
         std::ifstream log(arguments.operands[i]);
         if (!log) {
             report.exit = CtlExit::Usage;
             report.text = arguments.operands[i] + ": cannot be read\n";
             report.json["error"] = report.text;
-            return report;
+            return false;
         }
         reader.read(log);
     }
+    return true;
+}
+
+/** Reads gateways' logs; asks nobody. */
+CtlReport explain(const CtlArguments &arguments)
+{
+    CtlReport report;
+    StoryReader reader(arguments.operands.front());
+    if (!readLogs(arguments, 1, reader, report))
+        return report;
     const RequestStory story = reader.story();
     report.text = storyText(story);
     for (const StoryLine &line : story.lines)
@@ -37,12 +47,32 @@
     return report;
 }
 
+/** Reads gateways' logs; asks nobody. */
+CtlReport summarize(const CtlArguments &arguments)
+{
+    CtlReport report;
+    LoadSummaryReader reader;
+    if (!readLogs(arguments, 0, reader, report))
+        return report;
+    const LoadSummary summary = reader.summary();
+    report.text = summaryText(summary);
+    for (const auto &[name, route] : summary.routes)
+        report.json["routes"][name] = {
+            {"asked", route.asked}, {"on_time", route.onTime}, {"lost", route.lost}};
+    report.json["without_end"] = summary.withoutEnd;
+    report.json["gaps"] = summary.gaps;
+    report.json["unreadable"] = summary.unreadable;
+    return report;
+}
+
 } // namespace
 
 CtlReport runCtlCommand(const CtlArguments &arguments, const CtlSurroundings &surroundings)
 {
     if (arguments.command == "explain")
         return explain(arguments);
+    if (arguments.command == "summary")
+        return summarize(arguments);
     ControlLoop loop("cuminrailctl", Millis::seconds(3));
     SettingsRepository repository(loop, makeHttpObjectStore(loop.client(), arguments.platform),
                                   surroundings.random);
--- a/modules/dataplane/waiting/PromptDeferral.cpp
+++ b/modules/dataplane/waiting/PromptDeferral.cpp
@@ -9,10 +9,13 @@
     const auto patience = static_cast<double>(outlook.patience.count());
     if (elapsed + outlook.firstEventMillis <= settings_.goalShare * goal)
         return PromptDecision::Send;
-    if (elapsed + outlook.firstEventMillis - outlook.waitMillis > patience)
+    const double atOnce = outlook.firstEventMillis - outlook.waitMillis;
+    if (elapsed + atOnce > patience)
         return PromptDecision::Refuse;
-    return outlook.waitMillis <= settings_.idleWaitMillis ? PromptDecision::Send
-                                                          : PromptDecision::Hold;
+    if (outlook.waitMillis <= settings_.idleWaitMillis)
+        return PromptDecision::Send;
+    const auto queueAge = static_cast<double>(outlook.queueAge.count());
+    return queueAge + atOnce > patience ? PromptDecision::Refuse : PromptDecision::Hold;
 }
 
 } // namespace cuminrail
--- a/modules/dataplane/waiting/PromptDeferral.h
+++ b/modules/dataplane/waiting/PromptDeferral.h
@@ -18,13 +18,18 @@
     Millis goal;
     /** The time after which its caller has left. */
     Millis patience;
+    /** For a prompt that is not kept back yet: how long the oldest of its route has been. */
+    Millis queueAge;
 };
 
 enum class PromptDecision : std::uint8_t {
     Send,
     /** It would be late, and make others late: it waits at the instance until there is room. */
     Hold,
-    /** Its caller will have left before anything can be answered. */
+    /**
+        Its caller will have left before anything can be answered, or those before it have waited
+        here so long that it will.
+    */
     Refuse,
 };
 
--- a/modules/dataplane/waiting/PromptDeferral_test.cpp
+++ b/modules/dataplane/waiting/PromptDeferral_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "dataplane/waiting/CallerPatience.h"
+#include "dataplane/waiting/HeldPrompts.h"
 #include "dataplane/waiting/PromptDeferral.h"
 
 using namespace cuminrail;
@@ -41,6 +42,45 @@
     }
 }
 
+// Planners send more than engines can read for seconds. One that is told at once can come back when
+// there is room, one that waits for three seconds in vain cannot.
+TEST_CASE("a prompt is refused at once when those before it wait in vain")
+{
+    const PromptDeferral deferral;
+    for (const int queueAge : {0, 1000, 2000, 2700, 2900, 3200}) {
+        CAPTURE(queueAge);
+        PromptOutlook outlook;
+        outlook.waitMillis = 500;
+        outlook.firstEventMillis = 900;
+        outlook.goal = Millis(800);
+        outlook.patience = Millis(3200);
+        outlook.queueAge = Millis(queueAge);
+        const bool isHopeless = queueAge + 400 > 3200;
+        CHECK(deferral.decide(outlook)
+              == (isHopeless ? PromptDecision::Refuse : PromptDecision::Hold));
+        outlook.waitMillis = 0;
+        outlook.firstEventMillis = 400;
+        CHECK(deferral.decide(outlook) == PromptDecision::Send);
+    }
+}
+
+TEST_CASE("the oldest prompt that a route keeps back tells how long others wait")
+{
+    HeldPrompts held;
+    CHECK(held.oldestAge("review", Millis(5000)) == Millis(0));
+    held.add("review", Millis(1000));
+    held.add("review", Millis(1000));
+    held.add("review", Millis(3000));
+    held.add("query", Millis(4000));
+    CHECK(held.oldestAge("review", Millis(5000)) == Millis(4000));
+    held.remove("review", Millis(1000));
+    CHECK(held.oldestAge("review", Millis(5000)) == Millis(4000));
+    held.remove("review", Millis(1000));
+    CHECK(held.oldestAge("review", Millis(5000)) == Millis(2000));
+    held.remove("review", Millis(9999));
+    CHECK(held.oldestAge("query", Millis(5000)) == Millis(1000));
+}
+
 TEST_CASE("callers wait two seconds, four goals or eight good pauses, whichever is longest")
 {
     struct Row
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -157,6 +157,11 @@
     if (decision == PromptDecision::Refuse)
         return giveUp(index);
     instance.held.push_back(index);
+    if (!flight.isHeld) {
+        flight.isHeld = true;
+        flight.heldAt = now();
+        instance.heldPrompts.add(kindOf(index).name, flight.heldAt);
+    }
 }
 
 void LoadRun::askBooks(std::size_t index)
@@ -211,9 +216,20 @@
     outlook.elapsed = millis(queue_.now() - requests_[index].atMs);
     outlook.goal = millis(kind.goalMs);
     outlook.patience = millis(patienceMs(kind));
+    if (!flights_[index].isHeld)
+        outlook.queueAge =
+            instances_[requests_[index].instance].heldPrompts.oldestAge(kind.name, now());
     return deferral_.decide(outlook);
 }
 
+void LoadRun::releaseHeld(std::size_t index)
+{
+    Flight &flight = flights_[index];
+    if (flight.isHeld)
+        instanceOf(index).heldPrompts.remove(kindOf(index).name, flight.heldAt);
+    flight.isHeld = false;
+}
+
 void LoadRun::sendHeld(Instance &instance)
 {
     const std::vector<std::size_t> held = std::move(instance.held);
@@ -226,6 +242,7 @@
 
 void LoadRun::place(std::size_t index)
 {
+    releaseHeld(index);
     Flight &flight = flights_[index];
     Instance &instance = instanceOf(index);
     instance.placement->dispatched(*flight.choice, requests_[index].prompt, now());
@@ -434,6 +451,7 @@
 
 void LoadRun::end(std::size_t index, LoadEnding ending)
 {
+    releaseHeld(index);
     flights_[index].isOver = true;
     flights_[index].choice.reset();
     records_[index].ending = ending;
--- a/modules/emulation/run/LoadRun.h
+++ b/modules/emulation/run/LoadRun.h
@@ -3,6 +3,7 @@
 #include "dataplane/fleet/UpstreamHealth.h"
 #include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
+#include "dataplane/waiting/HeldPrompts.h"
 #include "emulation/run/EngineFleet.h"
 #include "emulation/run/Placement.h"
 #include "readingbooks/book/ReadingBook.h"
@@ -53,6 +54,7 @@
         std::unique_ptr<RetryAllowance> retries;
         /** Prompts that wait here until engines have room, in the order of their arrival. */
         std::vector<std::size_t> held;
+        HeldPrompts heldPrompts;
     };
 
     /** A request on its way. */
@@ -73,6 +75,8 @@
         bool mayHaveRun = false;
         bool isOver = false;
         bool wasAsked = false;
+        bool isHeld = false;
+        Millis heldAt;
         /** In which engine's book the reading is entered, and as what; empty for none. */
         std::string book;
         ReadingTicket ticket;
@@ -87,6 +91,7 @@
     PromptDecision decide(std::size_t index) const;
     void place(std::size_t index);
     void sendHeld(Instance &instance);
+    void releaseHeld(std::size_t index);
     bool mayRepeat(std::size_t index);
     PlacementQuery queryFor(std::size_t index) const;
     void send(std::size_t index, const std::string &engine, bool isPrefill);
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -9,6 +9,10 @@
 
 /** Answers that are no streams are held whole, so that a broken one can still become an error. */
 constexpr std::size_t mostBufferedBytes = 16U << 20U;
+/** Two thirds of the tightest present goal: soon enough to be on time, late enough for a change. */
+constexpr Millis leastComeBack = Millis(250);
+/** Returns are spread at least over this. */
+constexpr Millis comeBackSpread = Millis(300);
 
 } // namespace
 
@@ -127,9 +131,15 @@
 
 Millis RequestRelay::comeBackAfter() const
 {
+    // Room is foreseen no sooner than half of what others have waited for it in vain.
+    const bool isOverload = lastCause_ == GiveUpCause::Overload;
+    const Millis queueAge =
+        isOverload ? context_.held.oldestAge(route_->name, context_.now()) : Millis(0);
+    const Millis least = std::max(leastComeBack, queueAge / 2);
     // Callers that were refused together must not come back together.
-    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id) % 300);
-    return Millis(250 + spread);
+    const auto spread = static_cast<std::uint64_t>(std::max(comeBackSpread, least).count());
+    return least
+        + Millis(static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id) % spread));
 }
 
 void RequestRelay::refuse(int status, GiveUpCause cause, std::optional<Millis> retryAfter,
@@ -172,6 +182,7 @@
     deadline_.clear();
     silence_.clear();
     heldLook_.clear();
+    releaseHeld();
     const Millis took = context_.now() - arrivedAt_;
     const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
     context_.metrics.requestEnded(kind, outcome, took.toSeconds());
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -5,6 +5,7 @@
 #include "dataplane/model/InstanceSettings.h"
 #include "dataplane/placement/LeastLoaded.h"
 #include "dataplane/waiting/CallerPatience.h"
+#include "dataplane/waiting/HeldPrompts.h"
 #include "gateway/GatewayWire.h"
 #include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
@@ -41,6 +42,7 @@
     UpstreamHealth health;
     EnginePlacement engines;
     PromptDeferral deferral;
+    HeldPrompts held;
     /** Null where instances have no links. */
     std::unique_ptr<BookExchange> books;
     LeastLoaded services;
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -64,6 +64,15 @@
                            {"elapsed_ms", text(context_.now() - arrivedAt_)}}});
 }
 
+const char *RequestRelay::lateness() const
+{
+    const Millis now = context_.now();
+    const Millis firstAt = stream_.events > 0 ? stream_.firstAt : now;
+    if (firstAt - arrivedAt_ > route_->goal)
+        return "first-event";
+    return stream_.longestPause > route_->gapGoal ? "pause" : "no";
+}
+
 void RequestRelay::logEnd(const EventKind &kind, int status, std::optional<GiveUpCause> cause,
                           const std::string &why) const
 {
@@ -84,6 +93,8 @@
         event.fields.emplace_back("first_event_ms", text(stream_.firstAt - arrivedAt_));
         event.fields.emplace_back("longest_pause_ms", text(stream_.longestPause));
     }
+    if (&kind == &events::requestServed)
+        event.fields.emplace_back("late", lateness());
     if (cause) {
         event.fields.emplace_back("cause", std::string(giveUpCauseNames.name(*cause)));
         event.fields.emplace_back("reason", why);
--- a/modules/gateway/request/RelayWaiting.cpp
+++ b/modules/gateway/request/RelayWaiting.cpp
@@ -23,6 +23,8 @@
     outlook.elapsed = context_.now() - arrivedAt_;
     outlook.goal = route_->goal;
     outlook.patience = callerPatience(*route_);
+    if (!isHeld_)
+        outlook.queueAge = context_.held.oldestAge(route_->name, context_.now());
     switch (context_.deferral.decide(outlook)) {
     case PromptDecision::Send:
         return false;
@@ -33,6 +35,7 @@
         break;
     }
     attempt_ = Attempt();
+    lastCause_ = GiveUpCause::Overload;
     giveUp(GiveUpCause::Overload, "its caller will have left before an engine can begin with it");
     return true;
 }
@@ -95,8 +98,18 @@
                                {"first_event_ms", text(outlook.firstEventMillis)},
                                {"goal_ms", std::to_string(outlook.goal.count())}}});
     }
+    if (!isHeld_)
+        context_.held.add(route_->name, arrivedAt_);
+    isHeld_ = true;
     attempt_ = Attempt();
     heldLook_.setAfter(lookAgainAfter);
 }
 
+void RequestRelay::releaseHeld()
+{
+    if (isHeld_)
+        context_.held.remove(route_->name, arrivedAt_);
+    isHeld_ = false;
+}
+
 } // namespace cuminrail
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -149,6 +149,7 @@
 
 void RequestRelay::sendChosen()
 {
+    releaseHeld();
     if (attempt_.choice && attempt_.choice->prefill)
         sendPrefill();
     else
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -74,6 +74,7 @@
                        const BookExchange::Offers &offers);
     void sendChosen();
     void hold(const PromptOutlook &outlook);
+    void releaseHeld();
     bool mayRepeat();
     bool takeRepeat();
     void sendPrefill();
@@ -119,6 +120,8 @@
     void logAttempt(const UpstreamEnd &end) const;
     void logEnd(const EventKind &kind, int status, std::optional<GiveUpCause> cause = std::nullopt,
                 const std::string &why = {}) const;
+    /** Whether an answer came later than the route's goals, and by which of them. */
+    const char *lateness() const;
     void firstAnswer();
     void over(RequestOutcome outcome);
 
@@ -152,6 +155,7 @@
     /** An upstream may have run it; no refusal may say otherwise any more. */
     bool mayHaveRun_ = false;
     bool wasHeld_ = false;
+    bool isHeld_ = false;
     bool wasAsked_ = false;
     /** What books say of this prompt; filled only while an engine is chosen by it. */
     std::unordered_map<std::string, ReadingOffer> offers_;
