--- a/modules/dataplane/policy/DecisionSettings.h
+++ b/modules/dataplane/policy/DecisionSettings.h
@@ -31,6 +31,14 @@
     */
     double leastBookTokens = 1000;
 
+    /**
+        How urgent, 0 to 9 with 0 first, the reading of a prompt is that will be late: behind all
+        that can be on time.
+    */
+    double lateUrgency = 8;
+    /** Instances of a failure domain that watch the store for the others there; 0 for all. */
+    double feedWatchers = 2;
+
     /** Returns of how many engines the books are asked for a prompt with so much to read. */
     std::size_t booksAskedFor(double freshTokens) const
     {
--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -13,7 +13,6 @@
 constexpr double leastUsefulMs = 20;
 constexpr int mostRefusals = 2;
 constexpr int usualUrgency = 3;
-constexpr int hopelessUrgency = 8;
 constexpr double sampleEveryMs = 1000;
 constexpr double heldEveryMs = 25;
 constexpr const char *service = "engines";
@@ -278,9 +277,9 @@
     job.isPrefillOnly = isPrefill;
     job.events = isPrefill ? 1 : std::max(1, requests_[index].events - flight.eventsGot);
     job.urgency = std::clamp(usualUrgency + kind.priority, 0, 9);
-    const double reached = queue_.now() - requests_[index].atMs + flight.choice->expectedMillis;
+    const double reached = queue_.now() - requests_[index].atMs + flight.choice->firstEventMillis;
     if (isPrefill && reached > kind.goalMs)
-        job.urgency = hopelessUrgency;
+        job.urgency = static_cast<int>(decisions_.lateUrgency);
     const auto &record = isPrefill ? flight.choice->prefill : flight.choice->engine;
     queue_.after(travel(index, record->entry.failureDomain), [this, index, engine, job] {
         if (flights_[index].job != job.id || flights_[index].isOver)
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -30,10 +30,9 @@
 */
 constexpr int ledgerCopies = 2;
 /**
-    Instances of a failure domain that watch the store for the others there, and from how many on
-    this is worth it: each watcher makes some 100 calls a minute, an instance by itself 15 to 90.
+    From how many instances of a failure domain on a few watch the store for the others there: a
+    watcher makes some 100 calls a minute, an instance by itself 15 to 90.
 */
-constexpr std::size_t watchersEach = 2;
 constexpr std::size_t leastForWatchers = 8;
 constexpr const char *feedDuty = "feeds";
 constexpr const char *fleetDuty = "fleet";
@@ -318,7 +317,8 @@
             domain.push_back(instance.instance);
     }
     followers_.clear();
-    if (domain.size() < leastForWatchers)
+    const auto watchersEach = static_cast<std::size_t>(settings_.decisions.feedWatchers);
+    if (domain.size() < leastForWatchers || watchersEach == 0)
         return sync_.setRole(FeedRole::Alone);
     const auto isWatcher = [&](const InstanceId &instance) {
         return DutySpread::rank(feedDuty, instance, domain, watchersEach).has_value();
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -38,7 +38,6 @@
 constexpr Millis readerProgressSpan = Millis(2500);
 constexpr int configurationMissingRetryMs = 500;
 constexpr int usualUrgency = 3;
-constexpr int hopelessUrgency = 8;
 
 bool isStreamRoute(const Route &route)
 {
@@ -245,10 +244,11 @@
 {
     // A request whose goal is out of reach would push others past theirs, and all would be late.
     const auto expected =
-        static_cast<std::int64_t>(attempt_.choice ? attempt_.choice->expectedMillis : 0);
+        static_cast<std::int64_t>(attempt_.choice ? attempt_.choice->firstEventMillis : 0);
     const Millis reached = context_.now() - arrivedAt_ + Millis(expected);
     const bool isHopeless = attempt_.isPrefill && reached > route_->goal;
-    return isHopeless ? hopelessUrgency : urgency_;
+    const int late = static_cast<int>(context_.settings.decisions.lateUrgency);
+    return isHopeless ? late : urgency_;
 }
 
 Millis RequestRelay::patience() const
