--- a/modules/ctl/explain/LoadSummary.cpp
+++ b/modules/ctl/explain/LoadSummary.cpp
@@ -38,6 +38,7 @@
                      double RequestSteps::*step)
 {
     std::vector<double> values;
+    values.reserve(steps.size());
     for (const RequestSteps &each : steps)
         values.push_back(each.*step);
     char line[120];
--- a/modules/gateway/control/UsageDuty_test.cpp
+++ b/modules/gateway/control/UsageDuty_test.cpp
@@ -196,11 +196,12 @@
     const std::string good = encodeLedger({7, {{7, {{"north", 3}}}}});
     const std::pair<const char *, std::string> rows[] = {
         {"", good}, {"a/b", good}, {"i-0.0", good}, {"i-9.1", "no ledger"}};
-    for (const auto &[owner, ledger] : rows) {
-        CAPTURE(std::string(owner));
-        cluster.duties[0]->takeLedger(owner, ledger);
+    for (const auto &row : rows) {
+        const std::string owner = row.first;
+        CAPTURE(owner);
+        cluster.duties[0]->takeLedger(owner, row.second);
         cluster.scheduler.runFor(Millis(500));
-        CHECK(cluster.store.value("usage/" + std::string(owner) + "+passed-on").empty());
+        CHECK(cluster.store.value("usage/" + owner + "+passed-on").empty());
     }
     cluster.duties[0]->takeLedger("i-9.1", good);
     cluster.scheduler.runFor(Millis(500));
--- a/modules/gateway/peers/LedgerMessage_test.cpp
+++ b/modules/gateway/peers/LedgerMessage_test.cpp
@@ -31,9 +31,9 @@
         {"too short", json::array({0x21, "i-1.1"})},
         {"another tag", json::array({0x22, "i-1.1", bytes})},
     };
-    for (const auto &[what, value] : rows) {
-        CAPTURE(std::string(what));
-        CHECK_FALSE(decodeLedgerMessage(encodeCbor(value)));
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.first));
+        CHECK_FALSE(decodeLedgerMessage(encodeCbor(row.second)));
     }
     CHECK_FALSE(decodeLedgerMessage(std::string("\x83\x18\x21", 3)));
     CHECK_FALSE(decodeLedgerMessage(""));
--- a/modules/gateway/request/RelayWaiting.cpp
+++ b/modules/gateway/request/RelayWaiting.cpp
@@ -52,6 +52,7 @@
     const auto readers = context_.engines.likelyReaders(context_.directory.usable(service_),
                                                         placementQuery(), asked);
     std::vector<EngineKey> keys;
+    keys.reserve(readers.size());
     for (const UpstreamPointer &reader : readers)
         keys.push_back(engineKey(*reader));
     attempt_ = Attempt();
--- a/modules/readingbooks/exchange/BookExchange_test.cpp
+++ b/modules/readingbooks/exchange/BookExchange_test.cpp
@@ -39,7 +39,7 @@
     void start(int i)
     {
         PeerTransport transport;
-        transport.send = [this, i](const PeerAddress &to, std::string frame) {
+        transport.send = [this, i](const PeerAddress &to, const std::string &frame) {
             if (dead.count(name(i)) > 0 || dead.count(to) > 0 || (random_() % 100) < lossPercent)
                 return;
             const int copies = (random_() % 100) < doublePercent ? 2 : 1;
--- a/modules/readingbooks/messages/BookMessages_test.cpp
+++ b/modules/readingbooks/messages/BookMessages_test.cpp
@@ -82,9 +82,9 @@
         {"half a link", json::array({0x13, 8, 99, 100, json::array({5}), 3000, 6000, 45})},
         {"half an offer", json::array({0x12, 8, json::array({5, 6})})},
     };
-    for (const auto &[what, value] : rows) {
-        CAPTURE(std::string(what));
-        CHECK_FALSE(decodeBookMessage(encodeCbor(value)));
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.first));
+        CHECK_FALSE(decodeBookMessage(encodeCbor(row.second)));
     }
     json many = json::array();
     for (std::uint64_t i = 0; i <= BookMessageLimits::engines; ++i)
