Very long prompts are tried where there is room; open questions end with the process

Cause, from reading the code: a prompt whose estimated reading alone exceeds its caller's patience was refused without ever being sent. The estimate rests on a learned speed, which falls when engines are slow; the longest prompts would then be refused for good. It is now sent while an engine has room. At the end of a process, questions to other instances that were still open held requests that refer to members destroyed before.

--- a/modules/dataplane/waiting/PromptDeferral.cpp
+++ b/modules/dataplane/waiting/PromptDeferral.cpp
@@ -10,9 +10,14 @@
     if (elapsed + outlook.firstEventMillis <= settings_.goalShare * goal)
         return PromptDecision::Send;
     const double atOnce = outlook.firstEventMillis - outlook.waitMillis;
+    const bool hasRoom = outlook.waitMillis <= settings_.idleWaitMillis;
+    // The estimate of a very long prompt is a guess. Refused by it, such prompts would never be
+    // read, and nothing would show that they could have been.
+    if (hasRoom && elapsed <= goal)
+        return PromptDecision::Send;
     if (elapsed + atOnce > patience)
         return PromptDecision::Refuse;
-    if (outlook.waitMillis <= settings_.idleWaitMillis)
+    if (hasRoom)
         return PromptDecision::Send;
     const auto queueAge = static_cast<double>(outlook.queueAge.count());
     return queueAge + atOnce > patience ? PromptDecision::Refuse : PromptDecision::Hold;
--- a/modules/dataplane/waiting/PromptDeferral_test.cpp
+++ b/modules/dataplane/waiting/PromptDeferral_test.cpp
@@ -27,6 +27,8 @@
         {"late, but there is room now", 40, 400, 1500, PromptDecision::Send},
         {"its caller leaves before it could begin", 500, 900, 2900, PromptDecision::Refuse},
         {"its caller leaves, although there is room", 0, 500, 2800, PromptDecision::Refuse},
+        {"so long that its caller might leave, but there is room", 0, 5000, 5,
+         PromptDecision::Send},
         {"its caller is still there by then", 500, 700, 2900, PromptDecision::Hold},
     };
     const PromptDeferral deferral;
--- a/modules/emulation/emulation.h
+++ b/modules/emulation/emulation.h
@@ -8,7 +8,7 @@
     side by side over the same requests; figures and series of one run. docs/EMULATION.md tells how
     close it comes to measured days.
 
-    Depends on: core, dataplane, nlohmann-json.
+    Depends on: core, dataplane, readingbooks, nlohmann-json.
 */
 
 #include "emulation/load/LoadFile.h"
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -416,6 +416,9 @@
     timer_.cancel();
     sync_.stop();
     fabric_.stop();
+    // Questions hold requests, which refer to what goes before the books do.
+    if (context_.books)
+        context_.books->dropQuestions();
     callers_.closeAll();
     readiness_.closeAll();
     admin_.closeAll();
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -5,9 +5,11 @@
     in the platform's store, under a configuration that operators keep there.
 
     Sockets, timers and the order of steps are here; choices are made in dataplane. What messages
-    look like on the wire comes in through hooks.
+    look like on the wire comes in through hooks. Instances tell each other over links what engines
+    have to read and what the store says.
 
-    Depends on core, dataplane, lease, ports, net, runtime.
+    Depends on core, membership (bounds of frames), dataplane, readingbooks, lease, ports, net,
+    runtime, peerlink.
 */
 
 #include "gateway/Gateway.h"
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -72,6 +72,8 @@
 
     /** A frame came from another instance. Returns false if it is no message. */
     bool received(const PeerAddress &from, const std::string &frame);
+    /** Forgets open questions without calling anybody; for the end of the process. */
+    void dropQuestions() { pending_.clear(); }
     /** Ends questions whose time is over; to be called every few milliseconds. */
     void tick();
 
