A doubled entry's test sees what a double would take back

Removing the guard against doubled entries was not noticed by the former test, which did not take the entry back.

--- a/modules/emulation/run/LoadRun.cpp
+++ b/modules/emulation/run/LoadRun.cpp
@@ -182,7 +182,7 @@
     flight.offers.clear();
 }
 
-void LoadRun::announce(std::size_t index)
+void LoadRun::enterBook(std::size_t index)
 {
     Flight &flight = flights_[index];
     EnginePlacement *own = instanceOf(index).placement->own();
@@ -270,7 +270,7 @@
     const LoadKind &kind = kindOf(index);
     flight.job = nextJob_++;
     flight.isReading = isPrefill;
-    announce(index);
+    enterBook(index);
     byJob_[flight.job] = index;
     EngineJob job;
     job.id = flight.job;
--- a/modules/emulation/run/LoadRun.h
+++ b/modules/emulation/run/LoadRun.h
@@ -86,7 +86,9 @@
     void arrive(std::size_t index);
     void dispatch(std::size_t index);
     void askBooks(std::size_t index);
-    void announce(std::size_t index);
+    /** Enters a reading that is sent off in its engine's book, and takes it back if it ends early.
+     */
+    void enterBook(std::size_t index);
     void takeBack(std::size_t index);
     PromptDecision decide(std::size_t index) const;
     void place(std::size_t index);
--- a/modules/readingbooks/book/ReadingBook_test.cpp
+++ b/modules/readingbooks/book/ReadingBook_test.cpp
@@ -108,11 +108,14 @@
     CHECK(book.offer(chainOf(7, 8), Millis(3000)).waitMillis == doctest::Approx(240));
 }
 
-TEST_CASE("a doubled entry counts once")
+TEST_CASE("a doubled entry counts once, and all of it is taken back")
 {
     ReadingBook book;
     book.enter({"a", 1}, chainOf(1, 2), everything, pace, Millis(0));
     book.enter({"a", 1}, chainOf(1, 2), everything, pace, Millis(0));
+    book.enter({"b", 1}, chainOf(3, 4), everything, pace, Millis(0));
+    CHECK(book.offer(chainOf(5, 6), Millis(0)).waitMillis == doctest::Approx(480));
+    book.takeBack({"a", 1}, Millis(0));
     CHECK(book.offer(chainOf(5, 6), Millis(0)).waitMillis == doctest::Approx(240));
 }
 
