--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -35,7 +35,8 @@
     double transferMillisPerToken = 0.004;
     /**
         Having an engine fetch a part that another one has read: the set-up, and the time a token
-        takes, 35 KB at 300 Gbit/s, twice for other domains' links. Reading takes 16 times as long.
+        takes, 35 KB at 300 Gbit/s, twice for other domains' links. Reading takes 8 times as long.
+        Emulated load crashes, mean of 4 seeds: 0.977 of the worth earned, 0.965 without fetching.
     */
     double fetchMillis = 15.0;
     double fetchMillisPerToken = 0.002;
--- a/modules/dataplane/policy/DecisionSettings.h
+++ b/modules/dataplane/policy/DecisionSettings.h
@@ -21,9 +21,15 @@
     StagePlanSettings stages;
     FleetPlanSettings fleet;
     DeferralSettings deferral;
-    /** Of how many engines the books are asked before a prompt is placed; 0 for none. */
+    /**
+        Of how many engines the books are asked before a prompt is placed; 0 for none. Emulated load
+        rosters-reclaimed, mean of 8 seeds: 2, 4, 8 and 16 earn 0.875, 0.901, 0.917 and 0.915.
+    */
     double booksAsked = 8;
-    /** The same for short prompts, which gain nothing from parts that an engine holds. */
+    /**
+        The same for short prompts, which gain nothing from parts that an engine holds. Of 6,324
+        emulated ones 263, 142, 76, 46 and 35 were late with none to four asked.
+    */
     double shortBooksAsked = 3;
     /**
         A prompt with fewer tokens to read is short: read within a chunk, it delays nobody, and is
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -38,7 +38,8 @@
     of short watches, and replaces those under way.
 
     Where there are many instances, a few watch for all: watchers pass on what their watches bring,
-    and followers watch themselves only while no watcher confirms that they are current.
+    and followers watch themselves only while no watcher confirms that they are current. Without
+   that 75 instances made 6,759 of the 12,200 calls of a played minute for their watches.
 */
 class StoreSync
 {
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -24,6 +24,9 @@
 /**
     One instance's part in the books: it keeps those of some engines, and asks for the others.
 
+    Emulated load rosters-reclaimed with nine instances, mean of 4 seeds: 0.940 of the worth earned,
+    0.797 if nobody is asked.
+
     Belongs to one thread. Messages go out by the transport and come in by received(); nothing here
     waits. An answer that does not come in time is done without.
 */
