A quarter of many instances track engines' queues, and links to them are held ready

Silent trackers are passed over for 2 s, so instances even asked different ones.

Change: where there are more than 16, a quarter of the instances tracks engines, chosen alike by hash; links to them are set up ahead, three each 100 ms, and looked for again each 4 s. The newest link to a peer is found by a map rather than by going through all for each frame.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -303,6 +303,7 @@
             peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
     }
     context_.books->setPeers(std::move(peers));
+    fabric_.holdLinks(context_.books->keepers());
     joinGroup();
 }
 
--- a/modules/gateway/peers/PeerFabric.cpp
+++ b/modules/gateway/peers/PeerFabric.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peers/PeerFabric.h"
 
 #include "core/events/EventCatalogue.h"
+#include "core/hash/StableHash.h"
 #include "peerlink/auth/Hmac.h"
 
 #include <utility>
@@ -14,6 +15,14 @@
 /** The store is asked again so soon while it gives no secret. */
 constexpr Millis askAgainAfter = Millis(500);
 
+/**
+    Links that are looked for in one tick, and how long until the same one is looked for again. All
+    of a hundred are up within four seconds, and an instance that is gone costs little.
+*/
+constexpr int connectionsEachTick = 3;
+constexpr Millis lookAgainAfter = Millis::seconds(4);
+constexpr Millis connectionsSpread = Millis(1500);
+
 /** A machine that is cut off is passed over long before; this only bounds what waits for it. */
 PeerLinksConfig linksConfig()
 {
@@ -47,6 +56,8 @@
 void PeerFabric::tick()
 {
     const Millis now = environment_.clock.now();
+    if (isOpen())
+        connectSome(now);
     if (isOpen() || isAsking_ || isStopped_ || now < nextAt_)
         return;
     isAsking_ = true;
@@ -54,6 +65,33 @@
     environment_.store.get(secretPath, [this](const StoreReply &reply) { secretRead(reply); });
 }
 
+void PeerFabric::holdLinks(std::vector<PeerAddress> peers)
+{
+    const Millis now = environment_.clock.now();
+    std::map<PeerAddress, Millis> held;
+    for (PeerAddress &peer : peers) {
+        const auto known = held_.find(peer);
+        // Instances that start together must not all knock at the same peer first.
+        const auto hash = StableHash().add(listen_.toString()).add(peer).value();
+        const auto spread = static_cast<std::int64_t>(hash % connectionsSpread.count());
+        held[std::move(peer)] = known == held_.end() ? now + Millis(spread) : known->second;
+    }
+    held_ = std::move(held);
+}
+
+void PeerFabric::connectSome(Millis now)
+{
+    int left = connectionsEachTick;
+    for (auto &[peer, nextAt] : held_) {
+        if (now < nextAt)
+            continue;
+        if (left-- == 0)
+            return;
+        nextAt = now + lookAgainAfter;
+        links_->connect(peer);
+    }
+}
+
 void PeerFabric::secretRead(const StoreReply &reply)
 {
     isAsking_ = false;
--- a/modules/gateway/peers/PeerFabric.h
+++ b/modules/gateway/peers/PeerFabric.h
@@ -10,9 +10,11 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cuminrail {
 
@@ -43,6 +45,11 @@
     /** Does what is due until the links are open; to be called every few hundred milliseconds. */
     void tick();
     bool isOpen() const { return links_ != nullptr; }
+    /**
+        Holds links to these instances ready. A question is answered within milliseconds or not at
+        all; without a link most of the first questions after a start would not be.
+    */
+    void holdLinks(std::vector<PeerAddress> peers);
     /** Valid as long as this object. */
     PeerTransport transport();
     void stop();
@@ -51,11 +58,14 @@
     void secretRead(const StoreReply &reply);
     void createSecret();
     void open(const std::string &secret);
+    void connectSome(Millis now);
 
     Environment environment_;
     HostPort listen_;
     FrameHandler onFrame_;
     std::unique_ptr<PeerLinks> links_;
+    /** When a link to each of the held peers is looked for next. */
+    std::map<PeerAddress, Millis> held_;
     Millis nextAt_;
     bool isAsking_ = false;
     bool isStopped_ = false;
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -210,17 +210,32 @@
         queues_.erase(found);
 }
 
+void PeerLinks::connect(const PeerAddress &to)
+{
+    if (!isStopped_ && !readyLink(to) && !isDialling(to))
+        dial(to);
+}
+
 PeerLinks::LinkPtr PeerLinks::readyLink(const PeerAddress &to) const
 {
-    LinkPtr newest;
-    for (const auto &entry : links_) {
-        const LinkPtr &link = entry.second;
-        if (link->state() != PeerLink::State::Ready || link->peer() != to)
-            continue;
-        if (!newest || link->createdAt() > newest->createdAt())
-            newest = link;
+    const auto found = ready_.find(to);
+    return found == ready_.end() ? nullptr : found->second;
+}
+
+PeerLinks::LinkPtr PeerLinks::forget(Links::iterator entry)
+{
+    LinkPtr link = entry->second;
+    links_.erase(entry);
+    const auto found = ready_.find(link->peer());
+    if (found == ready_.end() || found->second != link)
+        return link;
+    ready_.erase(found);
+    // Both ends may have connected at once; the older link still serves.
+    for (const auto &[handle, other] : links_) {
+        if (other->state() == PeerLink::State::Ready && other->peer() == link->peer())
+            ready_[link->peer()] = other;
     }
-    return newest;
+    return link;
 }
 
 bool PeerLinks::isDialling(const PeerAddress &to) const
@@ -265,9 +280,7 @@
     }
     if (oldest == links_.end())
         oldest = links_.begin();
-    const LinkPtr link = oldest->second;
-    links_.erase(oldest);
-    link->close();
+    forget(oldest)->close();
 }
 
 bool PeerLinks::mayAccept()
@@ -305,8 +318,10 @@
         refuse(handle);
         return;
     }
-    if (result.becameReady)
+    if (result.becameReady) {
+        ready_[link->peer()] = link;
         flush(link->peer());
+    }
     if (!result.frame)
         return;
     ++stats_.framesReceived;
@@ -317,8 +332,7 @@
 
 void PeerLinks::refuse(const Handle &handle)
 {
-    const LinkPtr link = links_.at(handle);
-    links_.erase(handle);
+    const LinkPtr link = forget(links_.find(handle));
     ++stats_.refused;
     events_(Event{&events::peerLinkRefused,
                   {{"accepted", link->isAccepted() ? "true" : "false"},
@@ -328,7 +342,9 @@
 
 void PeerLinks::ended(const Handle &handle)
 {
-    links_.erase(handle);
+    const auto found = links_.find(handle);
+    if (found != links_.end())
+        forget(found);
 }
 
 void PeerLinks::scheduleTick()
@@ -353,9 +369,7 @@
         const auto found = links_.find(handle);
         if (found == links_.end() || !mustClose(*found->second, now))
             continue;
-        const LinkPtr link = found->second;
-        links_.erase(handle);
-        link->close();
+        forget(found)->close();
     }
     dropOldQueues(now);
     std::vector<PeerAddress> waiting;
@@ -408,6 +422,7 @@
     if (isListening_)
         server_.stop_listening(error);
     const Links links = std::exchange(links_, Links());
+    ready_.clear();
     for (const auto &entry : links)
         entry.second->close();
     queues_.clear();
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace cuminrail {
 
@@ -68,6 +69,8 @@
     /** Returns the port for decision modules; valid as long as this object. */
     PeerTransport transport();
     void send(const PeerAddress &to, std::string frame);
+    /** Sets up a link if there is none, so that the first frame need not wait for that. */
+    void connect(const PeerAddress &to);
     /** Closes all links and stops listening; the io_context then runs out of work. */
     void stop();
 
@@ -112,6 +115,8 @@
     void enqueue(const PeerAddress &to, std::string frame);
     void flush(const PeerAddress &to);
     LinkPtr readyLink(const PeerAddress &to) const;
+    /** Takes a link out of all tables; it is not closed. */
+    LinkPtr forget(Links::iterator entry);
     bool isDialling(const PeerAddress &to) const;
     void dial(const PeerAddress &to);
     void makeRoom();
@@ -132,6 +137,8 @@
     detail::PeerClient client_;
     boost::asio::steady_timer timer_;
     Links links_;
+    /** The newest ready link to each peer; looked up for each frame. */
+    std::unordered_map<PeerAddress, LinkPtr> ready_;
     std::map<PeerAddress, Queue> queues_;
     PeerLinksStats stats_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/modules/peerlink/PeerLinks_test.cpp
+++ b/modules/peerlink/PeerLinks_test.cpp
@@ -174,6 +174,53 @@
     }
 }
 
+// A question to a peer is worth an answer within milliseconds; the first one would have to wait
+// until a link is set up. Links that will be needed are made before, and only once.
+TEST_CASE("a link that was made ahead carries the first frame at once")
+{
+    Bench bench;
+    Bench::End &a = bench.add({{kSecret}});
+    Bench::End &b = bench.add({{kSecret}});
+    a.links->connect(b.address);
+    a.links->connect(b.address);
+    REQUIRE(bench.runUntil([&] { return b.links->linkCount() == 1; }));
+    REQUIRE(bench.runUntil([&] {
+        a.links->connect(b.address);
+        a.links->send(b.address, "one");
+        return !b.frames.empty();
+    }));
+    // The other end uses the same link.
+    b.links->connect(a.address);
+    b.links->send(a.address, "two");
+    REQUIRE(bench.runUntil([&] { return !a.frames.empty(); }));
+    CHECK(a.links->stats().dialled == 1);
+    CHECK(b.links->stats().dialled == 0);
+}
+
+// Both ends make a link at the same moment, and one of the two has to make room later. The other
+// one serves on; forgotten, every frame would wait for a third.
+TEST_CASE("of two links to one peer the one that is left is used")
+{
+    Bench bench;
+    PeerLinksConfig narrow;
+    narrow.maxLinks = 2;
+    Bench::End &a = bench.add({{kSecret}}, narrow);
+    Bench::End &b = bench.add({{kSecret}});
+    Bench::End &c = bench.add({{kSecret}});
+    a.links->connect(b.address);
+    b.links->connect(a.address);
+    REQUIRE(bench.runUntil([&] { return a.links->linkCount() == 2 && b.links->linkCount() == 2; }));
+    bench.now += Millis(10);
+    a.links->send(b.address, "one");
+    REQUIRE(bench.runUntil([&] { return !b.frames.empty(); }));
+    bench.now += Millis(10);
+    a.links->connect(c.address);
+    REQUIRE(bench.runUntil([&] { return b.links->linkCount() == 1; }));
+    a.links->send(b.address, "two");
+    REQUIRE(bench.runUntil([&] { return b.frames.size() == 2; }));
+    CHECK(a.links->stats().dialled == 2);
+}
+
 // An open connection has gone silent for good: something between the ends lost track of it, and
 // there is no end and no reset. New connections work. Without a look at progress every frame
 // would go nowhere, and the peer would be declared dead.
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -58,6 +58,8 @@
 
     /** All instances, this one first; with an address where they take links. */
     void setPeers(std::vector<BookPeer> peers) { keepers_.setPeers(std::move(peers)); }
+    /** Links of the other instances that keep books, to be held ready. */
+    std::vector<PeerAddress> keepers() const { return keepers_.addresses(); }
 
     /**
         Asks what a prompt would meet at engines. The completion is called once, with what is known
--- a/modules/readingbooks/exchange/BookKeepers.cpp
+++ b/modules/readingbooks/exchange/BookKeepers.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hash/StableHash.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
 void BookKeepers::setPeers(std::vector<BookPeer> peers)
@@ -11,6 +13,23 @@
         const std::uint64_t hash = StableHash().add(peer.instance.text()).value();
         peers_.push_back({std::move(peer), hash});
     }
+    const std::size_t keepers = std::max(leastKeepers, peers_.size() / instancesEach);
+    if (peers_.size() <= keepers)
+        return;
+    // Those with the lowest hashes, so that an instance that comes or goes changes one keeper.
+    std::sort(peers_.begin(), peers_.end(),
+              [](const Ranked &one, const Ranked &other) { return one.hash < other.hash; });
+    peers_.resize(keepers);
+}
+
+std::vector<PeerAddress> BookKeepers::addresses() const
+{
+    std::vector<PeerAddress> addresses;
+    for (const Ranked &keeper : peers_) {
+        if (keeper.peer.address != self_)
+            addresses.push_back(keeper.peer.address);
+    }
+    return addresses;
 }
 
 bool BookKeepers::isPassedOver(const PeerAddress &peer, Millis now) const
--- a/modules/readingbooks/exchange/BookKeepers.h
+++ b/modules/readingbooks/exchange/BookKeepers.h
@@ -23,6 +23,11 @@
 /**
     Which instance keeps the book of an engine.
 
+    Load: hundreds of instances that start together and ask each other at once. Were all of them
+    keepers, each would need a link to every other one, and most first questions would go unanswered
+    while those are set up. So a part of them keeps the books, and links to those few are held
+   ready.
+
     All instances work it out alike by rendezvous hashing over those that are registered, so nothing
     has to be agreed. A registered instance can be dead for a minute before its entry lapses: one
     that leaves questions unanswered is passed over for a while, and the next in order takes its
@@ -35,9 +40,15 @@
     static constexpr int silenceBorne = 2;
     static constexpr Millis passedOverFor = Millis(2000);
 
+    /** One instance in so many keeps books, where there are many. */
+    static constexpr std::size_t instancesEach = 4;
+    static constexpr std::size_t leastKeepers = 16;
+
     /** The first is this instance. */
     void setPeers(std::vector<BookPeer> peers);
     bool isEmpty() const { return peers_.empty(); }
+    /** Links of all keepers but this instance. */
+    std::vector<PeerAddress> addresses() const;
 
     /** Returns the keeper's address; empty for this instance. */
     const PeerAddress &keeperOf(EngineKey engine, Millis now) const;
--- /dev/null
+++ b/modules/readingbooks/exchange/BookKeepers_test.cpp
@@ -0,0 +1,74 @@
+#include <doctest/doctest.h>
+
+#include "readingbooks/exchange/BookKeepers.h"
+
+#include <algorithm>
+#include <set>
+
+using namespace cuminrail;
+
+namespace {
+
+constexpr EngineKey mostEngines = 800;
+
+/** What instance @c self works out of so many that are registered. */
+BookKeepers keepersOf(int self, int count, int without = -1)
+{
+    std::vector<BookPeer> peers{{InstanceId("i-" + std::to_string(self)), {}}};
+    for (int i = 0; i < count; ++i) {
+        if (i != self && i != without)
+            peers.push_back({InstanceId("i-" + std::to_string(i)), std::to_string(i)});
+    }
+    BookKeepers keepers;
+    keepers.setPeers(std::move(peers));
+    return keepers;
+}
+
+PeerAddress keeperOf(const BookKeepers &keepers, EngineKey engine, int self)
+{
+    const PeerAddress &address = keepers.keeperOf(engine, Millis(0));
+    return address.empty() ? std::to_string(self) : address;
+}
+
+} // namespace
+
+// Two hundred instances start together, and each asks at once. The more of them keep books, the
+// more links have to be set up before the first questions can be answered.
+TEST_CASE("a part of many instances keeps the books, and all agree on which")
+{
+    struct Row
+    {
+        int instances;
+        std::size_t keepers;
+    };
+    for (const Row &row : {Row{9, 9}, Row{16, 16}, Row{40, 16}, Row{195, 48}, Row{370, 92}}) {
+        CAPTURE(row.instances);
+        const BookKeepers first = keepersOf(0, row.instances);
+        const BookKeepers last = keepersOf(row.instances - 1, row.instances);
+        std::set<PeerAddress> used;
+        for (EngineKey engine = 1; engine <= mostEngines; ++engine) {
+            const PeerAddress keeper = keeperOf(first, engine, 0);
+            CHECK(keeper == keeperOf(last, engine, row.instances - 1));
+            used.insert(keeper);
+        }
+        CHECK(used.size() == row.keepers);
+        CHECK(first.addresses().size() >= row.keepers - 1);
+        CHECK(first.addresses().size() <= row.keepers);
+    }
+}
+
+// A keeper is gone for good. Its books begin anew elsewhere; if all moved, every estimate would be
+// wrong for seconds.
+TEST_CASE("an instance that goes moves its own books only")
+{
+    const BookKeepers before = keepersOf(0, 195);
+    for (int gone = 1; gone < 195; gone += 13) {
+        CAPTURE(gone);
+        const BookKeepers after = keepersOf(0, 195, gone);
+        int moved = 0;
+        for (EngineKey engine = 1; engine <= mostEngines; ++engine)
+            moved += keeperOf(before, engine, 0) == keeperOf(after, engine, 0) ? 0 : 1;
+        // One of 48 goes and another one comes.
+        CHECK(moved <= static_cast<int>(mostEngines) * 3 / 48 + 1);
+    }
+}
