--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "core/events/EventCatalogue.h"
 #include "gateway/request/RequestRelay.h"
-#include "lease/spread/DutySpread.h"
 
 #include <chrono>
 
@@ -18,20 +17,10 @@
 constexpr Millis acceptedSends = Millis(300);
 /** Kept for writing the last usage before the platform kills the process. */
 constexpr Millis endReserve = Millis(400);
-/** Calls under authority are not begun with less time than a slow answer takes. */
-constexpr Millis leastAuthority = Millis(1000);
 /** Each sweep of the deadlines; the time-outs looked for are no longer than that. */
 constexpr Millis bookTickEvery = Millis(10);
 /** Instances that a small failure domain's instance gives its ledger when its own write fails. */
 constexpr int substituteCollectors = 2;
-constexpr const char *fleetDuty = "fleet";
-/** Instances that look at the lease often. */
-constexpr std::size_t candidates = 3;
-/** How often all others together look, and each of them at least waits. */
-constexpr Millis outsiderLookEach = Millis(250);
-constexpr Millis outsiderLookLeast = Millis(2000);
-/** Without a list of instances by then, this one takes part in the lease all the same. */
-constexpr Millis unsettledMost = Millis(4000);
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
@@ -56,22 +45,6 @@
     return limits;
 }
 
-/**
-    A holder that crashed is replaced within term and stagger, soon enough for a usage report that
-    is due ten seconds after its window. Renewals leave room for two that get lost.
-*/
-LeaseTiming leaseTiming()
-{
-    LeaseTiming timing;
-    timing.term = Millis(4500);
-    timing.renewEvery = Millis(1200);
-    timing.pollEvery = Millis(1500);
-    timing.margin = Millis(300);
-    timing.stagger = Millis(250);
-    timing.retryMost = Millis(1500);
-    return timing;
-}
-
 UsageTiming usageTiming(const InstanceSettings &settings)
 {
     UsageTiming timing;
@@ -136,7 +109,7 @@
       sync_(context_, environment_.store, environment_.random),
       registry_(registrationOf(settings_), settings_.isFirstStart, environment_.store,
                 environment_.clock, environment_.random),
-      lease_(fleetDuty, lifeOf(settings_, environment_.wallMillis()), leaseTiming(),
+      lease_(lifeOf(settings_, environment_.wallMillis()), registry_,
              {observed(environment_.store, [this] { sync_.storeInDoubt(); }), environment_.clock,
               environment_.random, environment_.events, nullptr, nullptr}),
       peers_(context_, registry_, environment_.random,
@@ -155,8 +128,8 @@
       feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
       usage_(settings_.name + "." + std::to_string(environment_.wallMillis()),
              usageTiming(settings_), usageHooks()),
-      stages_(context_, [this] { return authority(); }),
-      scale_(context_, [this] { return authority(); }), timer_(environment_.io)
+      stages_(context_, [this] { return lease_.authority(); }),
+      scale_(context_, [this] { return lease_.authority(); }), timer_(environment_.io)
 {
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
@@ -181,7 +154,6 @@
     const auto &admin = settings_.admin;
     if (admin.isSet() && !admin_.listen(admin.host, admin.port, lastReason))
         return false;
-    startedAt_ = environment_.clock.now();
     if (!settings_.links.isSet())
         feeds_.setAlone();
     sync_.start();
@@ -235,7 +207,7 @@
     gauges.callerConnections = callers_.openConnections();
     gauges.upstreamConnections = pool_.openConnections();
     gauges.instances = registry_.instances().size();
-    gauges.isDutyHolder = lease_.authority(now).has_value();
+    gauges.isDutyHolder = lease_.isHeld();
     gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
     gauges.counters = context_.counters;
     return gauges;
@@ -278,7 +250,7 @@
     sync_.setInstances(instances);
     usage_.setInstances(instances);
     if (settings_.reportsUsage || settings_.ordersUpstreams)
-        tickLease();
+        lease_.tick();
     if (settings_.reportsUsage)
         usage_.tick();
     stages_.tick();
@@ -347,53 +319,13 @@
                           [this] { return trueTime(); },
                           environment_.events,
                           wire_.reportUsage,
-                          [this] { return authority(); }};
+                          [this] { return lease_.authority(); }};
     const auto send = [this](const PeerAddress &to, std::string frame) {
         fabric_.transport().send(to, std::move(frame));
     };
     return {std::move(duty), environment_.random, [this] { return ledgerCollectors(); }, send};
 }
 
-bool Gateway::isOutsiderLookDue(Millis now)
-{
-    const auto instances = static_cast<std::int64_t>(registry_.instances().size());
-    const Millis every = std::max(outsiderLookLeast, outsiderLookEach * instances);
-    if (nextOutsiderLook_ && now < *nextOutsiderLook_)
-        return false;
-    // The first look is spread, as all instances may have started together.
-    const bool isFirst = !nextOutsiderLook_;
-    const auto share = static_cast<std::int64_t>(environment_.random() % 1000);
-    nextOutsiderLook_ = now + (isFirst ? every * share / 1000 : every);
-    return !isFirst;
-}
-
-void Gateway::tickLease()
-{
-    if (!registry_.isSettled() && environment_.clock.now() - startedAt_ < unsettledMost)
-        return;
-    const auto rank =
-        DutySpread::rank(fleetDuty, InstanceId(settings_.name), registry_.names(), candidates);
-    const Millis now = environment_.clock.now();
-    const bool isHolder = lease_.authority(now).has_value();
-    // The first few by rank look at the lease often. The others look now and then, in case that
-    // those are all gone; every look is a call that is paid for.
-    if (!rank && !isHolder && !isDraining_ && !isOutsiderLookDue(now))
-        return;
-    Candidacy candidacy;
-    candidacy.isCandidate = !isDraining_;
-    candidacy.place = rank.value_or(candidates);
-    lease_.tick(candidacy);
-}
-
-std::optional<DutyAuthority> Gateway::authority() const
-{
-    const Millis now = environment_.clock.now();
-    const auto held = lease_.authority(now);
-    if (!held || held->notAfter - now < leastAuthority)
-        return std::nullopt;
-    return DutyAuthority{settings_.name, held->fence, held->notAfter};
-}
-
 void Gateway::drain(std::function<void()> onDrained)
 {
     if (isDraining_)
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayWire.h"
 #include "gateway/admin/GatewayAdmin.h"
+#include "gateway/control/FleetLease.h"
 #include "gateway/control/InstanceGroup.h"
 #include "gateway/control/InstanceRegistry.h"
 #include "gateway/control/PeerConfiguration.h"
@@ -11,7 +12,6 @@
 #include "gateway/peers/PeerFabric.h"
 #include "gateway/request/RelayContext.h"
 #include "gateway/usage/GatewayUsage.h"
-#include "lease/keeper/DutyLease.h"
 #include "net/server/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -94,9 +94,6 @@
     /** Instances to which this one may give its usage ledger. */
     std::vector<PeerAddress> ledgerCollectors();
     GatewayUsage::Hooks usageHooks();
-    bool isOutsiderLookDue(Millis now);
-    void tickLease();
-    std::optional<DutyAuthority> authority() const;
     std::int64_t trueTime() const;
     GatewayGauges gauges() const;
     AdminPages adminPages();
@@ -112,9 +109,7 @@
     GatewayAdmin admin_;
     StoreSync sync_;
     InstanceRegistry registry_;
-    DutyLease lease_;
-    std::optional<Millis> nextOutsiderLook_;
-    Millis startedAt_;
+    FleetLease lease_;
     PeerConfiguration peers_;
     PeerFabric fabric_;
     /** Looks for questions to other instances whose time is over. */
--- /dev/null
+++ b/modules/gateway/control/FleetLease.cpp
@@ -0,0 +1,80 @@
+#include "gateway/control/FleetLease.h"
+
+#include "lease/spread/DutySpread.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+namespace {
+
+constexpr const char *fleetDuty = "fleet";
+
+/**
+    A holder that crashed is replaced within term and stagger, soon enough for a usage report that
+    is due ten seconds after its window. Renewals leave room for two that get lost.
+*/
+LeaseTiming leaseTiming()
+{
+    LeaseTiming timing;
+    timing.term = Millis(4500);
+    timing.renewEvery = Millis(1200);
+    timing.pollEvery = Millis(1500);
+    timing.margin = Millis(300);
+    timing.stagger = Millis(250);
+    timing.retryMost = Millis(1500);
+    return timing;
+}
+
+} // namespace
+
+FleetLease::FleetLease(const InstanceLife &self, const InstanceRegistry &registry,
+                       DutyLease::Hooks hooks)
+    : self_(self.instance), registry_(registry), clock_(hooks.clock), random_(hooks.random),
+      lease_(fleetDuty, self, leaseTiming(), std::move(hooks)), startedAt_(clock_.now())
+{ }
+
+bool FleetLease::isOutsiderLookDue(Millis now)
+{
+    const auto instances = static_cast<std::int64_t>(registry_.instances().size());
+    const Millis every = std::max(outsiderLookLeast, outsiderLookEach * instances);
+    if (nextOutsiderLook_ && now < *nextOutsiderLook_)
+        return false;
+    // The first look is spread, as all instances may have started together.
+    const bool isFirst = !nextOutsiderLook_;
+    const auto spread =
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(every.count()));
+    nextOutsiderLook_ = now + (isFirst ? Millis(spread) : every);
+    return !isFirst;
+}
+
+void FleetLease::tick()
+{
+    const Millis now = clock_.now();
+    if (!registry_.isSettled() && now - startedAt_ < unsettledMost)
+        return;
+    const auto rank = DutySpread::rank(fleetDuty, self_, registry_.names(), candidates);
+    if (!rank && !isHeld() && !isLeaving_ && !isOutsiderLookDue(now))
+        return;
+    Candidacy candidacy;
+    candidacy.isCandidate = !isLeaving_;
+    candidacy.place = rank.value_or(candidates);
+    lease_.tick(candidacy);
+}
+
+void FleetLease::release()
+{
+    isLeaving_ = true;
+    lease_.release();
+}
+
+std::optional<DutyAuthority> FleetLease::authority() const
+{
+    const Millis now = clock_.now();
+    const auto held = lease_.authority(now);
+    if (!held || held->notAfter - now < leastAuthority)
+        return std::nullopt;
+    return DutyAuthority{self_.text(), held->fence, held->notAfter};
+}
+
+} // namespace cuminrail
