Trackers that began before an engine read anything know what it holds

A tracker that is younger than 10 s does not speak of parts, so the homes of parts were trusted to hold what nobody had read. Entries carried the same guess, so queues were estimated too short for all. The same holds for engines that take the place of lost ones.

Change: a tracker that began before the engine's first prompt, at the system's first start or before the engine's own, says so. The choice still prefers the home, where others will find the part; what is expected and entered is the true size. An engine's new life empties its tracker.

--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -105,7 +105,10 @@
         double fresh = expectedFresh(memory, chain, rank);
         if (offer)
             fresh = offer->knowsParts ? offer->freshTokens : std::min(fresh, offer->freshTokens);
-        Candidate candidate{fitting[rank], fresh, 0, 0, nullptr, 0};
+        // What goes to its home is found there by others, also while nobody has read it; how long
+        // it takes is another matter.
+        const double toRead = offer && offer->isComplete ? offer->freshTokens : fresh;
+        Candidate candidate{fitting[rank], fresh, toRead, 0, 0, nullptr, 0};
         const double rate = rateOf(entry).tokensPerMilli();
         candidate.waitMillis = offer ? offer->waitMillis : memory.waitMillis(rate, query.now);
         candidate.millis = candidate.waitMillis + weights_.readWeight * candidate.fresh / rate
@@ -124,7 +127,7 @@
     if (readers.empty())
         return std::nullopt;
     const auto reader = cheapest(readers);
-    EngineChoice choice{reader->engine, nullptr, nullptr, reader->fresh, reader->millis};
+    EngineChoice choice{reader->engine, nullptr, nullptr, reader->toRead, reader->millis};
     estimate(choice, reader->waitMillis);
     if (!query.allowsHandOver || reader->fresh < weights_.leastHandOverTokens)
         return choice;
@@ -140,7 +143,7 @@
     const double bearable = weights_.ownReadFactor * reader->millis + weights_.ownReadMillis;
     if (split >= bearable)
         return choice;
-    EngineChoice apart{runner, prefill->engine, prefill->prefixFrom, prefill->fresh, split};
+    EngineChoice apart{runner, prefill->engine, prefill->prefixFrom, prefill->toRead, split};
     estimate(apart, prefill->waitMillis);
     apart.firstEventMillis += prefill->fetchMillis;
     return apart;
@@ -175,6 +178,7 @@
         candidate.prefixFrom = source;
         candidate.fetchMillis = fetching;
         candidate.fresh = std::max(0.0, candidate.fresh - missing);
+        candidate.toRead = std::min(candidate.toRead, chain.tokens - held);
         candidate.millis -= saved;
     }
 }
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -161,7 +161,10 @@
     struct Candidate
     {
         UpstreamPointer engine;
+        /** Tokens to read as the choice weighs them: parts at home count as held. */
         double fresh = 0;
+        /** And as they are expected to be read. */
+        double toRead = 0;
         double millis = 0;
         double waitMillis = 0;
         /** What it may fetch from another engine instead of reading it. */
--- a/modules/dataplane/placement/EnginePlacement_test.cpp
+++ b/modules/dataplane/placement/EnginePlacement_test.cpp
@@ -312,6 +312,31 @@
     }
 }
 
+// All engines are new, and hundreds of prompts that share parts arrive in the first seconds.
+// Trusted to hold what nobody has had them read, the homes of those parts are expected to answer in
+// a third of the time that they take; prompts pile up there, and each is late.
+TEST_CASE("a part that nobody has read yet is sent to its home and counted as to be read")
+{
+    for (const bool isComplete : {false, true}) {
+        CAPTURE(isComplete);
+        EnginePlacement placement;
+        const auto engines = fleet(6, 1);
+        const PromptShape shape = prompt("part", 10000, 1000);
+        const auto blind = placement.choose(engines, query(shape));
+        REQUIRE(blind);
+        PlacementQuery asked = query(shape);
+        asked.offer = [&](const std::string &) -> std::optional<ReadingOffer> {
+            return ReadingOffer{0, 11000, 0, false, isComplete};
+        };
+        const auto choice = placement.choose(engines, asked);
+        REQUIRE(choice);
+        CHECK(readerOf(*choice) == readerOf(*blind));
+        const double reading = 11000 / placement.prefillRate().tokensPerMilli();
+        CHECK((choice->freshTokens == doctest::Approx(11000)) == isComplete);
+        CHECK((choice->firstEventMillis >= reading) == isComplete);
+    }
+}
+
 TEST_CASE("fetching does not count as reading when engines' speed is learned")
 {
     EnginePlacement placement;
--- a/modules/dataplane/placement/ReadingOffer.h
+++ b/modules/dataplane/placement/ReadingOffer.h
@@ -14,6 +14,11 @@
     double heldTokens = 0;
     /** False while the book is too young to have seen all that the engine holds. */
     bool knowsParts = false;
+    /**
+        The engine had read nothing when the book began, so it holds nothing but what is in there,
+        however young the book is.
+    */
+    bool isComplete = false;
 };
 
 } // namespace cuminrail
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -19,6 +19,8 @@
 constexpr Millis endReserve = Millis(400);
 /** Each sweep of the deadlines; the time-outs looked for are no longer than that. */
 constexpr Millis bookTickEvery = Millis(10);
+/** By then the instances of a system that starts for the first time know one another. */
+constexpr Millis firstStartSettles = Millis(5000);
 /** Instances that a small failure domain's instance gives its ledger when its own write fails. */
 constexpr int substituteCollectors = 2;
 
@@ -138,6 +140,9 @@
     if (settings_.links.isSet()) {
         context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
                                                         fabric_.transport(), environment_.clock);
+        context_.books->hadReadNothing = [this](EngineKey engine, Millis at) {
+            return hadReadNothing(engine, at);
+        };
         bookTick_.setAfter(bookTickEvery);
     }
 }
@@ -154,6 +159,7 @@
     const auto &admin = settings_.admin;
     if (admin.isSet() && !admin_.listen(admin.host, admin.port, lastReason))
         return false;
+    startedAt_ = environment_.clock.now();
     if (!settings_.links.isSet())
         feeds_.setAlone();
     sync_.start();
@@ -279,6 +285,18 @@
     joinGroup();
 }
 
+bool Gateway::hadReadNothing(EngineKey engine, Millis at) const
+{
+    // The instances of a whole system that starts for the first time find engines that nobody used.
+    if (settings_.isFirstStart && at < startedAt_ + firstStartSettles)
+        return true;
+    for (const auto &[id, record] : context_.directory.all()) {
+        if (engineKey(*record) == engine)
+            return record->entry.startedAt > wallOffset_ + at.count();
+    }
+    return false;
+}
+
 void Gateway::joinGroup()
 {
     const auto watchers = static_cast<std::size_t>(settings_.decisions.feedWatchers);
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -89,6 +89,8 @@
     void tick();
     void tickDrain();
     void tickPeers();
+    /** Whether an engine had read no prompt at an instant of this machine's clock. */
+    bool hadReadNothing(EngineKey engine, Millis at) const;
     void joinGroup();
     void onPeerFrame(const PeerAddress &from, const std::string &frame);
     /** Instances to which this one may give its usage ledger. */
@@ -110,6 +112,7 @@
     StoreSync sync_;
     InstanceRegistry registry_;
     FleetLease lease_;
+    Millis startedAt_;
     PeerConfiguration peers_;
     PeerFabric fabric_;
     /** Looks for questions to other instances whose time is over. */
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -166,6 +166,8 @@
         // Another life of the same upstream holds nothing and knows nothing of the former one.
         context_.health.forget(id);
         context_.engines.forget(id);
+        if (context_.books)
+            context_.books->forget(engineKey(*known));
     }
     context_.directory.update(*entry, context_.now());
     context_.events(Event{&events::upstreamListed,
--- a/modules/readingbooks/book/ReadingBook.cpp
+++ b/modules/readingbooks/book/ReadingBook.cpp
@@ -23,6 +23,7 @@
     offer.freshTokens = double(chain.tokens) - double(parts_.cachedTokens(chain));
     offer.heldTokens = double(readParts_.cachedTokens(chain));
     offer.knowsParts = begunAt_ && now - *begunAt_ >= learningSpan;
+    offer.isComplete = isComplete_;
     return offer;
 }
 
--- a/modules/readingbooks/book/ReadingBook.h
+++ b/modules/readingbooks/book/ReadingBook.h
@@ -52,6 +52,9 @@
     /** A book has seen too little for this long after its first entry to speak of parts. */
     static constexpr Millis learningSpan = Millis::seconds(10);
 
+    /** @param isComplete  the engine has read nothing yet */
+    explicit ReadingBook(bool isComplete = false) : isComplete_(isComplete) { }
+
     /** Returns what a prompt would meet there now. */
     ReadingOffer offer(const PromptChain &chain, Millis now) const;
     /**
@@ -90,6 +93,7 @@
     /** The reading that was to be over at this time is over, and so are all before it. */
     double readUpTo_ = 0;
     std::optional<Millis> begunAt_;
+    bool isComplete_;
 };
 
 } // namespace cuminrail
--- a/modules/readingbooks/book/ReadingBook_test.cpp
+++ b/modules/readingbooks/book/ReadingBook_test.cpp
@@ -51,6 +51,17 @@
     CHECK(book.offer(chainOf(1, 2), Millis(50000) + ReadingBook::learningSpan).knowsParts);
 }
 
+TEST_CASE("a book from before the engine's first prompt is complete at once")
+{
+    for (const bool isComplete : {false, true}) {
+        CAPTURE(isComplete);
+        ReadingBook book(isComplete);
+        CHECK(book.offer(chainOf(1, 2), Millis(0)).isComplete == isComplete);
+        CHECK_FALSE(book.offer(chainOf(1, 2), Millis(0)).knowsParts);
+        CHECK(book.offer(chainOf(1, 2), Millis(0)).freshTokens == doctest::Approx(12000));
+    }
+}
+
 TEST_CASE("answers correct when the engine will be free")
 {
     struct Row
--- a/modules/readingbooks/exchange/BookExchange.cpp
+++ b/modules/readingbooks/exchange/BookExchange.cpp
@@ -11,11 +11,20 @@
 
 ReadingBook &BookExchange::book(EngineKey engine)
 {
-    Kept &kept = books_[engine];
+    const auto [entry, isNew] = books_.try_emplace(engine);
+    Kept &kept = entry->second;
+    if (isNew && hadReadNothing && keepers_.isOwnBook(engine))
+        kept.book = ReadingBook(hadReadNothing(engine, keepersSince_));
     kept.usedAt = clock_.now();
     return kept.book;
 }
 
+void BookExchange::setPeers(std::vector<BookPeer> peers)
+{
+    if (keepers_.setPeers(std::move(peers)))
+        keepersSince_ = clock_.now();
+}
+
 void BookExchange::send(const PeerAddress &to, const BookMessage &message)
 {
     ++stats_.framesSent;
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -57,7 +57,16 @@
     BookExchange(std::string self, PeerTransport transport, Clock clock);
 
     /** All instances, this one first; with an address where they take links. */
-    void setPeers(std::vector<BookPeer> peers) { keepers_.setPeers(std::move(peers)); }
+    void setPeers(std::vector<BookPeer> peers);
+    /**
+        Tells whether an engine had read nothing at an instant; may be left out. A book that was
+        kept here since then holds all that the engine does. Believed to hold what nobody had it
+       read yet, engines get prompts that take them three times as long as expected: after a start,
+       and while new engines take the place of lost ones.
+    */
+    std::function<bool(EngineKey engine, Millis at)> hadReadNothing;
+    /** An engine is gone, or began another life: it holds nothing of what was entered. */
+    void forget(EngineKey engine) { books_.erase(engine); }
     /** Links of the other instances that keep books, to be held ready. */
     std::vector<PeerAddress> keepers() const { return keepers_.addresses(); }
 
@@ -115,6 +124,8 @@
     PeerTransport transport_;
     Clock clock_;
     BookKeepers keepers_;
+    /** When the keepers changed last, and books with them. */
+    Millis keepersSince_;
     std::unordered_map<EngineKey, Kept> books_;
     std::map<std::uint64_t, Pending> pending_;
     std::uint64_t nextNumber_ = 1;
--- a/modules/readingbooks/exchange/BookExchange_test.cpp
+++ b/modules/readingbooks/exchange/BookExchange_test.cpp
@@ -193,6 +193,46 @@
     CHECK(network.ask(1, chainOf(1, 9)).at(33).waitMillis == doctest::Approx(0));
 }
 
+// Engines of a system that starts, or that replaces lost ones, have read nothing. Books that began
+// before say so; those that an instance took over later must not.
+TEST_CASE("books know that an engine had read nothing when they began")
+{
+    Network network(3);
+    const Millis start = network.now;
+    network.pass(Millis(1000));
+    std::vector<Millis> asked;
+    for (int i = 0; i < 3; ++i) {
+        network.at(i).hadReadNothing = [&asked](EngineKey engine, Millis at) {
+            asked.push_back(at);
+            return engine != 22;
+        };
+    }
+    const auto before = network.ask(0, chainOf(1, 2));
+    for (const EngineKey engine : engines)
+        CHECK(before.at(engine).isComplete == (engine != 22));
+    // The instances have been the same since the start.
+    CHECK(std::all_of(asked.begin(), asked.end(), [start](Millis at) { return at == start; }));
+    // One keeper is silent: whoever takes its books over has none of what was entered there.
+    auto entry = network.at(0).enter(chainOf(1, 2), 33, everything, pace);
+    const PeerAddress keeper = entry.keeper.empty() ? Network::name(0) : entry.keeper;
+    const int asker = keeper == Network::name(1) ? 2 : 1;
+    network.dead.insert(keeper);
+    for (int i = 0; i < 3; ++i)
+        network.ask(asker, chainOf(3, 4));
+    CHECK_FALSE(network.ask(asker, chainOf(5, 6)).at(33).isComplete);
+}
+
+TEST_CASE("an engine that starts again holds nothing of what was entered")
+{
+    Network network(1);
+    network.at(0).hadReadNothing = [](EngineKey, Millis) { return true; };
+    auto entry = network.at(0).enter(chainOf(1, 2), 33, everything, pace);
+    network.at(0).read(entry);
+    CHECK(network.ask(0, chainOf(1, 9)).at(33).freshTokens == doctest::Approx(2000));
+    network.at(0).forget(33);
+    CHECK(network.ask(0, chainOf(1, 9)).at(33).freshTokens == doctest::Approx(12000));
+}
+
 // Links lose, double and cut messages. Whatever comes of it, each question ends once and in time,
 // and no entry weighs for longer than a reading can last.
 TEST_CASE("under loss and doubling every question ends once and entries fade")
--- a/modules/readingbooks/exchange/BookKeepers.h
+++ b/modules/readingbooks/exchange/BookKeepers.h
@@ -44,12 +44,14 @@
     static constexpr std::size_t instancesEach = 4;
     static constexpr std::size_t leastKeepers = 16;
 
-    /** The first is this instance. */
-    void setPeers(std::vector<BookPeer> peers);
+    /** The first is this instance. Returns false if the keepers are the same as before. */
+    bool setPeers(std::vector<BookPeer> peers);
     bool isEmpty() const { return peers_.empty(); }
     /** Links of all keepers but this instance. */
     std::vector<PeerAddress> addresses() const;
 
+    /** Whether this instance keeps the book while no keeper is passed over. */
+    bool isOwnBook(EngineKey engine) const;
     /** Returns the keeper's address; empty for this instance. */
     const PeerAddress &keeperOf(EngineKey engine, Millis now) const;
     void answered(const PeerAddress &peer) { silence_.erase(peer); }
@@ -68,6 +70,9 @@
         std::uint64_t hash = 0;
     };
 
+    /** Returns the first in the engine's order that is not left out, or null. */
+    template<typename IsLeftOut>
+    const Ranked *firstFor(EngineKey engine, IsLeftOut isLeftOut) const;
     bool isPassedOver(const PeerAddress &peer, Millis now) const;
 
     std::vector<Ranked> peers_;
--- a/modules/readingbooks/messages/BookMessages.cpp
+++ b/modules/readingbooks/messages/BookMessages.cpp
@@ -15,6 +15,7 @@
 enum class Tag : std::uint8_t { Question = 0x11, Answer = 0x12, Entry = 0x13, End = 0x14 };
 
 /** Fractions are not needed; rates have two digits after the point. */
+constexpr std::size_t elementsEachOffer = 5;
 constexpr double rateUnit = 100;
 constexpr std::uint64_t mostMillis = 1'000'000;
 constexpr std::uint64_t mostTokens = 100'000'000;
@@ -64,6 +65,7 @@
         offers.push_back(whole(offer.freshTokens, mostTokens));
         offers.push_back(whole(offer.heldTokens, mostTokens));
         offers.push_back(offer.knowsParts);
+        offers.push_back(offer.isComplete);
     }
     return json::array({Tag::Answer, answer.number, std::move(offers)});
 }
@@ -98,13 +100,14 @@
 {
     BookAnswer answer;
     answer.number = message.number();
-    CborArray offers(message.list(4 * BookMessageLimits::engines));
+    CborArray offers(message.list(elementsEachOffer * BookMessageLimits::engines));
     while (offers.isGood() && !offers.isWhole()) {
         ReadingOffer offer;
         offer.waitMillis = static_cast<double>(offers.number(mostMillis));
         offer.freshTokens = static_cast<double>(offers.number(mostTokens));
         offer.heldTokens = static_cast<double>(offers.number(mostTokens));
         offer.knowsParts = offers.boolean();
+        offer.isComplete = offers.boolean();
         answer.offers.push_back(offer);
     }
     if (!offers.isGood())
