Instances that the watchers do not know yet are told all the same

Cause: found at reading, shown by a test: the registry is read once a minute where there are many, so machines that are added hear nobody for that long.

Change: whoever hears no watcher tells the first two that it is there, and senders that are not known are told like the others until the next reading.

--- a/modules/feeds/follower/FeedGroup.cpp
+++ b/modules/feeds/follower/FeedGroup.cpp
@@ -5,6 +5,13 @@
 
 namespace cuminrail {
 
+namespace {
+
+/** Of an instance whose place is not known. */
+constexpr std::size_t lastRank = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
 FeedGroup::FeedGroup(Clock clock, PeerTransport transport, FeedFollower &configuration,
                      FeedFollower &upstreams)
     : clock_(std::move(clock)), transport_(std::move(transport)), feeds_{&configuration, &upstreams}
@@ -12,6 +19,7 @@
 
 void FeedGroup::setAlone()
 {
+    watchers_.clear();
     others_.clear();
     ranks_.clear();
     for (FeedFollower *follower : feeds_)
@@ -24,6 +32,7 @@
     place.isShared = true;
     place.members = inOrder.size();
     place.watchers = watchers;
+    watchers_.clear();
     others_.clear();
     ranks_.clear();
     for (std::size_t rank = 0; rank < inOrder.size(); ++rank) {
@@ -32,6 +41,8 @@
             continue;
         }
         ranks_[inOrder[rank]] = rank;
+        if (rank < watchers)
+            watchers_.push_back(inOrder[rank]);
         others_.push_back(std::move(inOrder[rank]));
     }
     for (FeedFollower *follower : feeds_)
@@ -51,16 +62,37 @@
     return !others_.empty() && !std::all_of(feeds_.begin(), feeds_.end(), isSilent);
 }
 
-void FeedGroup::tick()
+bool FeedGroup::needsWatchers() const
 {
     const Millis now = clock_.now();
-    if (now < nextHeartbeat_ || !maySpeak())
-        return;
-    nextHeartbeat_ = now + feeds_.front()->turn().timing().heartbeatEvery;
+    return std::any_of(feeds_.begin(), feeds_.end(), [now](const FeedFollower *follower) {
+        const WatchTurn &turn = follower->turn();
+        return turn.place().isShared && !turn.place().isWatcher() && !turn.isConfirmed(now);
+    });
+}
+
+std::string FeedGroup::heartbeat() const
+{
     FeedHeartbeat heartbeat;
     for (const FeedFollower *follower : feeds_)
         heartbeat.feeds[static_cast<std::size_t>(follower->kind())] = follower->standing();
-    send(encodeFeedHeartbeat(heartbeat));
+    return encodeFeedHeartbeat(heartbeat);
+}
+
+void FeedGroup::tick()
+{
+    const Millis now = clock_.now();
+    if (now < nextHeartbeat_)
+        return;
+    const WatchTiming &timing = feeds_.front()->turn().timing();
+    if (maySpeak()) {
+        nextHeartbeat_ = now + timing.heartbeatEvery;
+        send(heartbeat());
+    } else if (needsWatchers()) {
+        nextHeartbeat_ = now + timing.heartbeatEvery;
+        for (const PeerAddress &watcher : watchers_)
+            transport_.send(watcher, heartbeat());
+    }
 }
 
 void FeedGroup::passOn(const FeedUpdate &update) const
@@ -89,9 +121,12 @@
 
 void FeedGroup::takeHeartbeat(const PeerAddress &from, const FeedHeartbeat &heartbeat)
 {
-    const auto known = ranks_.find(from);
-    const std::size_t rank =
-        known == ranks_.end() ? std::numeric_limits<std::size_t>::max() : known->second;
+    const auto [known, isNew] = ranks_.try_emplace(from, lastRank);
+    // It started after the members were read here. Not told anything, it would take the silence for
+    // the loss of all watchers, and watch for the whole domain until the next reading.
+    if (isNew)
+        others_.push_back(from);
+    const std::size_t rank = known->second;
     for (FeedFollower *follower : feeds_) {
         follower->takeStanding(heartbeat.feeds[static_cast<std::size_t>(follower->kind())], rank);
         if (follower->isBehind())
--- a/modules/feeds/follower/FeedGroup.h
+++ b/modules/feeds/follower/FeedGroup.h
@@ -30,7 +30,10 @@
         @param watchers  how many of them always watch
     */
     void setMembers(std::vector<PeerAddress> inOrder, std::size_t watchers);
-    /** Speaks when it is due; to be called about ten times a second. */
+    /**
+        Speaks when it is due: to all while it watches for them, and to the watchers while it hears
+        none, as they may not know of it yet. To be called about ten times a second.
+    */
     void tick();
     /** Tells the others of changes. */
     void passOn(const FeedUpdate &update) const;
@@ -39,6 +42,8 @@
 
 private:
     bool maySpeak() const;
+    bool needsWatchers() const;
+    std::string heartbeat() const;
     void takeHeartbeat(const PeerAddress &from, const FeedHeartbeat &heartbeat);
     void answer(const PeerAddress &from, const FeedQuestion &question) const;
     FeedFollower &feed(FeedKind kind) const { return *feeds_[static_cast<std::size_t>(kind)]; }
@@ -47,6 +52,7 @@
     Clock clock_;
     PeerTransport transport_;
     std::array<FeedFollower *, feedKinds> feeds_;
+    std::vector<PeerAddress> watchers_;
     std::vector<PeerAddress> others_;
     std::unordered_map<PeerAddress, std::size_t> ranks_;
     Millis nextHeartbeat_;
--- a/modules/feeds/follower/FeedGroup_test.cpp
+++ b/modules/feeds/follower/FeedGroup_test.cpp
@@ -79,6 +79,16 @@
 
     void kill(std::size_t index) { instances[index].process->kill(); }
 
+    /** Lets the first instances of a domain know only one another. */
+    void limitMembers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            std::vector<PeerAddress> members = domainOf(i);
+            members.resize(count);
+            instances[i].group->setMembers(std::move(members), watchers);
+        }
+    }
+
     /** Cuts an instance off from the store, not from the others. */
     void setCut(std::size_t index, bool isCut)
     {
@@ -367,6 +377,30 @@
     CHECK(cluster.calls() - before <= 10 * 2 + 20);
 }
 
+// Twenty machines are added to a domain. Those that were there read the list of members once a
+// minute; until then they tell the new ones nothing, and each of those would watch for everybody.
+TEST_CASE("instances that the others do not know yet are told all the same")
+{
+    FeedCluster cluster(1, 40, true, 3);
+    for (std::size_t i = 20; i < 40; ++i)
+        cluster.kill(i);
+    cluster.limitMembers(20);
+    cluster.scheduler.runFor(Millis::seconds(10));
+    for (std::size_t i = 20; i < 40; ++i)
+        cluster.start(i);
+    cluster.scheduler.runFor(Millis::seconds(6));
+    const std::uint64_t before = cluster.sent();
+    cluster.scheduler.runFor(Millis::seconds(60));
+    // A watcher and a standby for each feed, as ever.
+    const WatchTiming timing = WatchTiming::forAllowance(allowance);
+    const auto speaker = static_cast<std::uint64_t>(60000 / timing.speakerWait.count()) + 1;
+    const auto standby = static_cast<std::uint64_t>(60000 / timing.standbyWait.count()) + 1;
+    CHECK(cluster.sent() - before <= 2 * (speaker + standby));
+    cluster.store.write("upstreams/u-9", "leaving");
+    cluster.scheduler.runFor(Millis(200));
+    CHECK(cluster.unaware("upstreams/u-9") == 0);
+}
+
 // The store forgets its history, so the watchers have to read everything again. If the others did
 // so too, hundreds of lists would meet the store at once, each time.
 TEST_CASE("what a watcher finds changed by reading everything is passed on as changes")
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -72,6 +72,7 @@
             refreshRetry_ = firstRetry;
             return;
         }
+        // Due again, and no creation any more.
         refreshedAt_ = Millis(0);
         nextRefresh_ =
             reply.status == StoreStatus::Conflict ? clock_.now() : retryAt(refreshRetry_);
