--- a/modules/dataplane/placement/EngineMemory.h
+++ b/modules/dataplane/placement/EngineMemory.h
@@ -18,10 +18,10 @@
 class ReadingRate
 {
 public:
-    /** Prompt tokens in a millisecond until measured: between the present kinds. */
+    /** Prompt tokens in a millisecond until the first samples. */
     static constexpr double usual = 30.0;
 
-    /** What an answer takes besides reading, until measured: a small idle engine's. */
+    /** What an answer takes besides reading, until the first samples: a small idle engine's. */
     static constexpr double usualFixedMillis = 45.0;
 
     void sample(double freshTokens, Millis took);
--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -74,8 +74,8 @@
         const auto affinity = StableHash().add(chain.sharedKey).add(engine->idHash()).value();
         order.push_back({affinity, &engine});
     }
-    // Homes are the same for all failure domains: ranked within each domain, a part was read once
-    // in every one of them, and 0.33 of the worth was earned over the measured days against 0.36.
+    // Homes are the same for all failure domains: ranked within each domain, a part would be read
+    // once in every one of them.
     std::sort(order.begin(), order.end(),
               [](const Ranked &a, const Ranked &b) { return a.affinity > b.affinity; });
     return order;
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -14,18 +14,16 @@
 struct PlacementWeights
 {
     /**
-        Sending a kilobyte to another failure domain counts as this much delay. Bytes between
-        domains are charged by the platform; at 17 KB a prompt this is 100 ms, an eighth of the
-        tightest goal of the present routes.
+        Sending a kilobyte to another failure domain counts as this much delay, as bytes between
+        domains are charged by the platform.
     */
     double domainMillisPerKilobyte = 6.0;
-    /** Handing a read prompt over: two more messages and the engine's set-up, measured. */
+    /** Handing a read prompt over: two more messages and the engine's set-up. */
     double handOverMillis = 40.0;
     /**
-        A prompt read where others generate stretches every pause there: a step that reads takes
-        28 ms more, and an event holds eight steps. So handing over may take this much longer than
-        reading there. Emulated days, mean of 16 seeds, worth earned against the shorter estimate
-        deciding: 0.970 against 0.720 in mix-swings, 0.947 against 0.596 in crashes.
+        A prompt read where others generate stretches every pause there, as each step that reads
+        takes longer and an event holds several steps. So handing over may take this much longer
+        than reading there; with the shorter estimate deciding, streams miss their pauses in swings.
     */
     double ownReadFactor = 10.0;
     double ownReadMillis = 300.0;
@@ -35,8 +33,7 @@
     double transferMillisPerToken = 0.004;
     /**
         Having an engine fetch a part that another one has read: the set-up, and the time a token
-        takes, 35 KB at 300 Gbit/s, twice for other domains' links. Reading takes 8 times as long.
-        Emulated load crashes, mean of 4 seeds: 0.977 of the worth earned, 0.965 without fetching.
+        takes, twice for other domains' links. Spares reading again what a lost or busy engine held.
     */
     double fetchMillis = 15.0;
     double fetchMillisPerToken = 0.002;
@@ -48,16 +45,13 @@
     double secondHomeConfidence = 0.3;
     /**
         Reading also keeps everybody else waiting there; so its time counts this many times.
-        Measured over the days of two deployments against 1: 0.52 of the worth against 0.51, and
-       0.41 against 0.42.
     */
     double readWeight = 2.0;
     /** One request more on an engine stretches each step of its batch. */
     double millisPerRunning = 4.0;
     /**
-        Engines of a stage that are looked at for one prompt, in the order of their affinity. On an
-        emulated fleet of 141 engines (large-fleet) a choice took 48 us in the median with all of
-        them, 20 us with these, and 0.894 of the worth was earned with either.
+        Engines of a stage that are looked at for one prompt, in the order of their affinity: more
+        of them cost time for each choice and hardly ever change it.
     */
     double mostCandidates = 16;
     /** An engine whose requests failed of late, per share of failures. */
--- a/modules/dataplane/policy/DecisionSettings.h
+++ b/modules/dataplane/policy/DecisionSettings.h
@@ -22,13 +22,12 @@
     FleetPlanSettings fleet;
     DeferralSettings deferral;
     /**
-        Of how many engines the books are asked before a prompt is placed; 0 for none. Emulated load
-        rosters-reclaimed, mean of 8 seeds: 4, 6, 8 and 12 earn 0.905, 0.916, 0.919 and 0.924.
+        Of how many engines the books are asked before a prompt is placed; 0 for none. More cost
+        messages and find little that is better.
     */
     double booksAsked = 8;
     /**
-        The same for short prompts, which gain nothing from parts that an engine holds. Of 6,324
-        emulated ones 263, 142, 76, 46 and 35 were late with none to four asked.
+        The same for short prompts, which gain nothing from parts that an engine holds.
     */
     double shortBooksAsked = 3;
     /**
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -36,8 +36,7 @@
     /**
         How long a wrong division lasts before it is corrected, while nobody asks for anything. New
         engines are listed within a quarter of a second of each other. Every moment more takes the
-        change further into the first requests: on a recorded day engines were away until 2.3 s
-        after these, and 0.75 of the worth was earned in that time against 0.92 over the day.
+        change, with engines away, further into the first requests.
     */
     Millis borne = Millis(500);
     /** How long an engine keeps its stage: several times what a change costs. */
@@ -46,9 +45,7 @@
     double concurrentShare = 0.34;
     /**
         Under load only a stage with less than this part of its wanted engines is helped. A change
-        takes an engine, and the parts that it holds, away just when both are short. Emulated day
-        reclaim-in-a-swing, mean of 16 seeds: 0.888 of the worth, 0.780 with every deviation
-        corrected.
+        takes an engine, and the parts that it holds, away just when both are short.
     */
     double grossShortage = 0.5;
 };
--- a/modules/dataplane/waiting/PromptDeferral.h
+++ b/modules/dataplane/waiting/PromptDeferral.h
@@ -36,14 +36,13 @@
 struct DeferralSettings
 {
     /**
-        A prompt counts as late if its first event is expected after this share of its goal. Between
-        0.9 and 1.1 played days earned the same within their noise.
+        A prompt counts as late if its first event is expected after this share of its goal: the
+        rest is for what the estimate does not see.
     */
     double goalShare = 0.9;
     /**
         An engine at which a prompt would wait no longer than this has room for late ones: it has
-       less to read than a usual long prompt's own part, 3,700 tokens. Played days with trouble
-       earned 0.448 of the worth with 150 ms, 0.479 with this.
+        less to read than a usual long prompt's own part.
     */
     double idleWaitMillis = 60;
 };
@@ -55,8 +54,7 @@
     for all that follow. Soon everything is late by the same time and the engines work only for
     callers who have no use for the answer any more, although there would be room for most of them.
     So a prompt that will be late anyway is kept back while engines are busy. The ones that come
-    next find short queues and are on time. Emulated load rosters-reclaimed, mean of 4 seeds: 0.940
-   of the worth earned, 0.883 with every prompt sent at once; two worst windows 0.818 and 0.440.
+    next find short queues and are on time.
 */
 class PromptDeferral
 {
--- a/modules/emulation/engine/EmulatedEngine.h
+++ b/modules/emulation/engine/EmulatedEngine.h
@@ -52,7 +52,7 @@
     memory shared by cached parts and running requests, a stage that can be changed.
 
     Simplified against real engines: a request whose memory is missing waits, where real ones put
-    running requests back; none of the measured days showed that.
+    running requests back.
 */
 class EmulatedEngine
 {
--- a/modules/engineview/reports/ReportTable.h
+++ b/modules/engineview/reports/ReportTable.h
@@ -32,7 +32,7 @@
 
         A sample travels as an age, and the time on the way and the rounding are not part of it:
         with every hop it looks a little younger. Taken as news again it would go round among the
-        instances for ever (measured: 79 KB/s an instance instead of 9).
+        instances for ever.
     */
     static constexpr Millis sampleStep{1000};
 
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -8,8 +8,7 @@
 
 /** The least that a reader may show nothing: the usual delay of a busy one. */
 constexpr Millis leastReaderPatience = Millis(1500);
-/** Estimates know nothing of other instances' prompts; measured readings took up to twice as long.
- */
+/** Estimates may miss other instances' prompts; a reading may take a multiple of what they say. */
 constexpr std::int64_t readerPatienceFactor = 3;
 
 } // namespace
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -24,8 +24,8 @@
 /**
     One instance's part in the books: it keeps those of some engines, and asks for the others.
 
-    Emulated load rosters-reclaimed with nine instances, mean of 4 seeds: 0.940 of the worth earned,
-    0.797 if nobody is asked.
+    Load: many instances and few engines, with prompts that keep an engine busy for long. Placed
+    blindly, prompts of several instances meet at one engine while others idle.
 
     Belongs to one thread. Messages go out by the transport and come in by received(); nothing here
     waits. An answer that does not come in time is done without.
