An instance whose usage ledger found no way to the store says so

A ledger that neither collectors nor the owner could write was sent again without a log line, so a report that lacks it could not be explained. Event 401 with the feed "usage ledger" names it.

--- a/modules/gateway/usage/GatewayUsage.cpp
+++ b/modules/gateway/usage/GatewayUsage.cpp
@@ -31,7 +31,8 @@
         if (frame.size() <= FrameLimits::bytes)
             hooks_.send(to, std::move(frame));
     };
-    return {hooks_.duty.store, hooks_.duty.clock, hooks_.random, hooks_.collectors, give};
+    const UsageDuty::Hooks &duty = hooks_.duty;
+    return {duty.store, duty.clock, hooks_.random, duty.events, hooks_.collectors, give};
 }
 
 void GatewayUsage::count(const std::string &customer)
--- a/modules/gateway/usage/LedgerSender.cpp
+++ b/modules/gateway/usage/LedgerSender.cpp
@@ -1,5 +1,6 @@
 #include "gateway/usage/LedgerSender.h"
 
+#include "core/events/EventCatalogue.h"
 #include "gateway/usage/UsageRecords.h"
 
 #include <algorithm>
@@ -55,14 +56,8 @@
 {
     Delivery &delivery = *delivery_;
     const std::size_t place = delivery.tried++;
-    if (place > delivery.collectors.size()) {
-        const auto half = static_cast<std::uint64_t>(pause.count()) / 2;
-        const auto spread = static_cast<std::int64_t>(hooks_.random() % (half + 1));
-        hasFailed_ = true;
-        nextFlush_ = hooks_.clock.now() + pause / 2 + Millis(spread);
-        delivery_.reset();
-        return;
-    }
+    if (place > delivery.collectors.size())
+        return giveUp();
     const std::size_t ownPlace = writesFirst_ ? 0 : delivery.collectors.size();
     if (place == ownPlace)
         return writeSelf();
@@ -71,6 +66,18 @@
     hooks_.give(collector, {owner_, delivery.version, delivery.ledger});
 }
 
+void LedgerSender::giveUp()
+{
+    const auto half = static_cast<std::uint64_t>(pause.count()) / 2;
+    const auto spread = static_cast<std::int64_t>(hooks_.random() % (half + 1));
+    hooks_.events(Event{&events::storeUnavailable,
+                        {{"feed", "usage ledger"},
+                         {"reason", "neither a collector nor this instance could write it"}}});
+    hasFailed_ = true;
+    nextFlush_ = hooks_.clock.now() + pause / 2 + Millis(spread);
+    delivery_.reset();
+}
+
 void LedgerSender::writeSelf()
 {
     delivery_->until.reset();
--- a/modules/gateway/usage/LedgerSender.h
+++ b/modules/gateway/usage/LedgerSender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/events/Event.h"
 #include "core/random/Random.h"
 #include "core/time/Clock.h"
 #include "dataplane/usage/UsageLedger.h"
@@ -38,6 +39,7 @@
         ObjectStore store;
         Clock clock;
         RandomHook random;
+        EventSink events;
         /** Instances that take ledgers, in the order in which they are to be tried; may be empty.
          */
         std::function<std::vector<PeerAddress>()> collectors;
@@ -83,6 +85,7 @@
     };
 
     void tryNext();
+    void giveUp();
     void writeSelf();
     void delivered();
 
