--- a/modules/gateway/peers/PeerFabric.cpp
+++ b/modules/gateway/peers/PeerFabric.cpp
@@ -71,7 +71,7 @@
     std::map<PeerAddress, Millis> held;
     for (PeerAddress &peer : peers) {
         const auto known = held_.find(peer);
-        // Instances that start together must not all knock at the same peer first.
+        // Instances that start together must not all connect to the same peer first.
         const auto hash = StableHash().add(listen_.toString()).add(peer).value();
         const auto spread = static_cast<std::int64_t>(hash % connectionsSpread.count());
         held[std::move(peer)] = known == held_.end() ? now + Millis(spread) : known->second;
