The stand-in engine's crash test does not ask for the state in the moment of the crash unguarded

Cause: the engine crashes 2 ms after the order, and the crash cuts the connection on which the test's first question for the state waits. The loop that follows already passes over cut answers; it now asks the first question too. What is checked is the same: the role and orders of the next incarnation.

--- a/modules/standin/engine/StandinEngine_test.cpp
+++ b/modules/standin/engine/StandinEngine_test.cpp
@@ -99,7 +99,8 @@
         const Json crash = {{"when", "mid-change"}, {"role", row.first}};
         callOnce(engine.port(), {"POST", "/standin/crash", crash.dump(), {}});
         CHECK(callOnce(engine.port(), order("one", 5, "prefill")).status == 202);
-        Json state = stateOf(engine.port());
+        // The crash cuts whatever question is under way.
+        Json state = {{"incarnation", 1}};
         while (state["incarnation"] == 1) {
             const auto answer = callOnce(engine.port(), {"GET", "/control/state"});
             if (answer.isWhole)
