Keepers and the bucket of tokens are modules that two can share

Customers' quotas need what the books of engines have (which instance keeps a key's state, passing over one that does not answer) and what admission has (a bucket that may be in debt). A move and new names: BookKeepers is KeeperRanking in module keepers, TokenBucket lies in core. New is keeperBeside(), for the next after one that was just found silent, and isKeeper().

--- a/modules/admission/limits/CustomerLimiter.h
+++ b/modules/admission/limits/CustomerLimiter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "admission/AdmissionTypes.h"
-#include "admission/limits/TokenBucket.h"
+#include "core/limits/TokenBucket.h"
 
 #include <cstdint>
 #include <optional>
--- a/modules/dataplane/model/Configuration.h
+++ b/modules/dataplane/model/Configuration.h
@@ -2,6 +2,7 @@
 
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
+#include "dataplane/model/CustomerQuota.h"
 
 #include <cstdint>
 #include <optional>
@@ -112,7 +113,9 @@
     std::string customer;
     std::vector<std::string> keys;
     /** Takes precedence over the routes' priorities. */
-    std::optional<int> priority;
+    std::optional<int> priority = std::nullopt;
+    /** Not set for a customer that may use as much as it likes. */
+    std::optional<CustomerQuota> quota = std::nullopt;
 };
 
 /** All that operators declare, as of one version. */
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time/Millis.h"
+#include "dataplane/model/CustomerQuota.h"
 #include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
 
@@ -44,6 +45,7 @@
     std::uint32_t memoryMb = 256;
     std::uint32_t descriptors = 1024;
     RetryBounds retries;
+    QuotaTolerance quotas;
     /** Given on the command line; the settings file has nothing of it. */
     DecisionSettings decisions;
     /** After a stop was asked for, the process is killed this much later. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -20,10 +20,6 @@
 constexpr Millis endReserve = Millis(400);
 /** Each sweep of the deadlines; the time-outs looked for are no longer than that. */
 constexpr Millis bookTickEvery = Millis(10);
-/** By then the instances of a system that starts for the first time know one another. */
-constexpr Millis firstStartSettles = Millis(5000);
-/** Instances that a small failure domain's instance gives its ledger when its own write fails. */
-constexpr int substituteCollectors = 2;
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
@@ -56,15 +52,6 @@
     return timing;
 }
 
-RegisteredInstance registrationOf(const InstanceSettings &settings)
-{
-    const auto textOf = [](const HostPort &place) {
-        return place.isSet() ? place.toString() : std::string();
-    };
-    return {InstanceId(settings.name), textOf(settings.admin), textOf(settings.links),
-            settings.failureDomain};
-}
-
 InstanceLife lifeOf(const InstanceSettings &settings, std::int64_t wallMillis)
 {
     return InstanceLife{InstanceId(settings.name), static_cast<Incarnation>(wallMillis)};
@@ -103,6 +90,7 @@
       bookTick_(environment_.deadlines,
                 [this] {
                     context_.books->tick();
+                    context_.quotas->tick();
                     bookTick_.setAfter(bookTickEvery);
                 }),
       feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
@@ -115,6 +103,10 @@
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
     sync_.onConfiguration = [this] { applyLimits(); };
     sync_.onLearned = [this](const FeedUpdate &update) { feeds_.passOn(update); };
+    context_.quotas =
+        std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
+    if (!settings_.links.isSet())
+        context_.quotas->setAlone();
     if (settings_.links.isSet()) {
         context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
                                                         fabric_.transport(), environment_.clock);
@@ -127,6 +119,15 @@
 
 Gateway::~Gateway() = default;
 
+RegisteredInstance Gateway::registrationOf(const InstanceSettings &settings)
+{
+    const auto textOf = [](const HostPort &place) {
+        return place.isSet() ? place.toString() : std::string();
+    };
+    return {InstanceId(settings.name), textOf(settings.admin), textOf(settings.links),
+            settings.failureDomain};
+}
+
 bool Gateway::start(Reason *lastReason)
 {
     const auto &callers = settings_.callers;
@@ -158,7 +159,14 @@
 
 void Gateway::applyLimits()
 {
-    callers_.setLimits(serverLimits(context_.index->configuration().limits, settings_));
+    const Configuration &configuration = context_.index->configuration();
+    callers_.setLimits(serverLimits(configuration.limits, settings_));
+    QuotaTable quotas;
+    for (const CustomerKeys &customer : configuration.customers) {
+        if (customer.quota)
+            quotas[customer.customer] = *customer.quota;
+    }
+    context_.quotas->setQuotas(std::move(quotas));
 }
 
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
@@ -193,6 +201,7 @@
     gauges.instances = registry_.instances().size();
     gauges.isDutyHolder = lease_.isHeld();
     gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
+    gauges.quotas = context_.quotas->stats();
     gauges.counters = context_.counters;
     return gauges;
 }
@@ -244,70 +253,6 @@
         tickDrain();
 }
 
-void Gateway::tickPeers()
-{
-    if (!context_.books)
-        return;
-    fabric_.tick();
-    if (peersRevision_ == registry_.revision())
-        return;
-    peersRevision_ = registry_.revision();
-    std::vector<BookPeer> peers;
-    for (const RegisteredInstance &instance : registry_.instances()) {
-        const bool isSelf = instance.instance.text() == settings_.name;
-        if (isSelf || !instance.links.empty())
-            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
-    }
-    context_.books->setPeers(std::move(peers));
-    fabric_.holdLinks(context_.books->keepers());
-    joinGroup();
-}
-
-bool Gateway::hadReadNothing(EngineKey engine, Millis at) const
-{
-    // The instances of a whole system that starts for the first time find engines that nobody used.
-    if (settings_.isFirstStart && at < startedAt_ + firstStartSettles)
-        return true;
-    for (const auto &[id, record] : context_.directory.all()) {
-        if (engineKey(*record) == engine)
-            return record->entry.startedAt > wallOffset_ + at.count();
-    }
-    return false;
-}
-
-void Gateway::joinGroup()
-{
-    const auto watchers = static_cast<std::size_t>(settings_.decisions.feedWatchers);
-    group_ = InstanceGroup::of(registry_.instances(), registrationOf(settings_));
-    group_.isShared = group_.isShared && watchers > 0;
-    usage_.setShared(group_.isShared);
-    if (group_.isShared)
-        feeds_.setMembers(group_.watchOrder, watchers);
-    else if (registry_.isSettled())
-        feeds_.setAlone();
-}
-
-void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
-{
-    if (!feeds_.received(from, frame) && !usage_.received(from, frame))
-        context_.books->received(from, frame);
-}
-
-std::vector<PeerAddress> Gateway::ledgerCollectors()
-{
-    if (group_.isShared)
-        return group_.collectors;
-    // The first entry is this instance. Another one may be turned away by the store as well.
-    const auto &instances = registry_.instances();
-    std::vector<PeerAddress> collectors;
-    for (int i = 0; fabric_.isOpen() && instances.size() > 1 && i < substituteCollectors; ++i) {
-        const auto &peer = instances[1 + environment_.random() % (instances.size() - 1)];
-        if (!peer.links.empty())
-            collectors.push_back(peer.links);
-    }
-    return collectors;
-}
-
 GatewayUsage::Hooks Gateway::usageHooks()
 {
     UsageDuty::Hooks duty{observed(environment_.store, [this] { sync_.storeInDoubt(); }),
@@ -343,6 +288,7 @@
     // Questions hold requests, which refer to what goes before the books do.
     if (context_.books)
         context_.books->dropQuestions();
+    context_.quotas->dropQuestions();
     callers_.closeAll();
     readiness_.closeAll();
     admin_.closeAll();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -81,6 +81,7 @@
     const RelayContext &context() const { return context_; }
 
 private:
+    static RegisteredInstance registrationOf(const InstanceSettings &settings);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange);
     HttpAnswer problemAnswer(int status, const Reason &reason) const;
@@ -89,6 +90,7 @@
     void tick();
     void tickDrain();
     void tickPeers();
+    void setReach();
     /** Whether an engine had read no prompt at an instant of this machine's clock. */
     bool hadReadNothing(EngineKey engine, Millis at) const;
     void joinGroup();
@@ -118,6 +120,7 @@
     /** Looks for questions to other instances whose time is over. */
     Deadline bookTick_;
     std::uint64_t peersRevision_ = 0;
+    Millis nextReach_;
     FeedGroup feeds_;
     InstanceGroup group_;
     /** True time less the steady clock's, as of the start. */
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -108,6 +108,19 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
 }
 
+void GatewayMetrics::setQuotas(const QuotaExchangeStats &quotas)
+{
+    const auto count = [this](const char *name, const char *help, std::uint64_t value) {
+        set(std::string("cuminrail_quota_") + name, help, static_cast<double>(value));
+    };
+    count("granted", "Requests granted within their customers' quotas", quotas.granted);
+    count("refused", "Requests of customers over their quotas", quotas.refused);
+    count("given_back", "Grants whose requests were not run", quotas.givenBack);
+    count("unasked", "Small requests charged afterwards", quotas.unasked);
+    count("unknown", "Requests whose customer's keeper did not answer", quotas.unknown);
+    count("unanswered", "Questions that a keeper did not answer in time", quotas.unanswered);
+}
+
 std::string GatewayMetrics::page(const GatewayGauges &gauges)
 {
     const RelayCounters &counters = gauges.counters;
@@ -143,6 +156,7 @@
         static_cast<double>(counters.handOversFailed));
     set("cuminrail_timeouts", "Requests whose time ran out",
         static_cast<double>(counters.timeouts));
+    setQuotas(gauges.quotas);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/model/Configuration.h"
 #include "gateway/request/RelayCounters.h"
+#include "quotas/exchange/QuotaExchange.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -47,9 +48,13 @@
     TimeOver,
     /** Its caller will have left before any engine can begin with it. */
     Overload,
+    /** Its customer is over its quota. */
+    OverQuota,
+    /** Nobody could tell how much its customer has used. */
+    QuotaUnknown,
 };
 
-inline constexpr NameTable<GiveUpCause, 11> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 13> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -61,6 +66,8 @@
     {GiveUpCause::RepeatLimit, "repeat-limit"},
     {GiveUpCause::TimeOver, "time-over"},
     {GiveUpCause::Overload, "overload"},
+    {GiveUpCause::OverQuota, "over-quota"},
+    {GiveUpCause::QuotaUnknown, "quota-unknown"},
 }}};
 
 /** Values that only exist while somebody looks. */
@@ -76,6 +83,7 @@
     std::size_t instances = 0;
     bool isDutyHolder = false;
     std::uint64_t logLinesDropped = 0;
+    QuotaExchangeStats quotas;
     RelayCounters counters;
 };
 
@@ -107,6 +115,7 @@
     std::string page(const GatewayGauges &gauges);
 
 private:
+    void setQuotas(const QuotaExchangeStats &quotas);
     void set(const std::string &name, const std::string &help, double value);
 
     prometheus::Registry registry_;
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -8,8 +8,8 @@
     look like on the wire comes in through hooks. Instances tell each other over links what engines
     have to read and what the store says.
 
-    Depends on core, membership (bounds of frames), dataplane, readingbooks, lease, ports, net,
-    runtime, peerlink.
+    Depends on core, membership (bounds of frames), dataplane, readingbooks, quotas, lease, ports,
+   net, runtime, peerlink.
 */
 
 #include "gateway/Gateway.h"
--- a/modules/gateway/peers/PeerFabric.h
+++ b/modules/gateway/peers/PeerFabric.h
@@ -50,6 +50,8 @@
         all; without a link most of the first questions after a start would not be.
     */
     void holdLinks(std::vector<PeerAddress> peers);
+    /** Whether a link to the instance is ready, whoever set it up. */
+    bool isLinked(const PeerAddress &peer) const { return links_ && links_->isLinked(peer); }
     /** Valid as long as this object. */
     PeerTransport transport();
     void stop();
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -183,6 +183,9 @@
     silence_.clear();
     heldLook_.clear();
     releaseHeld();
+    // A refusal says that it was not run. What was sent for a caller that left may have run.
+    if (!wasSent_ || outcome == RequestOutcome::Refused)
+        context_.quotas->giveBack(quotaGrant_);
     const Millis took = context_.now() - arrivedAt_;
     const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
     context_.metrics.requestEnded(kind, outcome, took.toSeconds());
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -10,6 +10,7 @@
 #include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
 #include "net/upstream/UpstreamPool.h"
+#include "quotas/quotas.h"
 #include "readingbooks/readingbooks.h"
 #include "runtime/time/DeadlineList.h"
 
@@ -45,6 +46,8 @@
     HeldPrompts held;
     /** Null where instances have no links. */
     std::unique_ptr<BookExchange> books;
+    /** Never null while requests come. */
+    std::unique_ptr<QuotaExchange> quotas;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -72,7 +72,7 @@
     if (!judge())
         return;
     exchange_->onCallerLeft([self = shared_from_this()] { self->onCallerLeft(); });
-    dispatch();
+    askQuota();
 }
 
 bool RequestRelay::judge()
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -61,6 +61,10 @@
 
     bool judge();
     bool identifyCaller();
+    /** What the request counts for against its customer's quota. */
+    double quotaCost(const CustomerQuota &quota) const;
+    void askQuota();
+    void quotaAnswered(const QuotaVerdict &verdict, double cost);
     void dispatch();
     bool choose();
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
@@ -160,6 +164,7 @@
     /** What books say of this prompt; filled only while an engine is chosen by it. */
     std::unordered_map<std::string, ReadingOffer> offers_;
     BookExchange::Entry entry_;
+    QuotaGrant quotaGrant_;
     bool isHandOverAllowed_ = true;
     /** A reader had this prompt once. */
     bool wasReadApart_ = false;
--- a/modules/readingbooks/exchange/BookKeepers.cpp
+++ b/modules/keepers/ranking/KeeperRanking.cpp
@@ -1,4 +1,4 @@
-#include "readingbooks/exchange/BookKeepers.h"
+#include "keepers/ranking/KeeperRanking.h"
 
 #include "core/hash/StableHash.h"
 
@@ -7,10 +7,10 @@
 
 namespace cuminrail {
 
-bool BookKeepers::setPeers(std::vector<BookPeer> peers)
+bool KeeperRanking::setPeers(std::vector<KeeperCandidate> peers)
 {
     const std::vector<Ranked> before = std::exchange(peers_, {});
-    for (BookPeer &peer : peers) {
+    for (KeeperCandidate &peer : peers) {
         const std::uint64_t hash = StableHash().add(peer.instance.text()).value();
         peers_.push_back({std::move(peer), hash});
     }
@@ -25,7 +25,7 @@
     return !std::equal(before.begin(), before.end(), peers_.begin(), peers_.end(), isSame);
 }
 
-std::vector<PeerAddress> BookKeepers::addresses() const
+std::vector<PeerAddress> KeeperRanking::addresses() const
 {
     std::vector<PeerAddress> addresses;
     for (const Ranked &keeper : peers_) {
@@ -35,42 +35,51 @@
     return addresses;
 }
 
-bool BookKeepers::isPassedOver(const PeerAddress &peer, Millis now) const
+bool KeeperRanking::isKeeper() const
+{
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [this](const Ranked &each) { return each.peer.address == self_; });
+}
+
+bool KeeperRanking::isPassedOver(const PeerAddress &peer, Millis now) const
 {
     const auto found = silence_.find(peer);
     return found != silence_.end() && now < found->second.passedOverUntil;
 }
 
 template<typename IsLeftOut>
-const BookKeepers::Ranked *BookKeepers::firstFor(EngineKey engine, IsLeftOut isLeftOut) const
+const PeerAddress &KeeperRanking::firstFor(KeeperKey key, IsLeftOut isLeftOut) const
 {
     const Ranked *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const Ranked &candidate : peers_) {
-        const std::uint64_t score = StableHash().add(candidate.hash).add(engine).value();
-        if ((best != nullptr && score <= bestScore) || isLeftOut(candidate))
+        const std::uint64_t score = StableHash().add(candidate.hash).add(key).value();
+        if ((best != nullptr && score <= bestScore) || isLeftOut(candidate.peer.address))
             continue;
         best = &candidate;
         bestScore = score;
     }
-    return best;
+    return best == nullptr ? self_ : best->peer.address;
+}
+
+const PeerAddress &KeeperRanking::firstOf(KeeperKey key) const
+{
+    return firstFor(key, [](const PeerAddress &) { return false; });
 }
 
-bool BookKeepers::isOwnBook(EngineKey engine) const
+const PeerAddress &KeeperRanking::keeperOf(KeeperKey key, Millis now) const
 {
-    const Ranked *first = firstFor(engine, [](const Ranked &) { return false; });
-    return first == nullptr || first->peer.address == self_;
+    return firstFor(key, [&](const PeerAddress &peer) { return isPassedOver(peer, now); });
 }
 
-const PeerAddress &BookKeepers::keeperOf(EngineKey engine, Millis now) const
+const PeerAddress &KeeperRanking::keeperBeside(const PeerAddress &silent, KeeperKey key,
+                                               Millis now) const
 {
-    const Ranked *first = firstFor(engine, [this, now](const Ranked &candidate) {
-        return isPassedOver(candidate.peer.address, now);
-    });
-    return first == nullptr ? self_ : first->peer.address;
+    return firstFor(
+        key, [&](const PeerAddress &peer) { return peer == silent || isPassedOver(peer, now); });
 }
 
-void BookKeepers::leftUnanswered(const PeerAddress &peer, Millis now)
+void KeeperRanking::leftUnanswered(const PeerAddress &peer, Millis now)
 {
     Silence &silence = silence_[peer];
     if (++silence.count < silenceBorne)
--- a/modules/readingbooks/exchange/BookKeepers.h
+++ b/modules/keepers/ranking/KeeperRanking.h
@@ -3,7 +3,6 @@
 #include "core/ids/Ids.h"
 #include "core/time/Millis.h"
 #include "ports/peers/PeerTransport.h"
-#include "readingbooks/messages/BookMessages.h"
 
 #include <cstdint>
 #include <string>
@@ -12,8 +11,11 @@
 
 namespace cuminrail {
 
-/** An instance that may keep books. */
-struct BookPeer
+/** Hash of what is kept: an engine's address, a customer's name. */
+using KeeperKey = std::uint64_t;
+
+/** An instance that may keep state for the others. */
+struct KeeperCandidate
 {
     InstanceId instance;
     /** Where it takes links; empty for this instance itself. */
@@ -21,39 +23,44 @@
 };
 
 /**
-    Which instance keeps the book of an engine.
+    Which instance keeps the state of a key.
 
     Load: hundreds of instances that start together and ask each other at once. Were all of them
     keepers, each would need a link to every other one, and most first questions would go unanswered
-    while those are set up. So a part of them keeps the books, and links to those few are held
-   ready.
+    while those are set up. So a part of them are keepers, and links to those few are held ready.
 
     All instances work it out alike by rendezvous hashing over those that are registered, so nothing
     has to be agreed. A registered instance can be dead for a minute before its entry lapses: one
     that leaves questions unanswered is passed over for a while, and the next in order takes its
-    books over, empty at first.
+    keys over, without their state.
 */
-class BookKeepers
+class KeeperRanking
 {
 public:
     /** Unanswered questions in a row after which a keeper is passed over, and for how long. */
     static constexpr int silenceBorne = 2;
     static constexpr Millis passedOverFor = Millis(2000);
 
-    /** One instance in so many keeps books, where there are many. */
+    /** One instance in so many is a keeper, where there are many. */
     static constexpr std::size_t instancesEach = 4;
     static constexpr std::size_t leastKeepers = 16;
 
     /** The first is this instance. Returns false if the keepers are the same as before. */
-    bool setPeers(std::vector<BookPeer> peers);
+    bool setPeers(std::vector<KeeperCandidate> peers);
     bool isEmpty() const { return peers_.empty(); }
+    /** Whether this instance is one of the keepers. */
+    bool isKeeper() const;
     /** Links of all keepers but this instance. */
     std::vector<PeerAddress> addresses() const;
 
-    /** Whether this instance keeps the book while no keeper is passed over. */
-    bool isOwnBook(EngineKey engine) const;
+    /** Whether this instance keeps the key while no keeper is passed over. */
+    bool isOwn(KeeperKey key) const { return firstOf(key).empty(); }
+    /** Returns the keeper's address while none is passed over; empty for this instance. */
+    const PeerAddress &firstOf(KeeperKey key) const;
     /** Returns the keeper's address; empty for this instance. */
-    const PeerAddress &keeperOf(EngineKey engine, Millis now) const;
+    const PeerAddress &keeperOf(KeeperKey key, Millis now) const;
+    /** The same where one keeper, just found silent, is left out as well. */
+    const PeerAddress &keeperBeside(const PeerAddress &silent, KeeperKey key, Millis now) const;
     void answered(const PeerAddress &peer) { silence_.erase(peer); }
     void leftUnanswered(const PeerAddress &peer, Millis now);
 
@@ -66,13 +73,13 @@
 
     struct Ranked
     {
-        BookPeer peer;
+        KeeperCandidate peer;
         std::uint64_t hash = 0;
     };
 
-    /** Returns the first in the engine's order that is not left out, or null. */
+    /** Returns the address of the first in the key's order that is not left out, or the own one. */
     template<typename IsLeftOut>
-    const Ranked *firstFor(EngineKey engine, IsLeftOut isLeftOut) const;
+    const PeerAddress &firstFor(KeeperKey key, IsLeftOut isLeftOut) const;
     bool isPassedOver(const PeerAddress &peer, Millis now) const;
 
     std::vector<Ranked> peers_;
--- a/modules/readingbooks/exchange/BookKeepers_test.cpp
+++ b/modules/keepers/ranking/KeeperRanking_test.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "readingbooks/exchange/BookKeepers.h"
+#include "keepers/ranking/KeeperRanking.h"
 
 #include <algorithm>
 #include <set>
@@ -9,24 +9,24 @@
 
 namespace {
 
-constexpr EngineKey mostEngines = 800;
+constexpr KeeperKey mostKeys = 800;
 
 /** What instance @c self works out of so many that are registered. */
-BookKeepers keepersOf(int self, int count, int without = -1)
+KeeperRanking keepersOf(int self, int count, int without = -1)
 {
-    std::vector<BookPeer> peers{{InstanceId("i-" + std::to_string(self)), {}}};
+    std::vector<KeeperCandidate> peers{{InstanceId("i-" + std::to_string(self)), {}}};
     for (int i = 0; i < count; ++i) {
         if (i != self && i != without)
             peers.push_back({InstanceId("i-" + std::to_string(i)), std::to_string(i)});
     }
-    BookKeepers keepers;
+    KeeperRanking keepers;
     keepers.setPeers(std::move(peers));
     return keepers;
 }
 
-PeerAddress keeperOf(const BookKeepers &keepers, EngineKey engine, int self)
+PeerAddress keeperOf(const KeeperRanking &keepers, KeeperKey key, int self)
 {
-    const PeerAddress &address = keepers.keeperOf(engine, Millis(0));
+    const PeerAddress &address = keepers.keeperOf(key, Millis(0));
     return address.empty() ? std::to_string(self) : address;
 }
 
@@ -43,12 +43,12 @@
     };
     for (const Row &row : {Row{9, 9}, Row{16, 16}, Row{40, 16}, Row{195, 48}, Row{370, 92}}) {
         CAPTURE(row.instances);
-        const BookKeepers first = keepersOf(0, row.instances);
-        const BookKeepers last = keepersOf(row.instances - 1, row.instances);
+        const KeeperRanking first = keepersOf(0, row.instances);
+        const KeeperRanking last = keepersOf(row.instances - 1, row.instances);
         std::set<PeerAddress> used;
-        for (EngineKey engine = 1; engine <= mostEngines; ++engine) {
-            const PeerAddress keeper = keeperOf(first, engine, 0);
-            CHECK(keeper == keeperOf(last, engine, row.instances - 1));
+        for (KeeperKey key = 1; key <= mostKeys; ++key) {
+            const PeerAddress keeper = keeperOf(first, key, 0);
+            CHECK(keeper == keeperOf(last, key, row.instances - 1));
             used.insert(keeper);
         }
         CHECK(used.size() == row.keepers);
@@ -61,14 +61,14 @@
 // wrong for seconds.
 TEST_CASE("an instance that goes moves its own books only")
 {
-    const BookKeepers before = keepersOf(0, 195);
+    const KeeperRanking before = keepersOf(0, 195);
     for (int gone = 1; gone < 195; gone += 13) {
         CAPTURE(gone);
-        const BookKeepers after = keepersOf(0, 195, gone);
+        const KeeperRanking after = keepersOf(0, 195, gone);
         int moved = 0;
-        for (EngineKey engine = 1; engine <= mostEngines; ++engine)
-            moved += keeperOf(before, engine, 0) == keeperOf(after, engine, 0) ? 0 : 1;
+        for (KeeperKey key = 1; key <= mostKeys; ++key)
+            moved += keeperOf(before, key, 0) == keeperOf(after, key, 0) ? 0 : 1;
         // One of 48 goes and another one comes.
-        CHECK(moved <= static_cast<int>(mostEngines) * 3 / 48 + 1);
+        CHECK(moved <= static_cast<int>(mostKeys) * 3 / 48 + 1);
     }
 }
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -74,6 +74,8 @@
     /** Closes all links and stops listening; the io_context then runs out of work. */
     void stop();
 
+    /** Whether a link to the peer is ready; one that fell silent is closed within seconds. */
+    bool isLinked(const PeerAddress &peer) const { return ready_.count(peer) > 0; }
     std::size_t linkCount() const { return links_.size(); }
     const PeerLinksStats &stats() const { return stats_; }
 
--- a/modules/readingbooks/exchange/BookExchange.cpp
+++ b/modules/readingbooks/exchange/BookExchange.cpp
@@ -13,13 +13,13 @@
 {
     const auto [entry, isNew] = books_.try_emplace(engine);
     Kept &kept = entry->second;
-    if (isNew && hadReadNothing && keepers_.isOwnBook(engine))
+    if (isNew && hadReadNothing && keepers_.isOwn(engine))
         kept.book = ReadingBook(hadReadNothing(engine, keepersSince_));
     kept.usedAt = clock_.now();
     return kept.book;
 }
 
-void BookExchange::setPeers(std::vector<BookPeer> peers)
+void BookExchange::setPeers(std::vector<KeeperCandidate> peers)
 {
     if (keepers_.setPeers(std::move(peers)))
         keepersSince_ = clock_.now();
--- a/modules/readingbooks/exchange/BookExchange.h
+++ b/modules/readingbooks/exchange/BookExchange.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "core/time/Clock.h"
+#include "keepers/ranking/KeeperRanking.h"
 #include "readingbooks/book/ReadingBook.h"
-#include "readingbooks/exchange/BookKeepers.h"
+#include "readingbooks/messages/BookMessages.h"
 
 #include <functional>
 #include <map>
@@ -57,7 +58,7 @@
     BookExchange(std::string self, PeerTransport transport, Clock clock);
 
     /** All instances, this one first; with an address where they take links. */
-    void setPeers(std::vector<BookPeer> peers);
+    void setPeers(std::vector<KeeperCandidate> peers);
     /**
         Tells whether an engine had read nothing at an instant; may be left out. A book that was
         kept here since then holds all that the engine does. Believed to hold what nobody had it
@@ -123,7 +124,7 @@
     std::string self_;
     PeerTransport transport_;
     Clock clock_;
-    BookKeepers keepers_;
+    KeeperRanking keepers_;
     /** When the keepers changed last, and books with them. */
     Millis keepersSince_;
     std::unordered_map<EngineKey, Kept> books_;
--- a/modules/readingbooks/exchange/BookExchange_test.cpp
+++ b/modules/readingbooks/exchange/BookExchange_test.cpp
@@ -52,7 +52,7 @@
 
     void introduce(int self, int count)
     {
-        std::vector<BookPeer> peers{{InstanceId(name(self)), {}}};
+        std::vector<KeeperCandidate> peers{{InstanceId(name(self)), {}}};
         for (int i = 0; i < count; ++i) {
             if (i != self)
                 peers.push_back({InstanceId(name(i)), name(i)});
@@ -166,7 +166,7 @@
     CHECK(next.keeper != keeper);
     // Once it answers again, it keeps its books again.
     network.dead.clear();
-    network.pass(BookKeepers::passedOverFor);
+    network.pass(KeeperRanking::passedOverFor);
     CHECK(network.ask(asker, chainOf(5, 6)).size() == std::size(engines));
     CHECK(network.at(asker).enter(chainOf(7, 8), 33, everything, pace).keeper == keeper);
 }
@@ -253,7 +253,7 @@
     network.lossPercent = 0;
     network.doublePercent = 0;
     network.pass(ReadingBook::longestReading + Millis(1));
-    network.pass(BookKeepers::passedOverFor);
+    network.pass(KeeperRanking::passedOverFor);
     const auto offers = network.ask(0, chainOf(1, 2));
     CHECK(offers.size() == std::size(engines));
     for (const auto &[engine, offer] : offers)
--- a/modules/readingbooks/readingbooks.h
+++ b/modules/readingbooks/readingbooks.h
@@ -8,7 +8,7 @@
     long prompt asks the keepers of the engines that it considers. Lost, late or doubled messages
     and keepers that are gone cost accuracy, never a request.
 
-    Depends on core, ports, membership (bounds and encoding of frames), dataplane.
+    Depends on core, ports, keepers, membership (bounds and encoding of frames), dataplane.
 */
 
 #include "readingbooks/book/ReadingBook.h"
