Changes of the store go down a tree, packed; refused watchers are replaced at once

Change: an update begins at the last change before it, not at the revision up to which its sender had looked. A heartbeat says whether the store refuses its sender; when all watchers are refused the others' turns begin at once, 200 ms apart. What is missing is asked of whoever knows it after 100 ms, as it may be on its way. A gap has a log line.

--- a/extras/install-packages.sh
+++ b/extras/install-packages.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache make clang-format clang-tidy pkg-config
   libboost-dev libwebsocketpp-dev libcxxopts-dev libeasyloggingpp-dev prometheus-cpp-dev
-  doctest-dev nlohmann-json3-dev liburcu-dev librapidcheck-dev libssl-dev
+  doctest-dev nlohmann-json3-dev liburcu-dev librapidcheck-dev libssl-dev zlib1g-dev
   openssl curl gnuplot-nox)
 missing=()
 for package in "${packages[@]}"; do
--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -33,6 +33,7 @@
         // 4xx platform store
         &storeUnavailable,
         &storeReturned,
+        &feedGap,
         // 5xx configuration and keys
         &configurationInForce,
         &configurationRefused,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -92,6 +92,9 @@
     "The platform's store does not answer; traffic goes on, orders and claims wait."};
 inline constexpr EventKind storeReturned{402, EventLevel::Info, "store-returned",
                                          "The platform's store answers again."};
+inline constexpr EventKind feedGap{
+    403, EventLevel::Info, "feed-gap",
+    "Changes told by another instance follow on some that are not known here; they are asked for."};
 
 // 5xx configuration and keys
 inline constexpr EventKind configurationInForce{
--- a/modules/feeds/follower/FeedFollower.cpp
+++ b/modules/feeds/follower/FeedFollower.cpp
@@ -1,6 +1,7 @@
 #include "feeds/follower/FeedFollower.h"
 
 #include <algorithm>
+#include <limits>
 #include <unordered_set>
 
 namespace cuminrail {
@@ -77,7 +78,7 @@
 FeedStanding FeedFollower::standing() const
 {
     const Millis now = hooks_.clock.now();
-    return {seen_, changedAt_, answeredAt_ ? now - *answeredAt_ : now};
+    return {seen_, changedAt_, answeredAt_ ? now - *answeredAt_ : now, isRefused_};
 }
 
 bool FeedFollower::isFresh(Millis now) const
@@ -137,7 +138,6 @@
 {
     if (reply.status != StoreStatus::Ok)
         return failed(reply);
-    const ObjectVersion from = seen_;
     const bool isFirst = known_.empty();
     std::vector<StoreObject> changes = changesBy(reply.objects);
     answered();
@@ -151,7 +151,7 @@
         knownFrom_ = changedAt_ = seen_;
         changes.clear();
     }
-    passOn(from, std::move(changes));
+    passOn(std::move(changes));
     watchIfDue();
 }
 
@@ -169,37 +169,54 @@
     if (!isBehind())
         turn_.succeeded();
     behindSince_.reset();
-    const ObjectVersion from = seen_;
     seen_ = std::max(seen_, reply.version);
     takeChanges(reply.objects, seen_);
-    passOn(from, reply.objects);
+    passOn(reply.objects);
     if (!reply.objects.empty())
         nextAt_ = now + (turn_.place().isShared ? sharedGathering : gathering_);
     else
         watchIfDue();
 }
 
-void FeedFollower::passOn(ObjectVersion from, std::vector<StoreObject> objects)
+void FeedFollower::passOn(std::vector<StoreObject> objects)
 {
     if (objects.empty())
         return;
-    changedAt_ = seen_;
+    // Whoever knows the last change before these lacks nothing else. The revision up to which this
+    // instance looked may be one that others never heard of.
+    const ObjectVersion from = changedAt_;
+    changedAt_ = lastChange(objects, seen_);
     if (turn_.watchesForOthers() && hooks_.onLearned)
         hooks_.onLearned(FeedUpdate{kind_, from, seen_, std::move(objects)});
 }
 
+ObjectVersion FeedFollower::lastChange(const std::vector<StoreObject> &objects, ObjectVersion upTo)
+{
+    ObjectVersion last = 0;
+    for (const StoreObject &object : objects) {
+        // The version of a removal says nothing of when it was removed.
+        if (object.removed)
+            return upTo;
+        last = std::max(last, object.version);
+    }
+    return std::min(last, upTo);
+}
+
 void FeedFollower::takeUpdate(const FeedUpdate &update)
 {
     // Changes between what is known here and the update's beginning were not told: the sender's
     // next heartbeat shows the gap.
     const bool hasGap = update.isWhole ? update.to <= seen_ : update.from > seen_;
-    if (!isListed_ || hasGap)
+    if (!isListed_ || hasGap) {
+        if (hooks_.onGap)
+            hooks_.onGap(update, seen_);
         return;
+    }
     becameCurrent();
     const ObjectVersion learnedAt = std::max(seen_, update.to);
     takeChanges(update.isWhole ? changesBy(update.objects) : update.objects, learnedAt);
     seen_ = learnedAt;
-    changedAt_ = std::max(changedAt_, update.to);
+    changedAt_ = std::max(changedAt_, lastChange(update.objects, update.to));
 }
 
 std::optional<FeedUpdate> FeedFollower::changesSince(ObjectVersion revision) const
@@ -219,15 +236,21 @@
 {
     const Millis now = hooks_.clock.now();
     turn_.heard(now);
+    if (standing.isRefused)
+        turn_.refused(byRank, now);
     if (!isListed_ || standing.age >= turn_.timing().confirmationHolds)
         return;
+    if (!standing.isRefused)
+        turn_.served(byRank, now);
     if (seen_ < standing.changedAt) {
         behindSince_ = behindSince_.value_or(now);
         return;
     }
     behindSince_.reset();
     seen_ = std::max(seen_, standing.seen);
-    turn_.confirmed(now - standing.age, byRank, now);
+    // What one knows that the store refuses holds as of its last answer; it watches no more.
+    const std::size_t rank = standing.isRefused ? std::numeric_limits<std::size_t>::max() : byRank;
+    turn_.confirmed(now - standing.age, rank, now);
     becameCurrent();
 }
 
@@ -270,6 +293,7 @@
 void FeedFollower::answered()
 {
     answeredAt_ = hooks_.clock.now();
+    isRefused_ = false;
     retry_ = firstRetry;
     becameCurrent();
 }
@@ -297,6 +321,7 @@
         isDown_ = true;
         hooks_.onFailed(reply.lastReason);
     }
+    isRefused_ = true;
     turn_.failed(now);
     const bool isSlow = turn_.isConfirmed(now);
     const Millis span = isSlow ? confirmedRetry : retry_;
--- a/modules/feeds/follower/FeedFollower.h
+++ b/modules/feeds/follower/FeedFollower.h
@@ -61,6 +61,8 @@
         /** The store answers again, here or elsewhere, after a time in which it did not. */
         std::function<void()> onReturned;
         std::function<void(const Reason &)> onFailed;
+        /** An update was not taken, as changes before it are not known here. May be left out. */
+        std::function<void(const FeedUpdate &, ObjectVersion seen)> onGap = nullptr;
     };
 
     FeedFollower(FeedKind kind, std::string prefix, const WatchTiming &timing, Hooks hooks);
@@ -91,6 +93,11 @@
     ObjectVersion seen() const { return seen_; }
     /** Others know of changes that did not arrive here. */
     bool isBehind() const { return behindSince_.has_value(); }
+    /** For how long; 0 while nothing is missing. */
+    Millis behindFor() const
+    {
+        return behindSince_ ? hooks_.clock.now() - *behindSince_ : Millis(0);
+    }
     const std::string &prefix() const { return prefix_; }
     bool isListed() const { return isListed_; }
     /** The store does not answer for this feed, and nobody else knows better. */
@@ -124,7 +131,9 @@
     void takeChanges(const std::vector<StoreObject> &objects, ObjectVersion learnedAt);
     /** Returns in which a whole state differs from the one known here, removals included. */
     std::vector<StoreObject> changesBy(const std::vector<StoreObject> &objects) const;
-    void passOn(ObjectVersion from, std::vector<StoreObject> objects);
+    void passOn(std::vector<StoreObject> objects);
+    /** Returns the revision of the newest of some changes that were read up to a revision. */
+    static ObjectVersion lastChange(const std::vector<StoreObject> &objects, ObjectVersion upTo);
 
     FeedKind kind_;
     std::string prefix_;
@@ -136,6 +145,8 @@
     ObjectVersion changedAt_ = 0;
     bool isListed_ = false;
     bool isDown_ = false;
+    /** The last own call failed, whatever others know. */
+    bool isRefused_ = false;
     std::optional<Millis> behindSince_;
     bool isStopped_ = false;
     bool isBusy_ = false;
--- a/modules/feeds/follower/FeedGroup.cpp
+++ b/modules/feeds/follower/FeedGroup.cpp
@@ -82,11 +82,15 @@
 void FeedGroup::tick()
 {
     const Millis now = clock_.now();
-    if (now < nextHeartbeat_)
+    askForMissing(now);
+    if (now < nextHeartbeat_ && !isRefusalNew())
         return;
     const WatchTiming &timing = feeds_.front()->turn().timing();
-    if (maySpeak()) {
+    if (maySpeak() || isRefusalNew()) {
         nextHeartbeat_ = now + timing.heartbeatEvery;
+        for (const FeedFollower *follower : feeds_)
+            toldRefused_[static_cast<std::size_t>(follower->kind())] =
+                follower->standing().isRefused;
         send(heartbeat());
     } else if (needsWatchers()) {
         nextHeartbeat_ = now + timing.heartbeatEvery;
@@ -98,14 +102,49 @@
 void FeedGroup::passOn(const FeedUpdate &update) const
 {
     // Not told, the others see by the next heartbeat that they lack something, and read it.
-    if (const auto frame = encodeFeedUpdate(update))
-        send(*frame);
+    if (const auto encoded = encodeFeedUpdate(update))
+        deliver(*encoded, others_);
+}
+
+void FeedGroup::deliver(const std::string &update, const std::vector<PeerAddress> &receivers) const
+{
+    std::vector<PeerAddress> inOrder = receivers;
+    if (isLinked)
+        std::stable_partition(inOrder.begin(), inOrder.end(), isLinked);
+    const std::size_t direct = std::min(fanOut, inOrder.size());
+    std::vector<FeedDelivery> deliveries(direct, FeedDelivery{update, {}});
+    for (std::size_t i = direct; i < inOrder.size(); ++i)
+        deliveries[i % direct].passOnTo.push_back(inOrder[i]);
+    for (std::size_t i = 0; i < direct; ++i)
+        transport_.send(inOrder[i], encodeFeedDelivery(deliveries[i]));
+}
+
+bool FeedGroup::isRefusalNew() const
+{
+    return std::any_of(feeds_.begin(), feeds_.end(), [this](const FeedFollower *follower) {
+        const bool wasTold = toldRefused_[static_cast<std::size_t>(follower->kind())];
+        return follower->turn().place().isWatcher() && follower->turn().place().isShared
+            && follower->standing().isRefused != wasTold;
+    });
+}
+
+void FeedGroup::askForMissing(Millis now)
+{
+    for (const FeedFollower *follower : feeds_) {
+        Missing &missing = missing_[static_cast<std::size_t>(follower->kind())];
+        if (missing.informant.empty() || follower->behindFor() < askAfter
+            || now - missing.askedAt < FeedFollower::gapPatience / 2)
+            continue;
+        missing.askedAt = now;
+        transport_.send(missing.informant,
+                        encodeFeedQuestion({follower->kind(), follower->seen()}));
+    }
 }
 
 bool FeedGroup::received(const PeerAddress &from, const std::string &frame)
 {
-    if (const auto update = decodeFeedUpdate(frame)) {
-        feed(update->kind).takeUpdate(*update);
+    if (const auto delivery = decodeFeedDelivery(frame)) {
+        takeDelivery(*delivery);
         return true;
     }
     if (const auto heartbeat = decodeFeedHeartbeat(frame)) {
@@ -119,6 +158,16 @@
     return false;
 }
 
+void FeedGroup::takeDelivery(const FeedDelivery &delivery)
+{
+    const auto update = decodeFeedUpdate(delivery.update);
+    if (!update)
+        return;
+    if (!delivery.passOnTo.empty())
+        deliver(delivery.update, delivery.passOnTo);
+    feed(update->kind).takeUpdate(*update);
+}
+
 void FeedGroup::takeHeartbeat(const PeerAddress &from, const FeedHeartbeat &heartbeat)
 {
     const auto [known, isNew] = ranks_.try_emplace(from, lastRank);
@@ -130,7 +179,7 @@
     for (FeedFollower *follower : feeds_) {
         follower->takeStanding(heartbeat.feeds[static_cast<std::size_t>(follower->kind())], rank);
         if (follower->isBehind())
-            transport_.send(from, encodeFeedQuestion({follower->kind(), follower->seen()}));
+            missing_[static_cast<std::size_t>(follower->kind())].informant = from;
     }
 }
 
@@ -138,9 +187,9 @@
 {
     const auto update = feed(question.kind).changesSince(question.seen);
     // Not answered, the other instance reads from the store what it lacks.
-    const auto frame = update ? encodeFeedUpdate(*update) : std::nullopt;
-    if (frame)
-        transport_.send(from, *frame);
+    const auto encoded = update ? encodeFeedUpdate(*update) : std::nullopt;
+    if (encoded)
+        transport_.send(from, encodeFeedDelivery({*encoded, {}}));
 }
 
 void FeedGroup::send(const std::string &frame) const
--- a/modules/feeds/follower/WatchTurn.cpp
+++ b/modules/feeds/follower/WatchTurn.cpp
@@ -41,6 +41,39 @@
     confirmedAt_ = std::max(confirmedAt_.value_or(at), at);
 }
 
+void WatchTurn::served(std::size_t rank, Millis now)
+{
+    refusals_.erase(rank);
+    if (rank >= place_.watchers)
+        actorHeardAt_ = now;
+}
+
+void WatchTurn::refused(std::size_t rank, Millis now)
+{
+    if (rank >= place_.watchers)
+        return;
+    const auto [refusal, isNew] = refusals_.try_emplace(rank, Refusal{now, now});
+    refusal->second.heardAt = now;
+    if (isNew && rank < place_.rank)
+        lowerHeardAt_.reset();
+}
+
+std::optional<Millis> WatchTurn::allRefusedSince(Millis now) const
+{
+    if (refusals_.size() < place_.watchers)
+        return std::nullopt;
+    Millis since;
+    for (const auto &[rank, refusal] : refusals_) {
+        if (now - refusal.heardAt >= timing_.heartbeatEvery * heartbeatsMissed)
+            return std::nullopt;
+        since = std::max(since, refusal.since);
+    }
+    // Whoever acts for the watchers already is heard again within this.
+    if (actorHeardAt_)
+        since = std::max(since, *actorHeardAt_ + timing_.heartbeatEvery * heartbeatsMissed);
+    return since;
+}
+
 void WatchTurn::succeeded()
 {
     isActing_ = place_.isShared && !place_.isWatcher();
@@ -60,6 +93,9 @@
     if (now < nextTurn_)
         return false;
     const auto turn = static_cast<std::int64_t>(place_.rank - place_.watchers + 1);
+    const auto refusedSince = allRefusedSince(now);
+    if (refusedSince && now >= *refusedSince + troubledStagger * turn)
+        return true;
     const Millis wait =
         othersTry(now) ? troubledStagger * turn : std::min(silentStagger * turn, silentStaggerMost);
     return now - std::max(confirmedAt_.value_or(since_), since_)
--- a/modules/feeds/follower/WatchTurn.h
+++ b/modules/feeds/follower/WatchTurn.h
@@ -3,6 +3,7 @@
 #include "core/time/Millis.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 
 namespace cuminrail {
@@ -41,8 +42,9 @@
 
     Load: hundreds of instances whose store is down, busy, or turns a third of them away. Each
     asking for itself multiplies the calls just when the store can least bear them. Here the
-    watchers go on asking; the others take turns in the order of their ranks, one each quarter of a
-    second, so that one that the store still serves is found soon and then watches for all. Total
+    watchers go on asking; the others take turns in the order of their ranks, one after the
+    other, so that one that the store still serves is found soon and then watches for all. They
+    begin at once when all watchers say that the store refuses them. Total
     silence means that the watchers are gone rather than that the store is: then all turns come
     within two thirds of a second.
 */
@@ -50,7 +52,7 @@
 {
 public:
     /** Between the turns of two instances while others report that the store does not answer. */
-    static constexpr Millis troubledStagger = Millis(250);
+    static constexpr Millis troubledStagger = Millis(200);
     /** Between the turns of the first instances while nobody says anything. */
     static constexpr Millis silentStagger = Millis(150);
     static constexpr Millis silentStaggerMost = Millis(600);
@@ -63,8 +65,12 @@
     const WatchPlace &place() const { return place_; }
     const WatchTiming &timing() const { return timing_; }
 
-    /** Another instance knew everything at an instant. */
+    /** Another instance, which may watch well, knew everything at an instant. */
     void confirmed(Millis at, std::size_t byRank, Millis now);
+    /** The store answers another instance that watches. */
+    void served(std::size_t rank, Millis now);
+    /** The store does not answer another instance that watches. */
+    void refused(std::size_t rank, Millis now);
     /** Another instance that watches spoke, current or not. */
     void heard(Millis now) { heardAt_ = now; }
     /** The store answered this instance's own call. */
@@ -82,6 +88,8 @@
 
 private:
     bool othersTry(Millis now) const;
+    /** Returns since when the store has answered none of the watchers, where all of them say so. */
+    std::optional<Millis> allRefusedSince(Millis now) const;
 
     WatchPlace place_;
     WatchTiming timing_;
@@ -90,6 +98,15 @@
     std::optional<Millis> confirmedAt_;
     std::optional<Millis> heardAt_;
     std::optional<Millis> lowerHeardAt_;
+    /** An instance that acts for the watchers spoke. */
+    std::optional<Millis> actorHeardAt_;
+    struct Refusal
+    {
+        Millis since;
+        Millis heardAt;
+    };
+    /** By rank, of the watchers. */
+    std::map<std::size_t, Refusal> refusals_;
     Millis nextTurn_;
     bool isActing_ = false;
 };
--- a/modules/feeds/messages/FeedMessages.h
+++ b/modules/feeds/messages/FeedMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time/Millis.h"
+#include "ports/peers/PeerTransport.h"
 #include "ports/store/ObjectStore.h"
 
 #include <array>
@@ -29,6 +30,17 @@
     bool isWhole = false;
 };
 
+/** An update on its way down a tree of instances. */
+struct FeedDelivery
+{
+    static constexpr std::size_t mostReceivers = 512;
+
+    /** The encoded update; whoever passes it on need not encode it again. */
+    std::string update;
+    /** To whom its receiver passes it on. */
+    std::vector<PeerAddress> passOnTo;
+};
+
 /** Asks an instance that knows more for what happened after a revision of the store. */
 struct FeedQuestion
 {
@@ -43,8 +55,10 @@
     ObjectVersion seen = 0;
     /** The last revision at which something changed: whoever knows that knows all up to seen. */
     ObjectVersion changedAt = 0;
-    /** How long ago the store answered the last call of this feed. */
+    /** How long ago the store answered a call of this feed. */
     Millis age;
+    /** The last call of this feed failed. */
+    bool isRefused = false;
 };
 
 /** Tells the other instances of a failure domain how fresh the sender's knowledge is. */
@@ -55,8 +69,12 @@
 
 /** Returns nothing for an update that is too large for a frame. */
 std::optional<std::string> encodeFeedUpdate(const FeedUpdate &update);
+/** Returns nothing for anything else, or what is not whole and within bounds. */
+std::optional<FeedUpdate> decodeFeedUpdate(const std::string &encoded);
+
+std::string encodeFeedDelivery(const FeedDelivery &delivery);
 /** Returns nothing for any other frame. */
-std::optional<FeedUpdate> decodeFeedUpdate(const std::string &frame);
+std::optional<FeedDelivery> decodeFeedDelivery(const std::string &frame);
 
 std::string encodeFeedQuestion(const FeedQuestion &question);
 /** Returns nothing for any other frame. */
--- a/modules/feeds/testing/FeedCluster.h
+++ b/modules/feeds/testing/FeedCluster.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
     std::vector<FollowingInstance> instances;
     /** Messages between two instances are lost while this says so. */
     std::function<bool(std::size_t from, std::size_t to)> isLost;
+    /** What an instance's own link carries; 0 for as much as there is. */
+    std::size_t linkBytesPerMilli = 0;
+    /** Instances that the store refuses at once. */
+    std::set<std::size_t> refused;
     /** Messages that never arrive. */
     std::function<bool(const std::string &frame)> isTooLong;
 
@@ -70,6 +75,10 @@
         };
         instance.group = std::make_unique<FeedGroup>(scheduler.clock(), transport,
                                                      *instance.configuration, *instance.upstreams);
+        // The end of a process resets its links; a cut leaves them as they are.
+        instance.group->isLinked = [this](const PeerAddress &to) {
+            return isRunning(std::stoul(to));
+        };
         if (isShared_)
             instance.group->setMembers(domainOf(index), watchers);
         else
@@ -139,15 +148,8 @@
     std::unique_ptr<FeedFollower> follower(std::size_t index, FeedKind kind, const char *prefix)
     {
         FollowingInstance &instance = instances[index];
-        FeedFollower::Hooks hooks{store.port(instance.process),
-                                  scheduler.clock(),
-                                  scheduler.random(),
-                                  {},
-                                  {},
-                                  {},
-                                  {},
-                                  {},
-                                  {}};
+        FeedFollower::Hooks hooks{
+            storeOf(index), scheduler.clock(), scheduler.random(), {}, {}, {}, {}, {}, {}};
         const auto take = [&instance](const StoreObject &object) {
             if (object.removed)
                 instance.known.erase(object.path);
@@ -167,17 +169,49 @@
                                               std::move(hooks));
     }
 
+    ObjectStore storeOf(std::size_t index)
+    {
+        ObjectStore port = store.port(instances[index].process);
+        const auto refuse = [this](const StoreCompletion &done) {
+            StoreReply reply;
+            reply.status = StoreStatus::Unavailable;
+            scheduler.after(Millis(4), [done, reply] { done(reply); });
+        };
+        port.list = [this, index, refuse, list = port.list](const std::string &prefix,
+                                                            const StoreCompletion &done) {
+            refused.count(index) > 0 ? refuse(done) : list(prefix, done);
+        };
+        port.watch = [this, index, refuse, watch = port.watch](const std::string &prefix,
+                                                               ObjectVersion after, Millis wait,
+                                                               const StoreCompletion &done) {
+            refused.count(index) > 0 ? refuse(done) : watch(prefix, after, wait, done);
+        };
+        return port;
+    }
+
     void send(std::size_t from, std::size_t to, const std::string &frame)
     {
         if ((isLost && isLost(from, to)) || (isTooLong && isTooLong(frame)))
             return;
         const FakeProcessPtr receiver = instances[to].process;
-        scheduler.after(Millis(2), [this, from, to, frame, receiver] {
+        scheduler.after(travel(from, frame.size()), [this, from, to, frame, receiver] {
             if (receiver == instances[to].process && isRunning(to))
                 instances[to].group->received(std::to_string(from), frame);
         });
     }
 
+    /** Frames of one instance leave its link one after another. */
+    Millis travel(std::size_t from, std::size_t bytes)
+    {
+        constexpr Millis distance = Millis(2);
+        if (linkBytesPerMilli == 0)
+            return distance;
+        Millis &busyUntil = linkBusyUntil_[from];
+        const auto takes = Millis(static_cast<std::int64_t>(1 + bytes / linkBytesPerMilli));
+        busyUntil = std::max(busyUntil, scheduler.now()) + takes;
+        return busyUntil - scheduler.now() + distance;
+    }
+
     void tick()
     {
         for (std::size_t i = 0; i < instances.size(); ++i) {
@@ -192,6 +226,7 @@
     std::size_t each_;
     bool isShared_;
     std::deque<FollowingInstance> former_;
+    std::map<std::size_t, Millis> linkBusyUntil_;
 };
 
 } // namespace cuminrail::testing
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -102,6 +102,7 @@
     context_.events = environment_.events;
     context_.onBegan = [this](const std::string &customer) { usage_.count(customer); };
     sync_.onConfiguration = [this] { applyLimits(); };
+    feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onLearned = [this](const FeedUpdate &update) { feeds_.passOn(update); };
     context_.quotas =
         std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -33,6 +33,14 @@
     hooks.onReturned = [this, feed] {
         context_.events(Event{&events::storeReturned, {{"feed", feed}}});
     };
+    hooks.onGap = [this, feed](const FeedUpdate &update, ObjectVersion seen) {
+        context_.events(Event{&events::feedGap,
+                              {{"feed", feed},
+                               {"seen", std::to_string(seen)},
+                               {"from", std::to_string(update.from)},
+                               {"to", std::to_string(update.to)},
+                               {"objects", std::to_string(update.objects.size())}}});
+    };
     return hooks;
 }
 
--- a/modules/membership/messages/CborArray.cpp
+++ b/modules/membership/messages/CborArray.cpp
@@ -16,6 +16,8 @@
 class BoundsCheck : public nlohmann::json_sax<nlohmann::json>
 {
 public:
+    explicit BoundsCheck(std::size_t mostElements) : mostElements_(mostElements) { }
+
     bool null() override { return false; }
     bool boolean(bool) override { return count(); }
     bool number_integer(number_integer_t) override { return count(); }
@@ -30,7 +32,7 @@
     bool start_array(std::size_t size) override
     {
         ++depth_;
-        return size <= FrameLimits::elements && depth_ <= FrameLimits::depth && count();
+        return size <= mostElements_ && depth_ <= FrameLimits::depth && count();
     }
 
     bool end_array() override
@@ -45,20 +47,21 @@
     }
 
 private:
-    bool count() { return ++elements_ <= FrameLimits::elements; }
+    bool count() { return ++elements_ <= mostElements_; }
 
+    std::size_t mostElements_;
     std::size_t depth_ = 0;
     std::size_t elements_ = 0;
 };
 
 } // namespace
 
-std::optional<nlohmann::json> decodeCbor(const std::string &frame)
+std::optional<nlohmann::json> decodeCbor(const std::string &frame, const CborBounds &bounds)
 {
     using nlohmann::json;
-    if (frame.size() > FrameLimits::bytes)
+    if (frame.size() > bounds.bytes)
         return std::nullopt;
-    BoundsCheck check;
+    BoundsCheck check(bounds.elements);
     if (!json::sax_parse(frame, &check, json::input_format_t::cbor))
         return std::nullopt;
     json value = json::from_cbor(frame, true, false);
--- a/modules/membership/messages/CborArray.h
+++ b/modules/membership/messages/CborArray.h
@@ -17,13 +17,20 @@
     static constexpr std::size_t elements = 8192;
 };
 
+/** Bounds on what is decoded, where they are not those of a frame. */
+struct CborBounds
+{
+    std::size_t bytes = FrameLimits::bytes;
+    std::size_t elements = FrameLimits::elements;
+};
+
 /**
-    Decodes a frame within FrameLimits; nothing for anything else.
+    Decodes a frame within bounds; nothing for anything else.
 
     The library's decoder recurses with the nesting and trusts announced lengths: without the
     bounds a small frame of nested arrays would overflow the stack of the control thread.
 */
-std::optional<nlohmann::json> decodeCbor(const std::string &frame);
+std::optional<nlohmann::json> decodeCbor(const std::string &frame, const CborBounds &bounds = {});
 
 /** Encodes a value as a frame. */
 std::string encodeCbor(const nlohmann::json &value);
