--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -32,6 +32,9 @@
     void start();
 
 private:
+    /** Connections refused or unanswered before giving up; none of them reached anyone. */
+    static constexpr int mostConnectFailures = 4;
+
     /** One send to one upstream, with what has come back of it. */
     struct Attempt
     {
