Quotas allow in each window what the rule allows, nearly

What a window still allows is owed.

Change: a bucket holds a quarter of the burst and gains the rest, and a third of the tolerance, in each window; debt three tenths. A quota whose tolerance is below its burst is kept by a plain bucket.

--- a/modules/quotas/book/QuotaBook.cpp
+++ b/modules/quotas/book/QuotaBook.cpp
@@ -14,7 +14,7 @@
             it = buckets_.erase(it);
             continue;
         }
-        it->second.tokens.configure(present->perSecond, depth(*present), now);
+        it->second.tokens.configure(gain(*present), depth(*present), now);
         ++it;
     }
 }
@@ -25,9 +25,22 @@
     return found == quotas_.end() ? nullptr : &found->second;
 }
 
+bool QuotaBook::isExact(const CustomerQuota &quota) const
+{
+    return tolerance_.of(quota) < quota.burst;
+}
+
 double QuotaBook::depth(const CustomerQuota &quota) const
 {
-    return quota.burst + depthShare * tolerance_.of(quota);
+    const double held = isExact(quota) ? 1 : burstHeld;
+    return held * quota.burst + depthShare * tolerance_.of(quota);
+}
+
+double QuotaBook::gain(const CustomerQuota &quota) const
+{
+    const double held = isExact(quota) ? 1 : burstHeld;
+    const double more = (1 - held) * quota.burst + gainShare * tolerance_.of(quota);
+    return quota.perSecond + more / tolerance_.window.toSeconds();
 }
 
 double QuotaBook::mostDebt(const Bucket &bucket, const CustomerQuota &quota, Millis now) const
@@ -44,13 +57,13 @@
     if (isNew) {
         // Nobody was granted anything here since this instance became the keeper.
         bucket.since = isStandIn ? now : std::min(keeperSince_, now);
-        bucket.tokens.configure(quota.perSecond, depth(quota), bucket.since);
+        bucket.tokens.configure(gain(quota), depth(quota), bucket.since);
         bucket.tokens.add(std::min(freshShare * tolerance_.of(quota), depth(quota)));
     }
     const bool holdsBack = isStandIn && now - bucket.since < standInHoldsBack;
     const double reachable = reach_ >= fullReach ? 1 : reach_;
     const double part = std::min(holdsBack ? heldBackRate : 1, reachable);
-    bucket.tokens.configure(quota.perSecond * part, depth(quota), now);
+    bucket.tokens.configure(gain(quota) * part, depth(quota), now);
     return bucket;
 }
 
@@ -78,8 +91,8 @@
 Millis QuotaBook::comeBack(Bucket &bucket, const CustomerQuota &quota, double missing,
                            Millis now) const
 {
-    const double passed = quota.perSecond * (now - bucket.promisedAt).toSeconds();
-    const double most = quota.perSecond * promisedMost.toSeconds();
+    const double passed = gain(quota) * (now - bucket.promisedAt).toSeconds();
+    const double most = gain(quota) * promisedMost.toSeconds();
     bucket.promised = std::clamp(bucket.promised - passed, 0.0, most);
     bucket.promisedAt = now;
     return bucket.tokens.wait(missing + bucket.promised, now);
--- a/modules/quotas/book/QuotaBook.h
+++ b/modules/quotas/book/QuotaBook.h
@@ -31,20 +31,24 @@
     back before the next one. Long prompts are so refused as often as short ones; were a request to
     wait until the bucket holds all of it, short ones would drain it first for ever.
 
-    What is granted in a window stays below the quota and its tolerance, of which each cause of
-    inaccuracy has a part: the depth that smooths uneven use, one debt, buckets that begin anew, and
-    what instances use without having asked.
+    A quota allows its rate and its burst in each window, and a tolerance above that. What a bucket
+    holds at most, what it gains in a window and one debt stay together below this sum, so nothing
+    that a window still allows is refused for long. Buckets that begin anew, and what instances use
+    without having asked, have parts of the tolerance of their own.
 */
 class QuotaBook
 {
 public:
     /** Parts of the tolerance. */
-    static constexpr double depthShare = 0.15;
-    static constexpr double debtShare = 0.4;
+    static constexpr double depthShare = 0.1;
+    static constexpr double debtShare = 0.3;
+    static constexpr double gainShare = 0.35;
     /** A bucket that began anew within the window: the former one's debt is not paid back. */
-    static constexpr double youngDebtShare = 0.1;
+    static constexpr double youngDebtShare = 0.05;
     static constexpr double freshShare = 0.05;
     static constexpr double unaskedShare = 0.1;
+    /** Part of the burst that a bucket holds at once; it gains the rest in each window. */
+    static constexpr double burstHeld = 0.25;
     /** A stand-in holds back for so long: the keeper that it stands in for may still grant. */
     static constexpr Millis standInHoldsBack = Millis(6000);
     static constexpr double heldBackRate = 0.5;
@@ -92,7 +96,12 @@
     Bucket &bucket(const std::string &customer, const CustomerQuota &quota, bool isStandIn,
                    Millis now);
     Millis comeBack(Bucket &bucket, const CustomerQuota &quota, double missing, Millis now) const;
+    /** Returns whether the tolerance is too small to divide: a plain bucket keeps the quota then.
+     */
+    bool isExact(const CustomerQuota &quota) const;
     double depth(const CustomerQuota &quota) const;
+    /** Returns what a bucket gains a second. */
+    double gain(const CustomerQuota &quota) const;
     double mostDebt(const Bucket &bucket, const CustomerQuota &quota, Millis now) const;
 
     QuotaTolerance tolerance_;
