Stages are left alone where each has an engine for every instance; guards of quotas

Change: with an engine of each stage for every instance nothing is ordered. Test: the plan at 4 to 90 instances before 28 engines a domain.

--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -51,6 +51,11 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
+bool StagePlan::hasPlenty(const Division &all) const
+{
+    return all.prefill.size() >= instances_ && all.decode.size() >= instances_;
+}
+
 std::vector<StageChange> StagePlan::decide(const std::vector<StagedEngine> &engines,
                                            bool isUnderLoad, Millis now)
 {
@@ -60,6 +65,8 @@
         add(domains[engine.failureDomain], engine);
         add(all, engine);
     }
+    if (hasPlenty(all))
+        return {};
     return isUnderLoad ? decideUnderLoad(all, now) : decideCalm(domains, all, now);
 }
 
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/model/UpstreamEntry.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -54,7 +55,9 @@
     Which engines should change between reading prompts and generating.
 
     The mix of work swings within seconds, and a change takes an engine away for as long. So the
-    plan does not follow the mix: it holds a division that suits the long run. While nobody asks for
+    plan does not follow the mix: it holds a division that suits the long run. Where each stage has
+    an engine for every instance, prompts of two instances seldom meet and a change earns nothing;
+    then all engines are left as they are. While nobody asks for
     anything, each failure domain is brought to it once a deviation has lasted; under load only a
     gross shortage of the whole fleet is mended. Never the last engine of a stage.
 */
@@ -66,6 +69,8 @@
     /** Returns the changes to order now, for the engines of one service. */
     std::vector<StageChange> decide(const std::vector<StagedEngine> &engines, bool isUnderLoad,
                                     Millis now);
+    /** How many instances send prompts to these engines; many until this is called. */
+    void setInstances(std::size_t count) { instances_ = count; }
 
     /** Returns how many of a failure domain's engines should generate. */
     std::size_t wantedDecode(std::size_t engines) const;
@@ -81,6 +86,7 @@
         std::size_t size() const { return prefill.size() + decode.size() + changing; }
     };
 
+    bool hasPlenty(const Division &all) const;
     static void add(Division &division, const StagedEngine &engine);
     std::vector<StageChange> decideCalm(const std::map<std::string, Division> &domains,
                                         const Division &all, Millis now);
@@ -90,6 +96,7 @@
     const StagedEngine *pick(const std::vector<const StagedEngine *> &engines, Millis now) const;
 
     StagePlanSettings settings_;
+    std::size_t instances_ = std::numeric_limits<std::size_t>::max();
     struct Deviation
     {
         int sign = 0;
--- a/modules/dataplane/roles/StagePlan_test.cpp
+++ b/modules/dataplane/roles/StagePlan_test.cpp
@@ -117,3 +117,23 @@
             CHECK(change.to == row.to);
     }
 }
+
+// Guards against hundreds of orders that are paid for and earn nothing: few prompts, and far more
+// engines of each stage than there are instances to send them.
+TEST_CASE("engines are left as they are where each stage has one for every instance")
+{
+    struct Row
+    {
+        std::size_t instances;
+        bool changes;
+    };
+    const auto engines = both(domain("a", std::string(20, 'd') + std::string(8, 'p')),
+                              domain("b", std::string(20, 'd') + std::string(8, 'p')));
+    for (const Row &row : {Row{4, false}, Row{16, false}, Row{17, true}, Row{90, true}}) {
+        CAPTURE(row.instances);
+        StagePlan plan;
+        plan.setInstances(row.instances);
+        CHECK(plan.decide(engines, false, Millis(0)).empty());
+        CHECK(plan.decide(engines, false, Millis(10000)).empty() != row.changes);
+    }
+}
--- a/modules/feeds/follower/WatchTurn.cpp
+++ b/modules/feeds/follower/WatchTurn.cpp
@@ -1,5 +1,7 @@
 #include "feeds/follower/WatchTurn.h"
 
+#include "core/guards/Guards.h"
+
 #include <algorithm>
 
 namespace cuminrail {
@@ -60,7 +62,7 @@
 
 std::optional<Millis> WatchTurn::allRefusedSince(Millis now) const
 {
-    if (refusals_.size() < place_.watchers)
+    if (refusals_.size() < place_.watchers || !guardEnabled(Guard::FeedRefusalTold))
         return std::nullopt;
     Millis since;
     for (const auto &[rank, refusal] : refusals_) {
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -243,6 +243,7 @@
     context_.retries.setInstances(instances);
     sync_.setInstances(instances);
     usage_.setInstances(instances);
+    stages_.setInstances(instances);
     if (settings_.reportsUsage || settings_.ordersUpstreams)
         lease_.tick();
     if (settings_.reportsUsage)
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -58,6 +58,7 @@
     }
     const StagePlan fresh(context_.settings.decisions.stages);
     StagePlan &plan = plans_.try_emplace(service.name, fresh).first->second;
+    plan.setInstances(instances_);
     for (const StageChange &change : plan.decide(engines, isUnderLoad, now))
         order(context_.directory.find(change.id), change, service);
 }
--- a/modules/gateway/control/StageDuty.h
+++ b/modules/gateway/control/StageDuty.h
@@ -3,6 +3,7 @@
 #include "dataplane/roles/StagePlan.h"
 #include "gateway/request/RelayContext.h"
 
+#include <limits>
 #include <unordered_map>
 
 namespace cuminrail {
@@ -22,6 +23,8 @@
 
     /** Does what is due; to be called every few hundred milliseconds. */
     void tick();
+    /** How many instances share the engines. */
+    void setInstances(std::size_t count) { instances_ = count; }
 
 private:
     struct Pending
@@ -44,6 +47,7 @@
     std::uint64_t requestsSeen_ = 0;
     std::optional<Millis> requestAt_;
     Millis heldSince_ = Millis::never();
+    std::size_t instances_ = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace cuminrail
--- a/modules/quotas/book/QuotaBook.cpp
+++ b/modules/quotas/book/QuotaBook.cpp
@@ -1,5 +1,7 @@
 #include "quotas/book/QuotaBook.h"
 
+#include "core/guards/Guards.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -58,10 +60,14 @@
         // Nobody was granted anything here since this instance became the keeper.
         bucket.since = isStandIn ? now : std::min(keeperSince_, now);
         bucket.tokens.configure(gain(quota), depth(quota), bucket.since);
-        bucket.tokens.add(std::min(freshShare * tolerance_.of(quota), depth(quota)));
+        const bool isSmall = guardEnabled(Guard::QuotaFreshStart);
+        const double held = isSmall ? freshShare * tolerance_.of(quota) : depth(quota);
+        bucket.tokens.add(std::min(held, depth(quota)));
     }
-    const bool holdsBack = isStandIn && now - bucket.since < standInHoldsBack;
-    const double reachable = reach_ >= fullReach ? 1 : reach_;
+    const bool holdsBack = isStandIn && now - bucket.since < standInHoldsBack
+        && guardEnabled(Guard::QuotaStandInHoldsBack);
+    const bool reachesAll = reach_ >= fullReach || !guardEnabled(Guard::QuotaReachShare);
+    const double reachable = reachesAll ? 1 : reach_;
     const double part = std::min(holdsBack ? heldBackRate : 1, reachable);
     bucket.tokens.configure(gain(quota) * part, depth(quota), now);
     return bucket;
--- a/modules/quotas/book/QuotaBook_test.cpp
+++ b/modules/quotas/book/QuotaBook_test.cpp
@@ -108,3 +108,18 @@
     book.setQuotas({}, now);
     CHECK(book.buckets() == 0);
 }
+
+// Guards against a keeper that is only slow and a stand-in that both grant the whole quota.
+TEST_CASE("a stand-in grants at half of the rate at first")
+{
+    const auto granted = [](bool isStandIn) {
+        QuotaBook book = bookOf();
+        double sum = 0;
+        for (Millis at; at < QuotaBook::standInHoldsBack; at = at + Millis(50))
+            sum += book.take("north", 5000, isStandIn, start + at).isGranted ? 5000 : 0;
+        return sum;
+    };
+    // Both begin with the same small bucket, which is not halved.
+    const double fresh = QuotaBook::freshShare * tolerance.of(quota);
+    CHECK(granted(true) <= (granted(false) - fresh) / 2 + fresh + 5000);
+}
--- a/modules/quotas/exchange/QuotaExchange.cpp
+++ b/modules/quotas/exchange/QuotaExchange.cpp
@@ -1,5 +1,6 @@
 #include "quotas/exchange/QuotaExchange.h"
 
+#include "core/guards/Guards.h"
 #include "core/hash/StableHash.h"
 
 #include <algorithm>
@@ -93,7 +94,7 @@
     const PeerAddress &usual = keepers_.firstOf(keyOf(customer));
     const QuotaOffer offer = book_.take(customer, cost, !usual.empty(), clock_.now());
     // Passed over for being slow, the usual keeper still grants to those who reach it.
-    if (offer.isGranted && !usual.empty())
+    if (offer.isGranted && !usual.empty() && guardEnabled(Guard::QuotaStandInTells))
         send(usual, QuotaCharge{customer, whole(cost), false});
     return offer;
 }
@@ -159,7 +160,7 @@
     keepers_.answered(from);
     const auto late = late_.find(answer.number);
     if (late != late_.end()) {
-        if (answer.isGranted)
+        if (answer.isGranted && guardEnabled(Guard::QuotaLateGrantReturned))
             send(from, QuotaCharge{late->second.customer, whole(late->second.cost), true});
         late_.erase(late);
         return;
