--- a/modules/quotas/testing/QuotaCluster.h
+++ b/modules/quotas/testing/QuotaCluster.h
@@ -115,25 +115,15 @@
     QuotaExchange &at(int i) { return *instances_[static_cast<std::size_t>(i)]; }
     int pick(int below) { return static_cast<int>(random_() % static_cast<std::uint64_t>(below)); }
     /** Returns which instance usually keeps a customer's bucket. */
-    int keeperOf(const std::string &customer)
+    int keeperOf(const std::string &customer) const
     {
-        KeeperRanking ranking;
-        std::vector<KeeperCandidate> peers;
-        for (int i = 0; i < count_; ++i)
-            peers.push_back({InstanceId(name(i)), name(i)});
-        ranking.setPeers(std::move(peers));
-        return numberOf(ranking.firstOf(StableHash().add(customer).value()));
+        return numberOf(ranking().firstOf(StableHash().add(customer).value()));
     }
 
     /** Returns an instance that keeps no buckets. */
     int asker() const
     {
-        KeeperRanking ranking;
-        std::vector<KeeperCandidate> peers;
-        for (int i = 0; i < count_; ++i)
-            peers.push_back({InstanceId(name(i)), name(i)});
-        ranking.setPeers(std::move(peers));
-        const std::vector<PeerAddress> keepers = ranking.addresses();
+        const std::vector<PeerAddress> keepers = ranking().addresses();
         int i = 0;
         while (std::find(keepers.begin(), keepers.end(), name(i)) != keepers.end())
             ++i;
@@ -170,6 +160,18 @@
     static std::string name(int i) { return "i-" + std::to_string(i); }
     static int numberOf(const PeerAddress &address) { return std::stoi(address.substr(2)); }
 
+    /** The ranking as somebody outside sees it. */
+    KeeperRanking ranking() const
+    {
+        std::vector<KeeperCandidate> peers;
+        peers.reserve(static_cast<std::size_t>(count_));
+        for (int i = 0; i < count_; ++i)
+            peers.push_back({InstanceId(name(i)), name(i)});
+        KeeperRanking ranking;
+        ranking.setPeers(std::move(peers));
+        return ranking;
+    }
+
     void post(int from, int to, std::string frame)
     {
         if (dead.count(from) > 0 || dead.count(to) > 0 || isCut(from, to)
