Questions about quotas wait until the other instances are known

Cause: after all instances of the shifted deployment were killed at once, 84 requests of the first quarter of a second were refused as nobody knew yet who keeps which quota; 46 more as no configuration was read, as before. Change: such a question waits for the registry to be read, 0.4 s at most. Test: a start with the others known after 0.2 and 0.8 s.

--- a/modules/quotas/exchange/QuotaExchange.cpp
+++ b/modules/quotas/exchange/QuotaExchange.cpp
@@ -36,6 +36,8 @@
     instances_ = std::max<std::size_t>(1, peers.size());
     if (keepers_.setPeers(std::move(peers)))
         book_.setKeeperSince(clock_.now());
+    for (const Pending &waiting : std::exchange(undecided_, {}))
+        askDecided(waiting.customer, waiting.cost, waiting.done);
 }
 
 bool QuotaExchange::takeUnasked(const std::string &customer, const CustomerQuota &quota,
@@ -62,16 +64,26 @@
     const CustomerQuota *limit = quota(customer);
     if (limit == nullptr)
         return done(QuotaVerdict());
-    if (!isDecided_)
-        return finishUnknown(done);
+    if (!isDecided_) {
+        const Millis until = clock_.now() + decidedWithin;
+        undecided_.push_back(Pending{customer, cost, std::move(done), {}, until, false});
+        return;
+    }
+    askDecided(customer, cost, done);
+}
+
+void QuotaExchange::askDecided(const std::string &customer, double cost, const Completion &done)
+{
+    const CustomerQuota *limit = quota(customer);
+    if (limit == nullptr)
+        return done(QuotaVerdict());
     const PeerAddress &keeper = keepers_.keeperOf(keyOf(customer), clock_.now());
     if (!keeper.empty() && takeUnasked(customer, *limit, cost)) {
         ++stats_.unasked;
         charge(keeper, QuotaCharge{customer, whole(cost), false});
-        return finish(Pending{customer, cost, std::move(done), {}, {}, false}, {true, {}, 0},
-                      keeper);
+        return finish(Pending{customer, cost, done, {}, {}, false}, {true, {}, 0}, keeper);
     }
-    askKeeper(Pending{customer, cost, std::move(done), keeper, {}, false});
+    askKeeper(Pending{customer, cost, done, keeper, {}, false});
 }
 
 void QuotaExchange::askKeeper(Pending pending)
@@ -185,6 +197,12 @@
     book_.charge(charge.customer, charge.isGivenBack ? -cost : cost, isStandIn, clock_.now());
 }
 
+void QuotaExchange::dropQuestions()
+{
+    pending_.clear();
+    undecided_.clear();
+}
+
 void QuotaExchange::tick()
 {
     const Millis now = clock_.now();
@@ -195,6 +213,11 @@
     }
     for (const std::uint64_t number : over)
         unanswered(number);
+    while (!undecided_.empty() && now >= undecided_.front().until) {
+        const Completion done = std::move(undecided_.front().done);
+        undecided_.erase(undecided_.begin());
+        finishUnknown(done);
+    }
     for (auto it = late_.begin(); it != late_.end();)
         it = now >= it->second.until ? late_.erase(it) : std::next(it);
 }
--- a/modules/quotas/exchange/QuotaExchange.h
+++ b/modules/quotas/exchange/QuotaExchange.h
@@ -80,6 +80,8 @@
 public:
     /** A machine that used up its share of a processor answers later; a stand-in is nearer then. */
     static constexpr Millis answerTimeout = Millis(40);
+    /** An instance that starts reads within this who the others are. */
+    static constexpr Millis decidedWithin = Millis(400);
     /** A grant that arrives later than its question's end is given back within this. */
     static constexpr Millis lateAnswers = Millis::seconds(5);
 
@@ -92,7 +94,7 @@
     void setAlone() { isDecided_ = true; }
     /**
         All instances, this one first; with an address where they take links. Until then nobody can
-        tell who keeps what, and questions end as Unknown.
+        tell who keeps what: questions wait a moment, then end as Unknown.
     */
     void setPeers(std::vector<KeeperCandidate> peers);
     /** The part of all instances, 0 to 1, with which this one is linked. */
@@ -111,7 +113,7 @@
     /** A frame came from another instance. Returns false if it is no message of a quota. */
     bool received(const PeerAddress &from, const std::string &frame);
     /** Forgets open questions without calling anybody; for the end of the process. */
-    void dropQuestions() { pending_.clear(); }
+    void dropQuestions();
     /** Ends questions whose time is over; to be called every few milliseconds. */
     void tick();
 
@@ -135,6 +137,7 @@
         Millis until;
     };
 
+    void askDecided(const std::string &customer, double cost, const Completion &done);
     bool takeUnasked(const std::string &customer, const CustomerQuota &quota, double cost);
     void askKeeper(Pending pending);
     QuotaOffer takeHere(const std::string &customer, double cost);
@@ -154,6 +157,8 @@
     QuotaBook book_;
     std::size_t instances_ = 1;
     bool isDecided_ = false;
+    /** Questions that came before it was known who keeps what, in the order of their ends. */
+    std::vector<Pending> undecided_;
     std::map<std::uint64_t, Pending> pending_;
     std::map<std::uint64_t, Late> late_;
     /** What may go on unasked, by customer. */
--- a/modules/quotas/exchange/QuotaExchange_test.cpp
+++ b/modules/quotas/exchange/QuotaExchange_test.cpp
@@ -181,3 +181,31 @@
     CHECK(before > 0);
     CHECK(level() == doctest::Approx(before - cost + gained));
 }
+
+// Guards against refusing everything in the moment between an instance's start and its first look
+// at who the others are, as after all were killed at once.
+TEST_CASE("questions wait until the others are known, and not for long")
+{
+    struct Row
+    {
+        Millis knownAfter;
+        QuotaResult result;
+    };
+    for (const Row &row : {Row{QuotaExchange::decidedWithin / 2, QuotaResult::Granted},
+                           Row{QuotaExchange::decidedWithin * 2, QuotaResult::Unknown}}) {
+        Millis now(1000);
+        QuotaExchange exchange(tolerance, {[](const PeerAddress &, const std::string &) {}},
+                               Clock([&now] { return now; }));
+        exchange.setQuotas(usual);
+        std::vector<QuotaResult> results;
+        exchange.ask(north, 500,
+                     [&](const QuotaVerdict &verdict) { results.push_back(verdict.result); });
+        CHECK(results.empty());
+        for (Millis passed; passed < row.knownAfter; passed = passed + Millis(10)) {
+            now = now + Millis(10);
+            exchange.tick();
+        }
+        exchange.setPeers({{InstanceId("i-0"), {}}});
+        CHECK(results == std::vector<QuotaResult>{row.result});
+    }
+}
