--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -117,6 +117,25 @@
     std::optional<std::string> text_;
 };
 
+/**
+    From here on the process ends anyway. Without a handler, being asked to stop once more would end
+    it by the signal, in the middle of its last steps. Blocked meanwhile, as the set's own end
+   brings the default back.
+*/
+void ignoreFurtherStops(boost::asio::signal_set &stops)
+{
+    sigset_t asked;
+    sigemptyset(&asked);
+    sigaddset(&asked, SIGTERM);
+    sigaddset(&asked, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &asked, nullptr);
+    boost::system::error_code ignored;
+    stops.clear(ignored);
+    std::signal(SIGTERM, SIG_IGN);
+    std::signal(SIGINT, SIG_IGN);
+    pthread_sigmask(SIG_UNBLOCK, &asked, nullptr);
+}
+
 int serve(const std::string &path, InstanceSettings settings)
 {
     boost::asio::io_context io(1);
@@ -157,6 +176,7 @@
     const Repeat flushing(io, logEvery, [&log] { log.flush(); });
     const Repeat looking(io, settingsEvery, [&follower] { follower.look(); });
     io.run();
+    ignoreFurtherStops(stops);
     log.flush();
     // Handlers that are left hold connections, which refer to the servers and deadlines here. They
     // must run before those go, or the process would end in a crash after a planned stop.
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -194,8 +194,11 @@
     }
     const auto until = std::chrono::steady_clock::now() + endPatience;
     for (const auto &gateway : gateways) {
-        while (!gateway->hasEnded() && std::chrono::steady_clock::now() < until)
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        // Asked to stop again and again, also while it ends, it must still end in order.
+        while (!gateway->hasEnded() && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            gateway->signal(SIGTERM);
+        }
         if (gateway->isRunning())
             complaints.push_back("a gateway did not end within its grace");
         if (!gateway->complaint().empty())
