Logs say what a broken attempt's request asked

Cause: attempts that broke were logged with the request's identity only. The incident's logs could not tell a request that comes again under new identities from upstreams that end by themselves. Change: RequestFingerprint, of customer, path and body; attempt-ended has it as content where an upstream broke off.

--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -53,15 +53,24 @@
         attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
     const Verdict verdict =
         attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun : end.verdict;
-    context_.events(Event{&events::attemptEnded,
-                          {{"request", inbound_.id},
-                           {"upstream", upstream->entry.id},
-                           {"step", attempt_.isPrefill ? "prefill" : "run"},
-                           {"end", std::string(upstreamEndKindNames.name(end.kind))},
-                           {"status", std::to_string(attempt_.status)},
-                           {"verdict", std::string(verdictNames.name(verdict))},
-                           {"reason", end.lastReason.toString()},
-                           {"elapsed_ms", text(context_.now() - arrivedAt_)}}});
+    Event event{&events::attemptEnded,
+                {{"request", inbound_.id},
+                 {"upstream", upstream->entry.id},
+                 {"step", attempt_.isPrefill ? "prefill" : "run"},
+                 {"end", std::string(upstreamEndKindNames.name(end.kind))},
+                 {"status", std::to_string(attempt_.status)},
+                 {"verdict", std::string(verdictNames.name(verdict))},
+                 {"reason", end.lastReason.toString()},
+                 {"elapsed_ms", text(context_.now() - arrivedAt_)}}};
+    // Tells a request that breaks one upstream after the other from upstreams that break.
+    if (end.kind == UpstreamEndKind::Broken)
+        event.fields.emplace_back("content", fingerprint().text());
+    context_.events(event);
+}
+
+RequestFingerprint RequestRelay::fingerprint() const
+{
+    return RequestFingerprint::of(customer_, exchange_->head().target, exchange_->body());
 }
 
 const char *RequestRelay::lateness() const
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -3,6 +3,7 @@
 #include "gateway/request/RelayContext.h"
 #include "net/http/SseReader.h"
 #include "net/upstream/UpstreamCall.h"
+#include "quarantine/quarantine.h"
 
 #include <set>
 
@@ -123,6 +124,7 @@
     void giveUp(GiveUpCause cause, const std::string &why);
     void giveUpAsBefore() { giveUp(lastCause_, lastProblem_); }
     Millis comeBackAfter() const;
+    RequestFingerprint fingerprint() const;
     void logPlaced(const UpstreamEntry &upstream) const;
     void logAttempt(const UpstreamEnd &end) const;
     void logEnd(const EventKind &kind, int status, std::optional<GiveUpCause> cause = std::nullopt,
