--- a/modules/net/testing/ScriptedUpstream.h
+++ b/modules/net/testing/ScriptedUpstream.h
@@ -98,6 +98,9 @@
     ScriptedUpstream(const ScriptedUpstream &) = delete;
     ScriptedUpstream &operator=(const ScriptedUpstream &) = delete;
 
+    /** Takes no connections any more; those that are open go on. */
+    void stopListening() { ::shutdown(listener_, SHUT_RDWR); }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
     std::vector<ReceivedRequest> received() const
