--- a/modules/keepers/ranking/KeeperRanking.cpp
+++ b/modules/keepers/ranking/KeeperRanking.cpp
@@ -67,6 +67,17 @@
     return firstFor(key, [](const PeerAddress &) { return false; });
 }
 
+std::vector<PeerAddress> KeeperRanking::firstFew(KeeperKey key, std::size_t most) const
+{
+    std::vector<PeerAddress> few;
+    while (few.size() < std::min(most, peers_.size())) {
+        few.push_back(firstFor(key, [&few](const PeerAddress &peer) {
+            return std::find(few.begin(), few.end(), peer) != few.end();
+        }));
+    }
+    return few;
+}
+
 const PeerAddress &KeeperRanking::keeperOf(KeeperKey key, Millis now) const
 {
     return firstFor(key, [&](const PeerAddress &peer) { return isPassedOver(peer, now); });
--- a/modules/keepers/ranking/KeeperRanking.h
+++ b/modules/keepers/ranking/KeeperRanking.h
@@ -57,6 +57,11 @@
     bool isOwn(KeeperKey key) const { return firstOf(key).empty(); }
     /** Returns the keeper's address while none is passed over; empty for this instance. */
     const PeerAddress &firstOf(KeeperKey key) const;
+    /**
+        Returns the first few in the key's order, whether passed over or not; an empty address is
+        this instance's.
+    */
+    std::vector<PeerAddress> firstFew(KeeperKey key, std::size_t most) const;
     /** Returns the keeper's address; empty for this instance. */
     const PeerAddress &keeperOf(KeeperKey key, Millis now) const;
     /** The same where one keeper, just found silent, is left out as well. */
--- a/modules/keepers/ranking/KeeperRanking_test.cpp
+++ b/modules/keepers/ranking/KeeperRanking_test.cpp
@@ -72,3 +72,20 @@
         CHECK(moved <= static_cast<int>(mostKeys) * 3 / 48 + 1);
     }
 }
+
+TEST_CASE("the first few of a key are different keepers, in the same order at every instance")
+{
+    constexpr int count = 40;
+    for (KeeperKey key = 0; key < mostKeys; key += 50) {
+        CAPTURE(key);
+        const auto few = keepersOf(0, count).firstFew(key, 3);
+        REQUIRE(few.size() == 3);
+        CHECK(std::set<PeerAddress>(few.begin(), few.end()).size() == 3);
+        CHECK(few.front() == keepersOf(0, count).firstOf(key));
+        const auto other = keepersOf(1, count).firstFew(key, 3);
+        for (std::size_t i = 0; i < few.size(); ++i)
+            CHECK((few[i].empty() ? "0" : few[i]) == (other[i].empty() ? "1" : other[i]));
+    }
+    CHECK(keepersOf(0, 2).firstFew(7, 3).size() == 2);
+    CHECK(keepersOf(0, 1).firstFew(7, 3) == std::vector<PeerAddress>{PeerAddress()});
+}
--- a/modules/quotas/testing/QuotaCluster.h
+++ b/modules/quotas/testing/QuotaCluster.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "core/hash/StableHash.h"
-#include "core/random/Random.h"
+#include "keepers/testing/FrameNetwork.h"
 #include "quotas/quotas.h"
 
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -19,12 +18,11 @@
     Instances in virtual time that share customers' quotas, over links that a test delays, loses and
     cuts; and a judge that knows all that ran.
 */
-class QuotaCluster
+class QuotaCluster : public FrameNetwork
 {
 public:
     QuotaCluster(int count, QuotaTolerance tolerance, QuotaTable quotas, std::uint64_t seed)
-        : count_(count), tolerance_(tolerance), quotas_(std::move(quotas)),
-          random_(seededRandom(seed))
+        : FrameNetwork(seed), count_(count), tolerance_(tolerance), quotas_(std::move(quotas))
     {
         for (int i = 0; i < count; ++i)
             start(i);
@@ -34,19 +32,15 @@
     /** Starts an instance, or starts it again with nothing in its memory. */
     void start(int i)
     {
-        PeerTransport transport;
-        transport.send = [this, i](const PeerAddress &to, std::string frame) {
-            post(i, numberOf(to), std::move(frame));
-        };
         if (i >= static_cast<int>(instances_.size()))
             instances_.resize(static_cast<std::size_t>(i) + 1);
         dead.erase(i);
-        instances_[static_cast<std::size_t>(i)] =
-            std::make_unique<QuotaExchange>(tolerance_, transport, Clock([this] { return now; }));
-        std::vector<KeeperCandidate> peers{{InstanceId(name(i)), {}}};
+        instances_[static_cast<std::size_t>(i)] = std::make_unique<QuotaExchange>(
+            tolerance_, transportOf(i), Clock([this] { return now; }));
+        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
         for (int other = 0; other < count_; ++other) {
             if (other != i)
-                peers.push_back({InstanceId(name(other)), name(other)});
+                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
         }
         at(i).setQuotas(quotas_);
         at(i).setPeers(std::move(peers));
@@ -62,7 +56,7 @@
     /** A request arrives; it runs at the moment at which it is granted. */
     void request(int i, const std::string &customer, double cost)
     {
-        if (dead.count(i) > 0 || frozen.count(i) > 0)
+        if (!isRunning(i))
             return;
         offered += cost;
         at(i).ask(customer, cost, [this, cost](const QuotaVerdict &verdict) {
@@ -80,9 +74,11 @@
         const Millis end = now + span;
         while (now < end) {
             now = now + step;
-            deliver();
+            deliver([this](int to, const PeerAddress &from, const std::string &frame) {
+                at(to).received(from, frame);
+            });
             for (int i = 0; i < count_; ++i) {
-                if (dead.count(i) == 0 && frozen.count(i) == 0)
+                if (isRunning(i))
                     at(i).tick();
             }
             if (now >= nextReach_)
@@ -113,7 +109,6 @@
     }
 
     QuotaExchange &at(int i) { return *instances_[static_cast<std::size_t>(i)]; }
-    int pick(int below) { return static_cast<int>(random_() % static_cast<std::uint64_t>(below)); }
     /** Returns which instance usually keeps a customer's bucket. */
     int keeperOf(const std::string &customer) const
     {
@@ -125,19 +120,11 @@
     {
         const std::vector<PeerAddress> keepers = ranking().addresses();
         int i = 0;
-        while (std::find(keepers.begin(), keepers.end(), name(i)) != keepers.end())
+        while (std::find(keepers.begin(), keepers.end(), nameOf(i)) != keepers.end())
             ++i;
         return i;
     }
 
-    Millis now = Millis(100000);
-    std::set<int> dead;
-    /** Takes in nothing and sends nothing until it is taken out again. */
-    std::set<int> frozen;
-    /** Whether a frame from one instance to another one is lost. */
-    std::function<bool(int from, int to)> isCut = [](int, int) { return false; };
-    int lossPercent = 0;
-    Millis delayMost = Millis(4);
     double offered = 0;
     double ran = 0;
     std::array<int, 3> results{};
@@ -149,52 +136,18 @@
     /** A link that a cut silenced is found out and closed by then. */
     static constexpr Millis silentLink = Millis(5000);
 
-    struct Frame
-    {
-        int from = 0;
-        int to = 0;
-        std::string bytes;
-        Millis at;
-    };
-
-    static std::string name(int i) { return "i-" + std::to_string(i); }
-    static int numberOf(const PeerAddress &address) { return std::stoi(address.substr(2)); }
-
     /** The ranking as somebody outside sees it. */
     KeeperRanking ranking() const
     {
         std::vector<KeeperCandidate> peers;
         peers.reserve(static_cast<std::size_t>(count_));
         for (int i = 0; i < count_; ++i)
-            peers.push_back({InstanceId(name(i)), name(i)});
+            peers.push_back({InstanceId(nameOf(i)), nameOf(i)});
         KeeperRanking ranking;
         ranking.setPeers(std::move(peers));
         return ranking;
     }
 
-    void post(int from, int to, std::string frame)
-    {
-        if (dead.count(from) > 0 || dead.count(to) > 0 || isCut(from, to)
-            || pick(100) < lossPercent)
-            return;
-        const Millis at = now + Millis(1 + pick(static_cast<int>(delayMost.count())));
-        frames_.push_back({from, to, std::move(frame), at});
-    }
-
-    void deliver()
-    {
-        std::deque<Frame> later;
-        std::deque<Frame> due;
-        for (Frame &frame : frames_)
-            (frame.at <= now && frozen.count(frame.to) == 0 ? due : later)
-                .push_back(std::move(frame));
-        frames_ = std::move(later);
-        for (const Frame &frame : due) {
-            if (dead.count(frame.to) == 0)
-                at(frame.to).received(name(frame.from), frame.bytes);
-        }
-    }
-
     void tellReach()
     {
         nextReach_ = now + Millis::seconds(1);
@@ -213,9 +166,7 @@
     int count_;
     QuotaTolerance tolerance_;
     QuotaTable quotas_;
-    RandomHook random_;
     std::vector<std::unique_ptr<QuotaExchange>> instances_;
-    std::deque<Frame> frames_;
     std::map<std::pair<int, int>, Millis> goneSince_;
     Millis nextReach_;
 };
