--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -44,6 +44,9 @@
     bool isHead = false;
     /** For calls that may not be repeated: opens a connection of their own. */
     bool needsFreshConnection = false;
+    /** Sends nothing: only asks whether a connection can be made, and keeps it for later requests.
+     */
+    bool isProbe = false;
     /** Uses no kept connection that lay idle for longer: it may have been forgotten on the way. */
     Millis longestIdle = Millis::never();
     /** Takes an answer whose end is marked by the connection's orderly end alone. */
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -100,6 +100,8 @@
     if (error)
         return end(UpstreamEndKind::ConnectFailed, {address_, error.message()});
     applySocketOptions();
+    if (request_.isProbe)
+        return keepIdle(pool_.limits_.idleTimeout);
     state_ = State::Sending;
     deadline_.setAfter(request_.timeouts.stall);
     send();
@@ -270,7 +272,11 @@
     const bool isReusable = isClean && parser_->isKeepAlive() && !isCutAt(SendPoint::BeforeReuse);
     if (!isReusable)
         return end(UpstreamEndKind::Complete, {});
-    const Millis keepFor = idleTime();
+    keepIdle(idleTime());
+}
+
+void UpstreamConnection::keepIdle(Millis keepFor)
+{
     const UpstreamHooks hooks = std::move(hooks_);
     hooks_ = {};
     state_ = State::Idle;
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -49,6 +49,8 @@
     Millis idleTime() const;
     void newParser();
     void complete();
+    /** Ends the attempt as complete and leaves the connection to later ones. */
+    void keepIdle(Millis keepFor);
     void end(UpstreamEndKind kind, Reason reason);
     void onStalled();
     bool isCutAt(SendPoint point);
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -59,7 +59,7 @@
 UpstreamCall UpstreamPool::start(UpstreamRequest request, UpstreamHooks hooks)
 {
     Connection connection;
-    if (!request.needsFreshConnection)
+    if (!request.needsFreshConnection && !request.isProbe)
         connection = takeIdle(request);
     if (connection == nullptr) {
         connection = std::make_shared<detail::UpstreamConnection>(*this, request.address);
--- a/modules/net/upstream/UpstreamPool_test.cpp
+++ b/modules/net/upstream/UpstreamPool_test.cpp
@@ -162,6 +162,21 @@
     CHECK(result.end.verdict == Verdict::NotRun);
 }
 
+TEST_CASE("a probe sends nothing, and its connection serves the next request")
+{
+    ScriptedUpstream upstream(answerAll);
+    Client client;
+    UpstreamRequest probe = Client::request(upstream.address(), "x");
+    probe.isProbe = true;
+    CHECK(client.ask(probe).end.kind == UpstreamEndKind::Complete);
+    CHECK(client.idle() == 1);
+    CHECK(client.ask(Client::request(upstream.address(), "y")).body == "for y");
+    CHECK(upstream.connections() == 1);
+    CHECK(upstream.received().size() == 1);
+    probe.address = closedAddress();
+    CHECK(client.ask(probe).end.kind == UpstreamEndKind::ConnectFailed);
+}
+
 // An upstream takes longer than the time allowed. The instance gives up, and the answer arrives
 // on the same connection when another caller's request has just been sent there: that caller
 // would read a stranger's answer.
