A request under which three upstreams ended is not run any more

What callers saw: up to 59 of 100 requests refused or failed, in waves, while one request came again and ended each engine that ran it: 29 and 33 engines. Cause: what was known of a failed run ended with the request. Between requests only upstreams were remembered, and between instances nothing, so each arrival was new and ended up to maxAttempts engines more. Evidence: 36 of 47 broken attempts of one route, no identity with more than two; the failing test before this, ten engines of ten. Change: module quarantine. An upstream that breaks off and then refuses a connection has ended; that is reported, by what the request asked, to three keepers, which tell all instances. What ran to its end within a minute is never suspected. The store keeps quarantines for instances that start.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -24,6 +24,11 @@
         &requestFailed,
         &callerLeft,
         &requestHeld,
+        &requestSuspected,
+        &requestQuarantined,
+        &suspicionCleared,
+        &quarantineEntryRefused,
+        &quarantineNotRemoved,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -68,6 +68,23 @@
     "A prompt that would be late waits here until engines have room; the estimate is in the "
     "fields."};
 
+inline constexpr EventKind requestSuspected{
+    209, EventLevel::Info, "request-suspected",
+    "Two upstreams ended under requests that ask the same; the system repeats them no more."};
+inline constexpr EventKind requestQuarantined{
+    210, EventLevel::Warning, "request-quarantined",
+    "Three upstreams ended under requests that ask the same; they are refused from now on."};
+inline constexpr EventKind suspicionCleared{
+    211, EventLevel::Info, "suspicion-cleared",
+    "A request that was suspected ran to its end; it is run and repeated as others are."};
+inline constexpr EventKind quarantineEntryRefused{
+    212, EventLevel::Warning, "quarantine-entry-refused",
+    "An entry of the store's quarantine cannot be read; the others hold."};
+inline constexpr EventKind quarantineNotRemoved{
+    213, EventLevel::Warning, "quarantine-not-removed",
+    "An entry of the store's quarantine that is over may still be there; instances that start read "
+    "it."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -91,6 +91,7 @@
                 [this] {
                     context_.books->tick();
                     context_.quotas->tick();
+                    context_.quarantine->tick();
                     bookTick_.setAfter(bookTickEvery);
                 }),
       feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
@@ -108,6 +109,10 @@
         std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
     if (!settings_.links.isSet())
         context_.quotas->setAlone();
+    context_.quarantine = std::make_unique<QuarantineExchange>(
+        QuarantineExchange::Environment{fabric_.transport(), environment_.store, environment_.clock,
+                                        environment_.random, environment_.events});
+    context_.quarantine->isLinked = feeds_.isLinked;
     if (settings_.links.isSet()) {
         context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
                                                         fabric_.transport(), environment_.clock);
@@ -203,6 +208,8 @@
     gauges.isDutyHolder = lease_.isHeld();
     gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
     gauges.quotas = context_.quotas->stats();
+    gauges.quarantine = context_.quarantine->stats();
+    gauges.suspects = context_.quarantine->book().raisedCount();
     gauges.counters = context_.counters;
     return gauges;
 }
@@ -236,6 +243,7 @@
     if (!isDraining_)
         registry_.tick();
     tickPeers();
+    context_.quarantine->tick();
     sync_.tick();
     feeds_.tick();
     peers_.tick(sync_.configuration().isDown());
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -32,6 +32,7 @@
     }
     if (registry_.isSettled())
         context_.quotas->setPeers(peers);
+    context_.quarantine->setPeers(peers);
     context_.books->setPeers(std::move(peers));
     fabric_.holdLinks(context_.books->keepers());
     joinGroup();
@@ -78,7 +79,7 @@
 void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
 {
     const bool isTaken = feeds_.received(from, frame) || usage_.received(from, frame)
-        || context_.quotas->received(from, frame);
+        || context_.quotas->received(from, frame) || context_.quarantine->received(from, frame);
     if (!isTaken)
         context_.books->received(from, frame);
 }
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -121,6 +121,19 @@
     count("unanswered", "Questions that a keeper did not answer in time", quotas.unanswered);
 }
 
+void GatewayMetrics::setQuarantine(const GatewayGauges &gauges)
+{
+    const QuarantineStats &stats = gauges.quarantine;
+    set("cuminrail_quarantine_suspects", "Requests that are suspected or quarantined now",
+        static_cast<double>(gauges.suspects));
+    set("cuminrail_quarantine_ends", "Upstreams that ended, once for each request that they had",
+        static_cast<double>(stats.ends));
+    set("cuminrail_quarantine_quarantined", "Requests that came to be quarantined",
+        static_cast<double>(stats.quarantined));
+    set("cuminrail_quarantine_cleared", "Suspected requests that ran to their end here",
+        static_cast<double>(stats.cleared));
+}
+
 std::string GatewayMetrics::page(const GatewayGauges &gauges)
 {
     const RelayCounters &counters = gauges.counters;
@@ -157,6 +170,7 @@
     set("cuminrail_timeouts", "Requests whose time ran out",
         static_cast<double>(counters.timeouts));
     setQuotas(gauges.quotas);
+    setQuarantine(gauges);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/model/Configuration.h"
 #include "gateway/request/RelayCounters.h"
+#include "quarantine/exchange/QuarantineExchange.h"
 #include "quotas/exchange/QuotaExchange.h"
 
 #include <prometheus/counter.h>
@@ -52,9 +53,11 @@
     OverQuota,
     /** Nobody could tell how much its customer has used. */
     QuotaUnknown,
+    /** Upstreams ended under requests that ask the same. */
+    Quarantined,
 };
 
-inline constexpr NameTable<GiveUpCause, 13> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 14> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -68,6 +71,7 @@
     {GiveUpCause::Overload, "overload"},
     {GiveUpCause::OverQuota, "over-quota"},
     {GiveUpCause::QuotaUnknown, "quota-unknown"},
+    {GiveUpCause::Quarantined, "quarantined"},
 }}};
 
 /** Values that only exist while somebody looks. */
@@ -84,6 +88,8 @@
     bool isDutyHolder = false;
     std::uint64_t logLinesDropped = 0;
     QuotaExchangeStats quotas;
+    QuarantineStats quarantine;
+    std::size_t suspects = 0;
     RelayCounters counters;
 };
 
@@ -116,6 +122,7 @@
 
 private:
     void setQuotas(const QuotaExchangeStats &quotas);
+    void setQuarantine(const GatewayGauges &gauges);
     void set(const std::string &name, const std::string &help, double value);
 
     prometheus::Registry registry_;
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -47,6 +47,7 @@
                      {"instances", now.instances},
                      {"duty_holder", now.isDutyHolder},
                      {"requests_in_progress", now.counters.inProgress},
+                     {"suspected_requests", now.suspects},
                      {"upstreams", upstreams}};
     return state.dump(2) + "\n";
 }
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -10,6 +10,7 @@
 #include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
 #include "net/upstream/UpstreamPool.h"
+#include "quarantine/quarantine.h"
 #include "quotas/quotas.h"
 #include "readingbooks/readingbooks.h"
 #include "runtime/time/DeadlineList.h"
@@ -48,6 +49,8 @@
     std::unique_ptr<BookExchange> books;
     /** Never null while requests come. */
     std::unique_ptr<QuotaExchange> quotas;
+    /** Never null while requests come. */
+    std::unique_ptr<QuarantineExchange> quarantine;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -60,7 +60,9 @@
         std::string(upstreamEndKindNames.name(end.kind)) + ": " + end.lastReason.toString();
     recordSign(AttemptSign::Broken);
     tried_.insert(attempt_.upstream->entry.id);
+    const UpstreamPointer upstream = attempt_.upstream;
     const bool mayHaveRun = end.verdict != Verdict::NotRun;
+    const bool hasBroken = mayHaveRun && end.kind == UpstreamEndKind::Broken;
     lastCause_ = mayHaveRun ? GiveUpCause::Broken : GiveUpCause::Unreachable;
     if (mayHaveRun) {
         ++sends_;
@@ -77,8 +79,15 @@
         releaseHandle();
     }
     settleAttempt();
+    // After the second upstream that broke off, the next one is not risked before it is known
+    // whether the two ended.
+    const bool waits = hasBroken && route_->isRepeatable() && ++breaks_ > 1;
+    if (hasBroken)
+        checkEnded(upstream, waits);
     if (mayHaveRun && !route_->isRepeatable())
         return giveUpAsBefore();
+    if (waits)
+        return;
     if (isAnswering_)
         ++context_.counters.resumes;
     dispatch();
@@ -88,6 +97,7 @@
 {
     const bool isFailure = attempt_.status >= 500;
     recordSign(isFailure ? AttemptSign::Failure : AttemptSign::Good);
+    context_.quarantine->ranToItsEnd(fingerprint());
     if (attempt_.status < 400 || isFailure)
         began();
     promptRead();
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -51,6 +51,8 @@
     if (attempt_.traits.isOtherUpstream)
         context_.directory.markMisplaced(prefill.id);
     const bool wasSent = end.verdict != Verdict::NotRun;
+    if (wasSent && end.kind == UpstreamEndKind::Broken)
+        checkEnded(attempt_.choice->prefill, false);
     wasReadApart_ = wasReadApart_ || wasSent;
     if (handle) {
         handle_ = handle->id;
@@ -113,6 +115,10 @@
 {
     attempt_.status = 0;
     attempt_.traits = {};
+    if (isKeptFromUpstreams()) {
+        releaseHandle();
+        return settleAttempt();
+    }
     sendRun(attempt_.choice->prefill->entry.address + "/" + handle_);
 }
 
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -68,11 +68,6 @@
     context_.events(event);
 }
 
-RequestFingerprint RequestRelay::fingerprint() const
-{
-    return RequestFingerprint::of(customer_, exchange_->head().target, exchange_->body());
-}
-
 const char *RequestRelay::lateness() const
 {
     const Millis now = context_.now();
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -56,6 +56,8 @@
     arrivedAt_ = context_.now();
     if (!judge())
         return;
+    if (isKeptFromUpstreams())
+        return;
     exchange_->onCallerLeft([self = shared_from_this()] { self->onCallerLeft(); });
     askQuota();
 }
@@ -113,6 +115,8 @@
     if (isOver_)
         return;
     attempt_ = Attempt();
+    if (isKeptFromUpstreams())
+        return;
     const bool isRepeat = sends_ + refusals_ > 0;
     const Millis least = isRepeat && route_->hasPrompts ? leastUsefulRepeat : leastUseful;
     if (endsAt_ - context_.now() < least)
@@ -147,6 +151,10 @@
 
 bool RequestRelay::takeRepeat()
 {
+    if (isSuspected()) {
+        lastProblem_ += ", and upstreams ended under requests like it";
+        return false;
+    }
     if (!context_.retries.takeRepeat(service_, context_.now())) {
         lastCause_ = GiveUpCause::RepeatLimit;
         lastProblem_ += ", and the limit on repeats is reached";
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -69,6 +69,18 @@
     double quotaCost(const CustomerQuota &quota) const;
     void askQuota();
     void quotaAnswered(const QuotaVerdict &verdict, double cost);
+    /** What the request asks for; worked out at the first call. */
+    const RequestFingerprint &fingerprint() const;
+    bool isSuspected() const;
+    /** Returns true after ending the request because it is quarantined. */
+    bool isKeptFromUpstreams();
+    /**
+        Asks whether an upstream that broke off still takes connections, and reports one that does
+        not.
+
+        @param goesOn  the request waits for this before it is sent elsewhere
+    */
+    void checkEnded(const UpstreamPointer &upstream, bool goesOn);
     void dispatch();
     bool choose();
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
@@ -124,7 +136,6 @@
     void giveUp(GiveUpCause cause, const std::string &why);
     void giveUpAsBefore() { giveUp(lastCause_, lastProblem_); }
     Millis comeBackAfter() const;
-    RequestFingerprint fingerprint() const;
     void logPlaced(const UpstreamEntry &upstream) const;
     void logAttempt(const UpstreamEnd &end) const;
     void logEnd(const EventKind &kind, int status, std::optional<GiveUpCause> cause = std::nullopt,
@@ -154,8 +165,11 @@
     Attempt attempt_;
     SseReader events_;
     std::set<std::string> tried_;
+    mutable std::optional<RequestFingerprint> fingerprint_;
     /** Upstreams that may have run it. */
     int sends_ = 0;
+    /** Of these, broke off. */
+    int breaks_ = 0;
     int connectFailures_ = 0;
     /** Upstreams that stated that they did not run it. */
     int refusals_ = 0;
