Logs say what upstreams state that they take

Cause: no code read the limit, so an operator could not see it at an instance. Change: the answer's limit is decoded; LimitTable keeps the newest statement of each upstream; upstream-limited is logged when one begins, ends or changes much.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -34,6 +34,7 @@
         &routingDecision,
         &upstreamListed,
         &upstreamMisplaced,
+        &upstreamLimited,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -99,6 +99,9 @@
 inline constexpr EventKind upstreamMisplaced{
     304, EventLevel::Warning, "upstream-misplaced",
     "Another upstream answered at an upstream's address; it gets no work until it lists anew."};
+inline constexpr EventKind upstreamLimited{
+    305, EventLevel::Info, "upstream-limited",
+    "An upstream named, changed or ended the requests a second that it takes from all instances."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
--- a/modules/core/ids/Ids.h
+++ b/modules/core/ids/Ids.h
@@ -42,6 +42,9 @@
 /** Distinguishes two lives of the same instance or upstream; the later one is greater. */
 using Incarnation = std::uint64_t;
 
+/** Names one life of one upstream: a hash of its name and its start. */
+using UpstreamLife = std::uint64_t;
+
 } // namespace cuminrail
 
 template<typename Tag>
--- a/modules/dataplane/model/RequestMessages.h
+++ b/modules/dataplane/model/RequestMessages.h
@@ -67,6 +67,8 @@
     bool isOtherUpstream = false;
     /** The upstream vouches for this answer, and its body came as the upstream made it. */
     bool isVouchedFor = false;
+    /** Requests a second that the upstream takes from all instances together, while it says so. */
+    std::optional<double> mostPerSecond;
 };
 
 /** A prompt's cache that waits at a prefill engine to be fetched once. */
--- a/modules/dataplane/model/UpstreamEntry.h
+++ b/modules/dataplane/model/UpstreamEntry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/hash/StableHash.h"
+#include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
 
@@ -41,6 +43,12 @@
     bool isReclaimable = false;
     std::uint32_t slots = 1;
     EngineStage stage = EngineStage::Whole;
+
+    /** The same at every instance; another one after a restart under the same id. */
+    UpstreamLife life() const
+    {
+        return StableHash().add(id).add(static_cast<std::uint64_t>(startedAt)).value();
+    }
 };
 
 } // namespace cuminrail
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -26,6 +26,8 @@
     attempt_.traits = context_.wire.decodeAnswer(head);
     attempt_.isForeign =
         head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
+    if (!attempt_.isForeign && !attempt_.traits.isOtherUpstream)
+        noteLimit(upstream->entry);
     if (attempt_.isPrefill)
         return;
     const bool isSuccess = head.status >= 200 && head.status < 300;
@@ -38,6 +40,17 @@
     attempt_.isStreaming = isSuccess && route_->kind == RouteKind::Stream;
 }
 
+void RequestRelay::noteLimit(const UpstreamEntry &upstream)
+{
+    const std::optional<double> &limit = attempt_.traits.mostPerSecond;
+    const StatedLimit stated{upstream.life(), limit, context_.now()};
+    if (context_.limits.take(stated) != LimitChange::Marked)
+        return;
+    context_.events(Event{
+        &events::upstreamLimited,
+        {{"upstream", upstream.id}, {"per_second", limit ? std::to_string(*limit) : "none"}}});
+}
+
 void RequestRelay::onBody(std::string_view data)
 {
     if (isOver_ || attempt_.isForeign || attempt_.traits.isRefusedUnrun)
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -14,6 +14,7 @@
 #include "quotas/quotas.h"
 #include "readingbooks/readingbooks.h"
 #include "runtime/time/DeadlineList.h"
+#include "upstreamlimits/upstreamlimits.h"
 
 #include <memory>
 
@@ -51,6 +52,8 @@
     std::unique_ptr<QuotaExchange> quotas;
     /** Never null while requests come. */
     std::unique_ptr<QuarantineExchange> quarantine;
+    /** What upstreams stated that they take. */
+    LimitTable limits;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -1,4 +1,3 @@
-#include "core/hash/StableHash.h"
 #include "gateway/request/RequestRelay.h"
 
 namespace cuminrail {
@@ -7,14 +6,6 @@
 
 constexpr const char *quarantinedWhy = "upstreams ended under requests that ask the same";
 
-UpstreamLife lifeOf(const UpstreamEntry &upstream)
-{
-    return StableHash()
-        .add(upstream.id)
-        .add(static_cast<std::uint64_t>(upstream.startedAt))
-        .value();
-}
-
 } // namespace
 
 const RequestFingerprint &RequestRelay::fingerprint() const
@@ -52,7 +43,7 @@
     request.isProbe = true;
     request.timeouts.connect = connectPatience;
     UpstreamHooks hooks;
-    hooks.onEnd = [self = shared_from_this(), asked = fingerprint(), life = lifeOf(upstream->entry),
+    hooks.onEnd = [self = shared_from_this(), asked = fingerprint(), life = upstream->entry.life(),
                    goesOn](const UpstreamEnd &end) {
         // A connection that is refused tells an upstream that ended from a link that broke.
         if (end.kind == UpstreamEndKind::ConnectFailed)
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -121,6 +121,7 @@
     void attemptFailed(const UpstreamEnd &end);
     void answered();
 
+    void noteLimit(const UpstreamEntry &upstream);
     void noteEvent();
     void recordSign(AttemptSign sign);
     void promptRead();
--- a/modules/quarantine/book/SuspectBook.h
+++ b/modules/quarantine/book/SuspectBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ids/Ids.h"
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
 #include "quarantine/fingerprint/RequestFingerprint.h"
@@ -12,9 +13,6 @@
 
 namespace cuminrail {
 
-/** Names one life of one upstream. */
-using UpstreamLife = std::uint64_t;
-
 /** Under which upstreams' ends a request ran. */
 struct Suspicion
 {
--- /dev/null
+++ b/modules/upstreamlimits/table/LimitTable_test.cpp
@@ -0,0 +1,53 @@
+#include <doctest/doctest.h>
+
+#include "upstreamlimits/table/LimitTable.h"
+
+using namespace cuminrail;
+
+// Guards against a limit's end that a later told, older statement undoes, and the reverse.
+TEST_CASE("the statement that was heard last holds, in whatever order they come")
+{
+    struct Row
+    {
+        std::optional<double> perSecond;
+        int heardAt;
+        LimitChange change;
+        std::optional<double> after;
+    };
+    LimitTable table;
+    for (const Row &row :
+         {Row{std::nullopt, 10, LimitChange::None, std::nullopt},
+          Row{2.0, 20, LimitChange::Marked, 2.0}, Row{2.1, 30, LimitChange::Slight, 2.1},
+          Row{9.0, 25, LimitChange::None, 2.1}, Row{1.0, 40, LimitChange::Marked, 1.0},
+          Row{std::nullopt, 50, LimitChange::Marked, std::nullopt},
+          Row{1.0, 45, LimitChange::None, std::nullopt},
+          Row{std::nullopt, 60, LimitChange::Slight, std::nullopt},
+          Row{0.0, 70, LimitChange::Marked, 0.0}}) {
+        CAPTURE(row.heardAt);
+        CHECK(table.take({7, row.perSecond, Millis(row.heardAt)}) == row.change);
+        CHECK(table.limit(7) == row.after);
+        CHECK(table.hasLimits() == row.after.has_value());
+    }
+}
+
+// Guards against an upstream that nobody uses any more because its limit's end was never heard.
+TEST_CASE("a limit that nobody heard for a while is forgotten")
+{
+    LimitTable table;
+    table.take({7, 1.0, Millis(0)});
+    table.take({8, 1.0, Millis(500)});
+    CHECK_FALSE(table.expire(LimitTable::keptFor - Millis(1)));
+    CHECK(table.expire(LimitTable::keptFor));
+    CHECK_FALSE(table.limit(7));
+    CHECK(table.limit(8) == 1.0);
+    CHECK(table.limited() == 1);
+    CHECK(table.all().size() == 1);
+}
+
+TEST_CASE("no more upstreams are remembered than there may be")
+{
+    LimitTable table;
+    for (UpstreamLife life = 0; life < LimitTable::mostEntries + 10; ++life)
+        table.take({life, 1.0, Millis(0)});
+    CHECK(table.limited() == LimitTable::mostEntries);
+}
--- /dev/null
+++ b/modules/upstreamlimits/upstreamlimits.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/**
+    Limits that upstreams in need name in their answers, kept over all instances together.
+
+    Depends on core, ports, membership (bounds and encoding of frames), keepers, quotas.
+*/
+
+#include "upstreamlimits/table/LimitTable.h"
