Upstreams that name a limit get no more than that from all instances together

Change: module upstreamlimits. A request goes to a limited upstream only with a credit from the upstream's keeper, which keeps the limit as a quota of requests; where there is another upstream nobody waits for one. Who hears of a limit tells the keeper, which tells all; limits are told again each second, so that instances that start hear of them. Where all upstreams of a service are in need a request asks up to four for a credit and is then refused with the time of the first room. How much of its tolerance a quota grants is now part of the tolerance. Tests: in virtual time at 1, 6 and 40 instances, at 0.3 to 8 a second, with kills, cuts, losses, slow and frozen instances, never above the limit, also counting requests of instances that had not been told; three quarters of the limits used where all upstreams have one.

--- a/modules/dataplane/model/CustomerQuota.h
+++ b/modules/dataplane/model/CustomerQuota.h
@@ -37,6 +37,8 @@
     double excess = 0;
     /** In the quota's unit, besides. */
     double slack = 0;
+    /** Part of the tolerance that is granted in each window beyond the quota. */
+    double granted = 0.35;
 
     /** Returns how much over its quota a customer may be in a window, in the quota's unit. */
     double of(const CustomerQuota &quota) const
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -46,6 +46,8 @@
     std::uint32_t descriptors = 1024;
     RetryBounds retries;
     QuotaTolerance quotas;
+    /** How far the limits that upstreams name may be exceeded, as the pages allow. */
+    QuotaTolerance upstreamLimits{Millis(4000), 0.5, 5, 0};
     /** Given on the command line; the settings file has nothing of it. */
     DecisionSettings decisions;
     /** After a stop was asked for, the process is killed this much later. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -92,6 +92,7 @@
                     context_.books->tick();
                     context_.quotas->tick();
                     context_.quarantine->tick();
+                    context_.limits->tick();
                     bookTick_.setAfter(bookTickEvery);
                 }),
       feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
@@ -107,8 +108,13 @@
     sync_.onLearned = [this](const FeedUpdate &update) { feeds_.passOn(update); };
     context_.quotas =
         std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
-    if (!settings_.links.isSet())
+    context_.limits = std::make_unique<LimitExchange>(settings_.upstreamLimits, fabric_.transport(),
+                                                      environment_.clock, environment_.random);
+    context_.limits->isLinked = feeds_.isLinked;
+    if (!settings_.links.isSet()) {
         context_.quotas->setAlone();
+        context_.limits->setAlone();
+    }
     context_.quarantine = std::make_unique<QuarantineExchange>(
         QuarantineExchange::Environment{fabric_.transport(), environment_.store, environment_.clock,
                                         environment_.random, environment_.events});
@@ -210,6 +216,8 @@
     gauges.quotas = context_.quotas->stats();
     gauges.quarantine = context_.quarantine->stats();
     gauges.suspects = context_.quarantine->book().raisedCount();
+    gauges.limits = context_.limits->stats();
+    gauges.limitedUpstreams = context_.limits->table().limited();
     gauges.counters = context_.counters;
     return gauges;
 }
@@ -244,6 +252,7 @@
         registry_.tick();
     tickPeers();
     context_.quarantine->tick();
+    context_.limits->tick();
     sync_.tick();
     feeds_.tick();
     peers_.tick(sync_.configuration().isDown());
@@ -299,6 +308,7 @@
     if (context_.books)
         context_.books->dropQuestions();
     context_.quotas->dropQuestions();
+    context_.limits->dropQuestions();
     callers_.closeAll();
     readiness_.closeAll();
     admin_.closeAll();
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -30,8 +30,10 @@
         if (isSelf || !instance.links.empty())
             peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
     }
-    if (registry_.isSettled())
+    if (registry_.isSettled()) {
         context_.quotas->setPeers(peers);
+        context_.limits->setPeers(peers);
+    }
     context_.quarantine->setPeers(peers);
     context_.books->setPeers(std::move(peers));
     fabric_.holdLinks(context_.books->keepers());
@@ -48,8 +50,10 @@
     const auto linked = std::count_if(instances.begin(), instances.end(), [this](const auto &each) {
         return each.instance.text() == settings_.name || fabric_.isLinked(each.links);
     });
-    context_.quotas->setReach(static_cast<double>(linked)
-                              / static_cast<double>(std::max<std::size_t>(1, instances.size())));
+    const double reach = static_cast<double>(linked)
+        / static_cast<double>(std::max<std::size_t>(1, instances.size()));
+    context_.quotas->setReach(reach);
+    context_.limits->setReach(reach);
 }
 
 bool Gateway::hadReadNothing(EngineKey engine, Millis at) const
@@ -79,7 +83,8 @@
 void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
 {
     const bool isTaken = feeds_.received(from, frame) || usage_.received(from, frame)
-        || context_.quotas->received(from, frame) || context_.quarantine->received(from, frame);
+        || context_.quotas->received(from, frame) || context_.quarantine->received(from, frame)
+        || context_.limits->received(from, frame);
     if (!isTaken)
         context_.books->received(from, frame);
 }
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -134,6 +134,21 @@
         static_cast<double>(stats.cleared));
 }
 
+void GatewayMetrics::setLimits(const GatewayGauges &gauges)
+{
+    const LimitStats &stats = gauges.limits;
+    set("cuminrail_upstream_limits", "Upstreams that name a limit now",
+        static_cast<double>(gauges.limitedUpstreams));
+    set("cuminrail_upstream_limit_used", "Requests sent to upstreams that name a limit",
+        static_cast<double>(stats.used));
+    set("cuminrail_upstream_limit_unasked", "Of these, sent as the limit became known",
+        static_cast<double>(stats.unasked));
+    set("cuminrail_upstream_limit_given_back", "Credits that no request used in time",
+        static_cast<double>(stats.givenBack));
+    set("cuminrail_upstream_limit_refused", "Credits refused, as the limit was used up",
+        static_cast<double>(stats.refused));
+}
+
 std::string GatewayMetrics::page(const GatewayGauges &gauges)
 {
     const RelayCounters &counters = gauges.counters;
@@ -171,6 +186,7 @@
         static_cast<double>(counters.timeouts));
     setQuotas(gauges.quotas);
     setQuarantine(gauges);
+    setLimits(gauges);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include "gateway/request/RelayCounters.h"
 #include "quarantine/exchange/QuarantineExchange.h"
 #include "quotas/exchange/QuotaExchange.h"
+#include "upstreamlimits/exchange/LimitExchange.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -55,9 +56,11 @@
     QuotaUnknown,
     /** Upstreams ended under requests that ask the same. */
     Quarantined,
+    /** Upstreams in need take no more requests at the moment. */
+    UpstreamLimit,
 };
 
-inline constexpr NameTable<GiveUpCause, 14> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 15> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -72,6 +75,7 @@
     {GiveUpCause::OverQuota, "over-quota"},
     {GiveUpCause::QuotaUnknown, "quota-unknown"},
     {GiveUpCause::Quarantined, "quarantined"},
+    {GiveUpCause::UpstreamLimit, "upstream-limit"},
 }}};
 
 /** Values that only exist while somebody looks. */
@@ -90,6 +94,8 @@
     QuotaExchangeStats quotas;
     QuarantineStats quarantine;
     std::size_t suspects = 0;
+    LimitStats limits;
+    std::size_t limitedUpstreams = 0;
     RelayCounters counters;
 };
 
@@ -123,6 +129,7 @@
 private:
     void setQuotas(const QuotaExchangeStats &quotas);
     void setQuarantine(const GatewayGauges &gauges);
+    void setLimits(const GatewayGauges &gauges);
     void set(const std::string &name, const std::string &help, double value);
 
     prometheus::Registry registry_;
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -22,6 +22,8 @@
                {"bad_share", context.health.badShare(entry.id)},
                {"set_aside", context.health.isSetAside(entry.id, context.now())},
                {"own_open", context.services.open(entry.id)}};
+    if (const auto limit = context.limits->table().limit(entry.life()))
+        state["stated_limit_per_second"] = *limit;
     if (const EngineMemory *memory = context.engines.memory(entry.id)) {
         state["own_running"] = memory->running();
         state["own_unread_tokens"] = memory->openTokens();
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -40,17 +40,6 @@
     attempt_.isStreaming = isSuccess && route_->kind == RouteKind::Stream;
 }
 
-void RequestRelay::noteLimit(const UpstreamEntry &upstream)
-{
-    const std::optional<double> &limit = attempt_.traits.mostPerSecond;
-    const StatedLimit stated{upstream.life(), limit, context_.now()};
-    if (context_.limits.take(stated) != LimitChange::Marked)
-        return;
-    context_.events(Event{
-        &events::upstreamLimited,
-        {{"upstream", upstream.id}, {"per_second", limit ? std::to_string(*limit) : "none"}}});
-}
-
 void RequestRelay::onBody(std::string_view data)
 {
     if (isOver_ || attempt_.isForeign || attempt_.traits.isRefusedUnrun)
@@ -148,7 +137,8 @@
     const bool isOverload = lastCause_ == GiveUpCause::Overload;
     const Millis queueAge =
         isOverload ? context_.held.oldestAge(route_->name, context_.now()) : Millis(0);
-    const Millis least = std::max(leastComeBack, queueAge / 2);
+    const Millis room = lastCause_ == GiveUpCause::UpstreamLimit ? limitComeBack_ : Millis(0);
+    const Millis least = std::max({leastComeBack, queueAge / 2, room});
     // Callers that were refused together must not come back together.
     const auto spread = static_cast<std::uint64_t>(std::max(comeBackSpread, least).count());
     return least
--- a/modules/gateway/request/RelayChoice.cpp
+++ b/modules/gateway/request/RelayChoice.cpp
@@ -2,9 +2,8 @@
 
 namespace cuminrail {
 
-bool RequestRelay::choose()
+bool RequestRelay::chooseAmong(const std::vector<UpstreamPointer> &upstreams)
 {
-    const auto &upstreams = context_.directory.usable(service_);
     if (route_->hasPrompts && inbound_.prompt)
         return choosePrompt(upstreams);
     return choosePlain(upstreams);
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -52,8 +52,8 @@
     std::unique_ptr<QuotaExchange> quotas;
     /** Never null while requests come. */
     std::unique_ptr<QuarantineExchange> quarantine;
-    /** What upstreams stated that they take. */
-    LimitTable limits;
+    /** Never null while requests come. */
+    std::unique_ptr<LimitExchange> limits;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -116,6 +116,7 @@
         attempt_.upstream = failed.upstream;
         context_.services.finished(failed.upstream->entry.id);
         if (choose()) {
+            useCredits();
             ++context_.counters.repeats;
             return sendRun({});
         }
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -97,8 +97,7 @@
 
 bool RequestRelay::hasOtherRunner()
 {
-    otherRunner_ =
-        context_.engines.chooseRunner(context_.directory.usable(service_), placementQuery());
+    otherRunner_ = context_.engines.chooseRunner(candidates(), placementQuery());
     return otherRunner_ != nullptr;
 }
 
@@ -106,6 +105,7 @@
 {
     context_.engines.moved(*attempt_.choice, otherRunner_, context_.now());
     attempt_.upstream = otherRunner_;
+    context_.limits->use(otherRunner_->entry.life());
     otherRunner_.reset();
     attempt_.body.clear();
     runHandedOver();
--- a/modules/gateway/request/RelayWaiting.cpp
+++ b/modules/gateway/request/RelayWaiting.cpp
@@ -49,8 +49,7 @@
     if (asked == 0)
         return false;
     wasAsked_ = true;
-    const auto readers = context_.engines.likelyReaders(context_.directory.usable(service_),
-                                                        placementQuery(), asked);
+    const auto readers = context_.engines.likelyReaders(candidates(), placementQuery(), asked);
     std::vector<EngineKey> keys;
     keys.reserve(readers.size());
     for (const UpstreamPointer &reader : readers)
@@ -76,6 +75,8 @@
     }
     const bool isChosen = choose();
     offers_.clear();
+    if (!isChosen && waitsForCredit())
+        return;
     if (!isChosen)
         return giveUpAsBefore();
     if (!isKeptBack())
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -127,8 +127,15 @@
         return giveUpAsBefore();
     if (isRepeat && !mayRepeat())
         return giveUpAsBefore();
-    if (!choose())
-        return giveUpAsBefore();
+    if (choose())
+        goOn();
+    else if (!waitsForCredit())
+        giveUpAsBefore();
+}
+
+void RequestRelay::goOn()
+{
+    const bool isRepeat = sends_ + refusals_ > 0;
     // Engines that are known to be busy need not be asked of again.
     if (!isRepeat && ((wasAsked_ && isKeptBack()) || asksBooks() || isKeptBack()))
         return;
@@ -138,6 +145,7 @@
 void RequestRelay::sendChosen()
 {
     releaseHeld();
+    useCredits();
     if (attempt_.choice && attempt_.choice->prefill)
         sendPrefill();
     else
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -82,7 +82,17 @@
     */
     void checkEnded(const UpstreamPointer &upstream, bool goesOn);
     void dispatch();
-    bool choose();
+    /** Sends to what was chosen, or keeps the prompt back. */
+    void goOn();
+    bool choose() { return chooseAmong(candidates()); }
+    bool chooseAmong(const std::vector<UpstreamPointer> &upstreams);
+    /** Upstreams that may get the request now: those without a limit, or with a credit here. */
+    const std::vector<UpstreamPointer> &candidates();
+    /** Returns true when a credit of a limited upstream was asked for; creditAnswered() goes on. */
+    bool waitsForCredit();
+    void creditAnswered(const CreditAnswer &answer);
+    /** What was chosen is sent to. */
+    void useCredits();
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
     PlacementQuery placementQuery() const;
     bool choosePlain(const std::vector<UpstreamPointer> &upstreams);
@@ -167,6 +177,10 @@
     SseReader events_;
     std::set<std::string> tried_;
     mutable std::optional<RequestFingerprint> fingerprint_;
+    std::vector<UpstreamPointer> candidates_;
+    int creditsAsked_ = 0;
+    /** When the first of the upstreams that refused a credit may have room. */
+    Millis limitComeBack_ = Millis::never();
     /** Upstreams that may have run it. */
     int sends_ = 0;
     /** Of these, broke off. */
--- a/modules/quarantine/exchange/QuarantineExchange_test.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange_test.cpp
@@ -99,7 +99,7 @@
           Row{"some frozen", freezeSome}}) {
         for (const int instances : {1, 6, 60}) {
             for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-                CAPTURE(row.name);
+                CAPTURE(std::string(row.name));
                 CAPTURE(instances);
                 CAPTURE(seed);
                 QuarantineCluster cluster(instances, 12, seed);
--- a/modules/quotas/book/QuotaBook.cpp
+++ b/modules/quotas/book/QuotaBook.cpp
@@ -41,7 +41,7 @@
 double QuotaBook::gain(const CustomerQuota &quota) const
 {
     const double held = isExact(quota) ? 1 : burstHeld;
-    const double more = (1 - held) * quota.burst + gainShare * tolerance_.of(quota);
+    const double more = (1 - held) * quota.burst + tolerance_.granted * tolerance_.of(quota);
     return quota.perSecond + more / tolerance_.window.toSeconds();
 }
 
--- a/modules/quotas/book/QuotaBook.h
+++ b/modules/quotas/book/QuotaBook.h
@@ -42,7 +42,6 @@
     /** Parts of the tolerance. */
     static constexpr double depthShare = 0.1;
     static constexpr double debtShare = 0.3;
-    static constexpr double gainShare = 0.35;
     /** A bucket that began anew within the window: the former one's debt is not paid back. */
     static constexpr double youngDebtShare = 0.05;
     static constexpr double freshShare = 0.05;
--- /dev/null
+++ b/modules/upstreamlimits/exchange/LimitExchange_test.cpp
@@ -0,0 +1,220 @@
+#include <doctest/doctest.h>
+
+#include "upstreamlimits/testing/LimitCluster.h"
+
+using namespace cuminrail;
+using namespace cuminrail::testing;
+
+namespace {
+
+/** Callers send for a while, most of them to a few of the instances. */
+void play(LimitCluster &cluster, int perSecond, int seconds)
+{
+    for (int i = 0; i < seconds * perSecond; ++i) {
+        const int most = cluster.pick(2) == 0 ? cluster.count() : (cluster.count() + 3) / 4;
+        cluster.request(cluster.pick(most));
+        cluster.pass(Millis(1000 / perSecond));
+    }
+}
+
+using Trouble = std::function<void(LimitCluster &)>;
+
+void nothing(LimitCluster &)
+{ }
+
+void killInTurn(LimitCluster &cluster)
+{
+    for (int i = 0; i < cluster.count(); i += 2) {
+        cluster.kill(i);
+        play(cluster, 100, 1);
+        cluster.restart(i);
+    }
+}
+
+void killAll(LimitCluster &cluster)
+{
+    for (int i = 0; i < cluster.count(); ++i)
+        cluster.kill(i);
+    cluster.pass(Millis(1000));
+    for (int i = 0; i < cluster.count(); ++i)
+        cluster.restart(i);
+}
+
+void loseFrames(LimitCluster &cluster)
+{
+    cluster.lossPercent = 10;
+}
+
+void slowFrames(LimitCluster &cluster)
+{
+    cluster.delayMost = Millis(60);
+}
+
+void cutOne(LimitCluster &cluster)
+{
+    cluster.isCut = [](int from, int to) { return from == 0 || to == 0; };
+    for (int i = 0; i < 8; ++i) {
+        cluster.excuse(0);
+        play(cluster, 100, 1);
+    }
+    cluster.isCut = [](int, int) { return false; };
+    cluster.excuse(0);
+}
+
+void freezeSome(LimitCluster &cluster)
+{
+    for (int i = 0; i < cluster.count(); i += 3)
+        cluster.frozen.insert(i);
+    play(cluster, 100, 2);
+    for (const int i : cluster.frozen)
+        cluster.excuse(i);
+    cluster.frozen.clear();
+}
+
+std::size_t allowed(double rate)
+{
+    constexpr double window = 4;
+    return static_cast<std::size_t>(1.5 * rate * window + 5);
+}
+
+} // namespace
+
+// Guards against upstreams in need that get the sum of what each instance thinks is within the
+// limit.
+TEST_CASE("all instances together keep what an upstream named, whatever happens to them")
+{
+    struct Row
+    {
+        const char *name;
+        Trouble trouble;
+    };
+    for (const Row &row :
+         {Row{"nothing", nothing}, Row{"killed in turn", killInTurn}, Row{"all killed", killAll},
+          Row{"frames lost", loseFrames}, Row{"frames slow", slowFrames},
+          Row{"one cut off", cutOne}, Row{"some frozen", freezeSome}}) {
+        for (const int instances : {1, 6, 40}) {
+            for (const double rate : {0.3, 1.0, 8.0}) {
+                for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                    CAPTURE(std::string(row.name));
+                    CAPTURE(instances);
+                    CAPTURE(rate);
+                    CAPTURE(seed);
+                    LimitCluster cluster(instances, {rate, rate, {}, {}, {}}, seed);
+                    const Millis named = cluster.now;
+                    play(cluster, 100, 10);
+                    row.trouble(cluster);
+                    play(cluster, 100, 12);
+                    for (const std::size_t upstream : {0, 1})
+                        CHECK(cluster.busiest(upstream, named + Millis(3000)) <= allowed(rate));
+                    CHECK(cluster.refused == 0);
+                }
+            }
+        }
+    }
+}
+
+// Guards against callers who are refused although the upstreams of their service have room.
+TEST_CASE("where all upstreams are limited, most of what they take is used, by any instance")
+{
+    for (const int instances : {1, 6, 40}) {
+        for (const double rate : {1.0, 5.0, 20.0}) {
+            CAPTURE(instances);
+            CAPTURE(rate);
+            LimitCluster cluster(instances, {rate, rate, rate}, 1);
+            play(cluster, 100, 5);
+            const Millis since = cluster.now;
+            play(cluster, 100, 20);
+            double used = 0;
+            for (const std::size_t upstream : {0, 1, 2}) {
+                used += static_cast<double>(cluster.arrivals(upstream, since));
+                CHECK(cluster.busiest(upstream, since) <= allowed(rate));
+            }
+            CHECK(used >= 0.75 * 3 * rate * 20);
+            CHECK(cluster.refused > 0);
+        }
+    }
+}
+
+// Guards against upstreams that stay half idle after their need is over.
+TEST_CASE("when a limit ends all instances know it soon")
+{
+    LimitCluster cluster(40, {2.0, {}}, 1);
+    play(cluster, 100, 5);
+    for (int i = 0; i < cluster.count(); ++i)
+        CHECK(cluster.at(i).hasLimits());
+    cluster.setLimit(0, std::nullopt);
+    play(cluster, 100, 3);
+    for (int i = 0; i < cluster.count(); ++i)
+        CHECK_FALSE(cluster.at(i).hasLimits());
+    const Millis since = cluster.now;
+    play(cluster, 100, 5);
+    CHECK(cluster.arrivals(0, since) >= 200);
+}
+
+// Guards against hundreds of instances that each send one request before they hear of a limit.
+TEST_CASE("a limit that one instance hears is known to all before they send there")
+{
+    LimitCluster cluster(100, {1.0, {}}, 1);
+    cluster.at(3).heard(0, 1.0);
+    cluster.pass(Millis(50));
+    for (int i = 0; i < cluster.count(); ++i)
+        CHECK(cluster.at(i).hasLimits());
+}
+
+// Guards against credits that idle instances keep from those that have requests.
+TEST_CASE("a credit that no request uses goes back")
+{
+    LimitCluster cluster(6, {1.0, {}}, 1);
+    for (int i = 0; i < cluster.count(); ++i)
+        cluster.at(i).heard(0, 1.0);
+    cluster.pass(Millis(50));
+    std::uint64_t returned = 0;
+    for (int i = 0; i < 10; ++i) {
+        cluster.at(i % 5).askAhead({0});
+        cluster.pass(Millis(1000));
+    }
+    for (int i = 0; i < cluster.count(); ++i)
+        returned += cluster.at(i).stats().givenBack;
+    CHECK(returned >= 5);
+    bool isGranted = false;
+    for (int i = 0; i < 5 && !isGranted; ++i) {
+        cluster.at(5).ask(0, [&](const CreditAnswer &answer) { isGranted = answer.isGranted; });
+        cluster.pass(Millis(100));
+    }
+    CHECK(isGranted);
+}
+
+// Guards against requests that wait for ever for a credit of an upstream that needs none any more.
+TEST_CASE("whoever waits for a credit goes on when the limit ends")
+{
+    LimitCluster cluster(6, {1.0, {}}, 1);
+    for (int i = 0; i < cluster.count(); ++i)
+        cluster.at(i).heard(0, 1.0);
+    cluster.pass(Millis(50));
+    int answered = 0;
+    for (int i = 0; i < cluster.count(); ++i) {
+        cluster.at(i).ask(0, [&](const CreditAnswer &) { ++answered; });
+        cluster.at(i).heard(0, std::nullopt);
+    }
+    cluster.pass(Millis(100));
+    CHECK(answered == cluster.count());
+}
+
+// Guards against keepers that do not know of a limit and grant whatever is asked.
+TEST_CASE("a keeper that heard nothing of a limit grants no more than that")
+{
+    LimitCluster cluster(6, {{}, {}, {}, {}, {}, {}}, 1);
+    for (UpstreamLife life = 0; life < 6; ++life) {
+        CAPTURE(life);
+        cluster.at(0).received("i-1", encodeLimitMessage(LimitNotice{false, {{life, 1.0, {}}}}));
+        int granted = 0;
+        for (int i = 0; i < 20; ++i) {
+            cluster.at(0).ask(life, [&](const CreditAnswer &answer) {
+                granted += answer.isGranted ? 1 : 0;
+                cluster.at(0).use(life);
+            });
+            cluster.pass(Millis(10));
+        }
+        CHECK(granted <= 5);
+    }
+}
--- /dev/null
+++ b/modules/upstreamlimits/testing/LimitCluster.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "keepers/testing/FrameNetwork.h"
+#include "upstreamlimits/upstreamlimits.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cuminrail::testing {
+
+/**
+    Instances in virtual time that send requests to upstreams, some of which name limits; and a
+   judge that knows all arrivals.
+
+    Stands for a gateway's part: a request goes to any upstream that it may use, or waits for a
+    credit, or is refused. The judge counts all arrivals, also those of instances that have not been
+    told, which the rule leaves out.
+*/
+class LimitCluster : public FrameNetwork
+{
+public:
+    /** @param limits  what each upstream names; nothing for one that takes all */
+    LimitCluster(int instances, std::vector<std::optional<double>> limits, std::uint64_t seed)
+        : FrameNetwork(seed), limits_(std::move(limits)), arrivals_(limits_.size())
+    {
+        for (int i = 0; i < instances; ++i)
+            start(i, instances);
+        pass(Millis::seconds(2));
+    }
+
+    int count() const { return static_cast<int>(instances_.size()); }
+    LimitExchange &at(int i) { return *instances_[static_cast<std::size_t>(i)]; }
+
+    void setLimit(std::size_t upstream, std::optional<double> limit) { limits_[upstream] = limit; }
+    /** What an instance does is excused from now on for a while, as the rule excuses it. */
+    void excuse(int i) { excusedUntil_[i] = now + excusedFor; }
+
+    void kill(int i)
+    {
+        dead.insert(i);
+        excuse(i);
+    }
+    void restart(int i)
+    {
+        dead.erase(i);
+        excuse(i);
+        start(i, count());
+    }
+
+    /** A caller's request arrives at an instance. */
+    void request(int i)
+    {
+        if (!isRunning(i))
+            return;
+        ++asked;
+        place(i, mostRounds);
+    }
+
+    void pass(Millis span)
+    {
+        const Millis end = now + span;
+        while (now < end) {
+            now = now + step;
+            deliver([this](int to, const PeerAddress &from, const std::string &frame) {
+                at(to).received(from, frame);
+            });
+            answer();
+            for (int i = 0; i < count(); ++i) {
+                if (isRunning(i))
+                    at(i).tick();
+            }
+        }
+    }
+
+    /** Returns the most that one upstream got within four seconds after an instant, from all. */
+    std::size_t busiest(std::size_t upstream, Millis since) const
+    {
+        std::deque<Millis> recent;
+        std::size_t most = 0;
+        for (const Millis at : arrivals_[upstream]) {
+            if (at < since)
+                continue;
+            recent.push_back(at);
+            while (at - recent.front() > window)
+                recent.pop_front();
+            most = std::max(most, recent.size());
+        }
+        return most;
+    }
+    std::size_t arrivals(std::size_t upstream, Millis since) const
+    {
+        const auto &all = arrivals_[upstream];
+        return static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [since](Millis at) { return at >= since; }));
+    }
+
+    int asked = 0;
+    int served = 0;
+    int refused = 0;
+
+private:
+    static constexpr Millis step = Millis(5);
+    static constexpr Millis window = Millis(4000);
+    static constexpr Millis excusedFor = Millis(3000);
+    static constexpr int mostRounds = 3;
+
+    struct Run
+    {
+        int instance = 0;
+        std::size_t upstream = 0;
+        Millis until;
+    };
+
+    void start(int i, int instances)
+    {
+        if (i >= count())
+            instances_.resize(static_cast<std::size_t>(i) + 1);
+        auto &instance = instances_[static_cast<std::size_t>(i)];
+        instance = std::make_unique<LimitExchange>(QuotaTolerance{window, 0.5, 5, 0},
+                                                   transportOf(i), Clock([this] { return now; }),
+                                                   [this] { return random_(); });
+        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
+        for (int other = 0; other < instances; ++other) {
+            if (other != i)
+                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
+        }
+        instance->setPeers(peers);
+    }
+
+    void place(int i, int rounds)
+    {
+        std::vector<UpstreamLife> usable;
+        std::vector<UpstreamLife> limited;
+        for (UpstreamLife life = 0; life < limits_.size(); ++life)
+            (at(i).mayUse(life) ? usable : limited).push_back(life);
+        at(i).askAhead(limited);
+        if (!usable.empty())
+            return send(i, usable[static_cast<std::size_t>(pick(static_cast<int>(usable.size())))]);
+        const auto open = std::find_if(limited.begin(), limited.end(),
+                                       [&](UpstreamLife life) { return !at(i).isExhausted(life); });
+        if (open == limited.end() || rounds == 0) {
+            ++refused;
+            return;
+        }
+        at(i).ask(*open, [this, i, rounds](const CreditAnswer &) { place(i, rounds - 1); });
+    }
+
+    void send(int i, UpstreamLife life)
+    {
+        const auto upstream = static_cast<std::size_t>(life);
+        at(i).use(life);
+        const auto excused = excusedUntil_.find(i);
+        if (excused == excusedUntil_.end() || now >= excused->second)
+            arrivals_[upstream].push_back(now);
+        runs_.push_back({i, upstream, now + Millis(20 + pick(60))});
+    }
+
+    void answer()
+    {
+        std::vector<Run> over;
+        const auto isOver = [&](const Run &run) {
+            if (run.until <= now)
+                over.push_back(run);
+            return run.until <= now;
+        };
+        runs_.erase(std::remove_if(runs_.begin(), runs_.end(), isOver), runs_.end());
+        for (const Run &run : over) {
+            ++served;
+            if (!isRunning(run.instance))
+                continue;
+            at(run.instance).heard(run.upstream, limits_[run.upstream]);
+        }
+    }
+
+    std::vector<std::optional<double>> limits_;
+    std::vector<std::unique_ptr<LimitExchange>> instances_;
+    std::vector<std::vector<Millis>> arrivals_;
+    std::map<int, Millis> excusedUntil_;
+    std::vector<Run> runs_;
+};
+
+} // namespace cuminrail::testing
--- a/modules/upstreamlimits/upstreamlimits.h
+++ b/modules/upstreamlimits/upstreamlimits.h
@@ -6,4 +6,6 @@
     Depends on core, ports, membership (bounds and encoding of frames), keepers, quotas.
 */
 
+#include "upstreamlimits/exchange/LimitExchange.h"
+#include "upstreamlimits/messages/LimitMessages.h"
 #include "upstreamlimits/table/LimitTable.h"
