--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -110,7 +110,7 @@
         std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
     context_.limits = std::make_unique<LimitExchange>(settings_.upstreamLimits, fabric_.transport(),
                                                       environment_.clock, environment_.random);
-    context_.limits->isLinked = feeds_.isLinked;
+    context_.limits->setLinkCheck(feeds_.isLinked);
     if (!settings_.links.isSet()) {
         context_.quotas->setAlone();
         context_.limits->setAlone();
@@ -118,7 +118,7 @@
     context_.quarantine = std::make_unique<QuarantineExchange>(
         QuarantineExchange::Environment{fabric_.transport(), environment_.store, environment_.clock,
                                         environment_.random, environment_.events});
-    context_.quarantine->isLinked = feeds_.isLinked;
+    context_.quarantine->setLinkCheck(feeds_.isLinked);
     if (settings_.links.isSet()) {
         context_.books = std::make_unique<BookExchange>(settings_.links.toString(),
                                                         fabric_.transport(), environment_.clock);
--- /dev/null
+++ b/modules/keepers/roster/PeerRoster.cpp
@@ -0,0 +1,26 @@
+#include "keepers/roster/PeerRoster.h"
+
+namespace cuminrail {
+
+void PeerRoster::setPeers(const std::vector<KeeperCandidate> &peers)
+{
+    all_.clear();
+    for (const KeeperCandidate &peer : peers) {
+        if (!peer.address.empty())
+            all_.push_back(peer.address);
+    }
+}
+
+std::optional<PeerAddress> PeerRoster::anyLinked(const RandomHook &random) const
+{
+    std::vector<const PeerAddress *> linked;
+    for (const PeerAddress &each : all_) {
+        if (!isLinked || isLinked(each))
+            linked.push_back(&each);
+    }
+    if (linked.empty())
+        return std::nullopt;
+    return *linked[random() % linked.size()];
+}
+
+} // namespace cuminrail
--- a/modules/keepers/testing/FrameNetwork.h
+++ b/modules/keepers/testing/FrameNetwork.h
@@ -2,6 +2,7 @@
 
 #include "core/random/Random.h"
 #include "core/time/Millis.h"
+#include "keepers/ranking/KeeperRanking.h"
 #include "ports/peers/PeerTransport.h"
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cuminrail::testing {
 
@@ -24,6 +26,16 @@
 
     static std::string nameOf(int i) { return "i-" + std::to_string(i); }
     static int numberOf(const PeerAddress &address) { return std::stoi(address.substr(2)); }
+    /** All instances as one of them knows them, itself first. */
+    static std::vector<KeeperCandidate> peersOf(int i, int count)
+    {
+        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
+        for (int other = 0; other < count; ++other) {
+            if (other != i)
+                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
+        }
+        return peers;
+    }
     int pick(int below) { return static_cast<int>(random_() % static_cast<std::uint64_t>(below)); }
     bool isRunning(int i) const { return dead.count(i) == 0 && frozen.count(i) == 0; }
 
--- a/modules/membership/messages/CborArray.h
+++ b/modules/membership/messages/CborArray.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace cuminrail {
 
@@ -69,4 +70,21 @@
     bool good_ = true;
 };
 
+/**
+    Decodes a frame that is one array.
+
+    @param take  takes the elements and returns the message, or nothing
+    @returns nothing unless the message took every element, and each was as expected
+*/
+template<typename Take>
+auto decodeFrame(const std::string &frame, Take take) -> decltype(take(std::declval<CborArray &>()))
+{
+    const auto value = decodeCbor(frame);
+    if (!value)
+        return std::nullopt;
+    CborArray elements(*value);
+    auto message = take(elements);
+    return message && elements.isWhole() ? message : std::nullopt;
+}
+
 } // namespace cuminrail
--- a/modules/quarantine/exchange/QuarantineExchange.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange.cpp
@@ -55,11 +55,7 @@
 
 void QuarantineExchange::setPeers(std::vector<KeeperCandidate> peers)
 {
-    others_.clear();
-    for (const KeeperCandidate &peer : peers) {
-        if (!peer.address.empty())
-            others_.push_back(peer.address);
-    }
+    others_.setPeers(peers);
     keepers_.setPeers(std::move(peers));
 }
 
@@ -119,7 +115,7 @@
         return;
     ++stats_.cleared;
     clear(fingerprint);
-    for (const PeerAddress &other : others_)
+    for (const PeerAddress &other : others_.all())
         send(other, SuspicionCleared{fingerprint});
 }
 
@@ -209,21 +205,16 @@
     }
     if (!guardEnabled(Guard::SuspicionAnnounced))
         return;
-    for (const PeerAddress &other : others_)
+    for (const PeerAddress &other : others_.all())
         send(other, notice);
 }
 
 void QuarantineExchange::tellOne()
 {
-    std::vector<const PeerAddress *> linked;
-    for (const PeerAddress &other : others_) {
-        if (!isLinked || isLinked(other))
-            linked.push_back(&other);
-    }
-    if (linked.empty() || !book_.hasRaised() || !guardEnabled(Guard::SuspicionToldAgain))
+    if (!book_.hasRaised() || !guardEnabled(Guard::SuspicionToldAgain))
         return;
-    const PeerAddress &one = *linked[environment_.random() % linked.size()];
-    send(one, SuspicionNotice{false, book_.nextRaised(toldAtOnce, environment_.clock.now())});
+    if (const auto one = others_.anyLinked(environment_.random))
+        send(*one, SuspicionNotice{false, book_.nextRaised(toldAtOnce, environment_.clock.now())});
 }
 
 void QuarantineExchange::readStore(Millis now)
--- a/modules/quarantine/exchange/QuarantineExchange.h
+++ b/modules/quarantine/exchange/QuarantineExchange.h
@@ -4,6 +4,7 @@
 #include "core/random/Random.h"
 #include "core/time/Clock.h"
 #include "keepers/ranking/KeeperRanking.h"
+#include "keepers/roster/PeerRoster.h"
 #include "ports/store/ObjectStore.h"
 #include "quarantine/book/SuspectBook.h"
 #include "quarantine/messages/QuarantineMessages.h"
@@ -70,7 +71,10 @@
     void setPeers(std::vector<KeeperCandidate> peers);
     /** Tells whether a link is ready; may be left out. Others are not told of suspicions by turns.
      */
-    std::function<bool(const PeerAddress &)> isLinked;
+    void setLinkCheck(std::function<bool(const PeerAddress &)> isLinked)
+    {
+        others_.isLinked = std::move(isLinked);
+    }
 
     SuspicionLevel level(const RequestFingerprint &fingerprint) const
     {
@@ -124,7 +128,7 @@
     Environment environment_;
     SuspectBook book_;
     KeeperRanking keepers_;
-    std::vector<PeerAddress> others_;
+    PeerRoster others_;
     std::set<std::string> toAnnounce_;
     std::map<std::string, Writing> toWrite_;
     Millis announceAt_;
--- a/modules/quarantine/messages/QuarantineMessages.cpp
+++ b/modules/quarantine/messages/QuarantineMessages.cpp
@@ -86,12 +86,7 @@
 
 std::optional<QuarantineMessage> decodeQuarantineMessage(const std::string &frame)
 {
-    const auto value = decodeCbor(frame);
-    if (!value)
-        return std::nullopt;
-    CborArray elements(*value);
-    auto message = take(elements);
-    return message && elements.isWhole() ? message : std::nullopt;
+    return decodeFrame(frame, take);
 }
 
 } // namespace cuminrail
--- a/modules/quarantine/testing/QuarantineCluster.h
+++ b/modules/quarantine/testing/QuarantineCluster.h
@@ -139,12 +139,7 @@
                                                     [this] { return random_(); }, ignoreEvents()};
         auto &instance = instances_[static_cast<std::size_t>(i)];
         instance = std::make_unique<QuarantineExchange>(std::move(environment));
-        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
-        for (int other = 0; other < instances; ++other) {
-            if (other != i)
-                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
-        }
-        instance->setPeers(std::move(peers));
+        instance->setPeers(peersOf(i, instances));
     }
 
     ObjectStore storePort()
--- a/modules/quotas/messages/QuotaMessages.cpp
+++ b/modules/quotas/messages/QuotaMessages.cpp
@@ -66,12 +66,7 @@
 
 std::optional<QuotaMessage> decodeQuotaMessage(const std::string &frame)
 {
-    const auto value = decodeCbor(frame);
-    if (!value)
-        return std::nullopt;
-    CborArray elements(*value);
-    auto message = take(elements);
-    return message && elements.isWhole() ? message : std::nullopt;
+    return decodeFrame(frame, take);
 }
 
 } // namespace cuminrail
--- a/modules/quotas/testing/QuotaCluster.h
+++ b/modules/quotas/testing/QuotaCluster.h
@@ -37,13 +37,8 @@
         dead.erase(i);
         instances_[static_cast<std::size_t>(i)] = std::make_unique<QuotaExchange>(
             tolerance_, transportOf(i), Clock([this] { return now; }));
-        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
-        for (int other = 0; other < count_; ++other) {
-            if (other != i)
-                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
-        }
         at(i).setQuotas(quotas_);
-        at(i).setPeers(std::move(peers));
+        at(i).setPeers(peersOf(i, count_));
     }
 
     void setQuotas(const QuotaTable &quotas)
--- a/modules/readingbooks/messages/BookMessages.cpp
+++ b/modules/readingbooks/messages/BookMessages.cpp
@@ -160,12 +160,7 @@
 
 std::optional<BookMessage> decodeBookMessage(const std::string &frame)
 {
-    const auto value = decodeCbor(frame);
-    if (!value)
-        return std::nullopt;
-    CborArray elements(*value);
-    auto message = take(elements);
-    return message && elements.isWhole() ? message : std::nullopt;
+    return decodeFrame(frame, take);
 }
 
 } // namespace cuminrail
--- a/modules/upstreamlimits/exchange/LimitExchange.cpp
+++ b/modules/upstreamlimits/exchange/LimitExchange.cpp
@@ -42,11 +42,7 @@
 
 void LimitExchange::setPeers(const std::vector<KeeperCandidate> &peers)
 {
-    others_.clear();
-    for (const KeeperCandidate &peer : peers) {
-        if (!peer.address.empty())
-            others_.push_back(peer.address);
-    }
+    others_.setPeers(peers);
     keepers_.setPeers(peers);
     quotas_.setPeers(peers);
 }
@@ -217,25 +213,21 @@
     if (notice.limits.empty() || !guardEnabled(Guard::LimitAnnounced))
         return;
     const std::string frame = encodeLimitMessage(notice);
-    for (const PeerAddress &other : others_)
+    for (const PeerAddress &other : others_.all())
         transport_.send(other, frame);
 }
 
 void LimitExchange::tellOne()
 {
-    std::vector<const PeerAddress *> linked;
-    for (const PeerAddress &other : others_) {
-        if (!isLinked || isLinked(other))
-            linked.push_back(&other);
-    }
     const std::vector<StatedLimit> all = table_.all();
-    if (linked.empty() || all.empty() || !guardEnabled(Guard::LimitToldAgain))
+    const auto one = others_.anyLinked(random_);
+    if (!one || all.empty() || !guardEnabled(Guard::LimitToldAgain))
         return;
     const std::size_t first = random_() % all.size();
     LimitNotice notice;
     for (std::size_t i = 0; i < std::min(all.size(), LimitMessageLimits::limits); ++i)
         notice.limits.push_back(told(all[(first + i) % all.size()]));
-    transport_.send(*linked[random_() % linked.size()], encodeLimitMessage(notice));
+    transport_.send(*one, encodeLimitMessage(notice));
 }
 
 void LimitExchange::giveBackUnused(Millis now)
--- a/modules/upstreamlimits/exchange/LimitExchange.h
+++ b/modules/upstreamlimits/exchange/LimitExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random/Random.h"
+#include "keepers/roster/PeerRoster.h"
 #include "quotas/quotas.h"
 #include "upstreamlimits/messages/LimitMessages.h"
 #include "upstreamlimits/table/LimitTable.h"
@@ -65,7 +66,10 @@
     LimitExchange &operator=(const LimitExchange &) = delete;
 
     /** Tells whether a link is ready; may be left out. Others are not told of limits by turns. */
-    std::function<bool(const PeerAddress &)> isLinked;
+    void setLinkCheck(std::function<bool(const PeerAddress &)> isLinked)
+    {
+        others_.isLinked = std::move(isLinked);
+    }
 
     /** There are no other instances to ask. */
     void setAlone() { quotas_.setAlone(); }
@@ -128,7 +132,7 @@
     RandomHook random_;
     LimitTable table_;
     KeeperRanking keepers_;
-    std::vector<PeerAddress> others_;
+    PeerRoster others_;
     QuotaExchange quotas_;
     std::unordered_map<UpstreamLife, Credit> credits_;
     std::set<UpstreamLife> toAnnounce_;
--- a/modules/upstreamlimits/messages/LimitMessages.cpp
+++ b/modules/upstreamlimits/messages/LimitMessages.cpp
@@ -87,12 +87,7 @@
 
 std::optional<LimitMessage> decodeLimitMessage(const std::string &frame)
 {
-    const auto value = decodeCbor(frame);
-    if (!value)
-        return std::nullopt;
-    CborArray elements(*value);
-    auto message = take(elements);
-    return message && elements.isWhole() ? message : std::nullopt;
+    return decodeFrame(frame, take);
 }
 
 } // namespace cuminrail
--- a/modules/upstreamlimits/testing/LimitCluster.h
+++ b/modules/upstreamlimits/testing/LimitCluster.h
@@ -125,12 +125,7 @@
         instance = std::make_unique<LimitExchange>(QuotaTolerance{window, 0.5, 5, 0},
                                                    transportOf(i), Clock([this] { return now; }),
                                                    [this] { return random_(); });
-        std::vector<KeeperCandidate> peers{{InstanceId(nameOf(i)), {}}};
-        for (int other = 0; other < instances; ++other) {
-            if (other != i)
-                peers.push_back({InstanceId(nameOf(other)), nameOf(other)});
-        }
-        instance->setPeers(peers);
+        instance->setPeers(peersOf(i, instances));
     }
 
     void place(int i, int rounds)
