--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -86,11 +86,10 @@
         checkEnded(upstream, waits);
     if (mayHaveRun && !route_->isRepeatable())
         return giveUpAsBefore();
-    if (waits)
-        return;
     if (isAnswering_)
         ++context_.counters.resumes;
-    dispatch();
+    if (!waits)
+        dispatch();
 }
 
 void RequestRelay::answered()
