Requests that find all upstreams at their limits are refused for that, with the time of room

What callers saw: 503 with cause no-upstream and a time by chance, where every upstream of the service had refused a credit a moment before. Cause: only an answered question set the cause; a request that needed to ask nobody, as all answers were known, kept the first one. Change: each refused credit that is known sets cause and time.

--- a/modules/gateway/request/RelayLimits.cpp
+++ b/modules/gateway/request/RelayLimits.cpp
@@ -2,7 +2,6 @@
 #include "gateway/request/RequestRelay.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace cuminrail {
 
@@ -47,11 +46,12 @@
     if (!limits.hasLimits() || creditsAsked_++ >= mostCreditsAsked)
         return false;
     std::vector<UpstreamPointer> open;
-    const auto &usable = context_.directory.usable(service_);
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(open),
-                 [&limits](const UpstreamPointer &upstream) {
-                     return !limits.isExhausted(upstream->entry.life());
-                 });
+    for (const UpstreamPointer &upstream : context_.directory.usable(service_)) {
+        if (const auto room = limits.roomAfter(upstream->entry.life()))
+            noteNoRoom(*room);
+        else
+            open.push_back(upstream);
+    }
     if (!chooseAmong(open))
         return false;
     // The engine that generates decides; without a credit for the reader it reads by itself.
@@ -64,13 +64,17 @@
     return true;
 }
 
+void RequestRelay::noteNoRoom(Millis roomAfter)
+{
+    lastCause_ = GiveUpCause::UpstreamLimit;
+    lastProblem_ = "the upstreams take no more requests at the moment";
+    limitComeBack_ = std::min(limitComeBack_, roomAfter);
+}
+
 void RequestRelay::creditAnswered(const CreditAnswer &answer)
 {
-    if (!answer.isGranted) {
-        lastCause_ = GiveUpCause::UpstreamLimit;
-        lastProblem_ = "the upstreams take no more requests at the moment";
-        limitComeBack_ = std::min(limitComeBack_, answer.comeBackAfter);
-    }
+    if (!answer.isGranted)
+        noteNoRoom(answer.comeBackAfter);
     if (choose())
         goOn();
     else if (!waitsForCredit())
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -91,6 +91,8 @@
     /** Returns true when a credit of a limited upstream was asked for; creditAnswered() goes on. */
     bool waitsForCredit();
     void creditAnswered(const CreditAnswer &answer);
+    /** A limited upstream has no room before then. */
+    void noteNoRoom(Millis roomAfter);
     /** What was chosen is sent to. */
     void useCredits();
     bool choosePrompt(const std::vector<UpstreamPointer> &upstreams);
--- a/modules/upstreamlimits/exchange/LimitExchange.cpp
+++ b/modules/upstreamlimits/exchange/LimitExchange.cpp
@@ -99,11 +99,15 @@
     return found != credits_.end() && found->second.isHeld && clock_.now() < found->second.until;
 }
 
-bool LimitExchange::isExhausted(UpstreamLife life) const
+std::optional<Millis> LimitExchange::roomAfter(UpstreamLife life) const
 {
     const auto found = credits_.find(life);
-    return table_.limit(life) && found != credits_.end() && !found->second.isHeld
-        && !found->second.isAsking && clock_.now() < found->second.until;
+    if (!table_.limit(life) || found == credits_.end())
+        return std::nullopt;
+    const Credit &credit = found->second;
+    const Millis now = clock_.now();
+    const bool isRefused = !credit.isHeld && !credit.isAsking && now < credit.until;
+    return isRefused ? std::optional<Millis>(credit.until - now) : std::nullopt;
 }
 
 void LimitExchange::askAhead(const std::vector<UpstreamLife> &lives)
@@ -123,8 +127,8 @@
 {
     if (mayUse(life))
         return done({true, Millis(0)});
-    if (isExhausted(life))
-        return done({false, credits_[life].until - clock_.now()});
+    if (const auto room = roomAfter(life))
+        return done({false, *room});
     Credit &credit = credits_[life];
     credit.waiting.push_back(std::move(done));
     if (credit.isAsking)
--- a/modules/upstreamlimits/exchange/LimitExchange.h
+++ b/modules/upstreamlimits/exchange/LimitExchange.h
@@ -84,8 +84,12 @@
     bool hasLimits() const { return table_.hasLimits(); }
     /** Whether a request may go there now: all may, or a credit is in hand. */
     bool mayUse(UpstreamLife life) const;
-    /** Whether a credit of a limited upstream was refused a moment ago. */
-    bool isExhausted(UpstreamLife life) const;
+    /**
+        Returns when a limited upstream whose credit was refused a moment ago may have room; nothing
+        for any other one.
+    */
+    std::optional<Millis> roomAfter(UpstreamLife life) const;
+    bool isExhausted(UpstreamLife life) const { return roomAfter(life).has_value(); }
     /** Asks for credits of a few of these, for later requests. */
     void askAhead(const std::vector<UpstreamLife> &lives);
     /** Asks for a credit. The completion is called once, perhaps before this returns. */
