Responses state that an upstream leaves, and how long it asks to be left alone

New terms of the users' platform: every response of a leaving upstream has a header that says so, and a refusal with 503 may name seconds in which the upstream wants nothing from that instance. Nothing acts on them yet.

--- a/modules/dataplane/model/RequestMessages.h
+++ b/modules/dataplane/model/RequestMessages.h
@@ -70,6 +70,12 @@
     bool isVouchedFor = false;
     /** Requests per second that the upstream accepts from all instances together, if stated. */
     std::optional<double> mostPerSecond;
+    /** The upstream states that it is leaving and may get no new work. */
+    bool isLeaving = false;
+    /** The upstream refused the request and asks this instance to send nothing for so long. */
+    std::optional<Millis> backoff;
+    /** The text that states the time to wait, for logs; also if it cannot be read. */
+    std::string backoffText;
 };
 
 /** The KV cache of a prompt that a prefill engine keeps to be fetched once. */
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -62,6 +62,8 @@
                  {"verdict", std::string(verdictNames.name(verdict))},
                  {"reason", end.lastReason.toString()},
                  {"elapsed_ms", text(context_.now() - arrivedAt_)}}};
+    if (!attempt_.traits.backoffText.empty())
+        event.fields.emplace_back("retry_after", attempt_.traits.backoffText);
     // Distinguishes a request that crashes one upstream after another from upstreams that fail by
     // themselves.
     if (end.kind == UpstreamEndKind::Broken)
