Requests no longer go to an upstream that stated that it leaves

Such an engine may end at any moment with the request.

Cause: the statement in the response was forwarded to the caller and read by nobody. Upstreams counted as leaving only by their entry in the store, and the store was away for 13 s.

Change: leaving is a fact of the incarnation in UpstreamDirectory, kept as long as it is listed, and it comes from the entry, from any response of the upstream (requests, prefills, handle releases, reports, orders) or from another instance.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -35,6 +35,7 @@
         &upstreamListed,
         &upstreamMisplaced,
         &upstreamLimited,
+        &upstreamLeaving,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -102,6 +102,10 @@
 inline constexpr EventKind upstreamLimited{
     305, EventLevel::Info, "upstream-limited",
     "An upstream named, changed or ended the requests a second that it takes from all instances."};
+inline constexpr EventKind upstreamLeaving{
+    306, EventLevel::Info, "upstream-leaving",
+    "An upstream stated in a response, here or at another instance, that it leaves; it gets no new "
+    "work."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
--- a/modules/dataplane/fleet/UpstreamDirectory.cpp
+++ b/modules/dataplane/fleet/UpstreamDirectory.cpp
@@ -29,7 +29,7 @@
 
 void UpstreamDirectory::update(const UpstreamEntry &entry, Millis now)
 {
-    const IncarnationKey incarnation{entry.id, entry.startedAt};
+    const UpstreamIncarnation incarnation = entry.incarnation();
     UpstreamPointer &record = records_[entry.id];
     // After a restart under the same id nothing that is known of the previous incarnation applies.
     const bool isNewIncarnation = record == nullptr || record->entry.startedAt != entry.startedAt
@@ -51,6 +51,19 @@
     isStale_ = true;
 }
 
+UpstreamPointer UpstreamDirectory::markLeaving(UpstreamIncarnation incarnation, Millis now)
+{
+    leavingIncarnations_[incarnation] = now;
+    for (const auto &[id, record] : records_) {
+        if (record->incarnation() != incarnation)
+            continue;
+        isStale_ = isStale_ || !record->isLeaving;
+        record->isLeaving = true;
+        return record;
+    }
+    return nullptr;
+}
+
 void UpstreamDirectory::remove(const std::string &id, Millis now)
 {
     if (records_.count(id) == 0)
@@ -92,10 +105,21 @@
     }
     for (const std::string &id : expired)
         erase(id);
-    for (auto it = leavingIncarnations_.begin(); it != leavingIncarnations_.end();)
-        it = now - it->second > leavingRetention ? leavingIncarnations_.erase(it) : std::next(it);
     if (!expired.empty())
         isStale_ = true;
+    expireLeaving(now);
+}
+
+void UpstreamDirectory::expireLeaving(Millis now)
+{
+    if (leavingIncarnations_.empty())
+        return;
+    for (const auto &[id, record] : records_) {
+        if (record->isLeaving)
+            leavingIncarnations_[record->incarnation()] = now;
+    }
+    for (auto it = leavingIncarnations_.begin(); it != leavingIncarnations_.end();)
+        it = now - it->second > leavingRetention ? leavingIncarnations_.erase(it) : std::next(it);
 }
 
 void UpstreamDirectory::markMisplaced(const std::string &id)
--- a/modules/dataplane/fleet/UpstreamDirectory.h
+++ b/modules/dataplane/fleet/UpstreamDirectory.h
@@ -3,8 +3,8 @@
 #include "core/hash/StableHash.h"
 #include "dataplane/model/UpstreamEntry.h"
 
-#include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -30,8 +30,17 @@
         return idHash_;
     }
 
+    /** Returns its incarnation; cached, as idHash() is. */
+    UpstreamIncarnation incarnation() const
+    {
+        if (!incarnation_)
+            incarnation_ = entry.incarnation();
+        return *incarnation_;
+    }
+
 private:
     mutable std::uint64_t idHash_ = 0;
+    mutable std::optional<UpstreamIncarnation> incarnation_;
 };
 
 using UpstreamPointer = std::shared_ptr<UpstreamRecord>;
@@ -39,11 +48,11 @@
 /**
     The upstreams of all services, as the platform's store lists them.
 
-    A leaving upstream gets no new work from the moment at which that is known, even if a later,
-    stale read shows the same incarnation as ready. An upstream whose entry expired during a store
-    outage is kept as a last resort for a short time: live upstreams renew their entries shortly
-    after the store is reachable again, and dropping all of them at once would leave a healthy fleet
-    unused.
+    A leaving upstream gets no new work from the moment at which that is known, from its entry or
+    its own responses, even if a later, stale read shows the same incarnation as ready. An upstream
+   whose entry expired during a store outage is kept as a last resort for a short time: live
+   upstreams renew their entries shortly after the store is reachable again, and dropping all of
+   them at once would leave a healthy fleet unused.
 */
 class UpstreamDirectory
 {
@@ -60,6 +69,11 @@
     void update(const UpstreamEntry &entry, Millis now);
     /** Removes an entry; shortly after a store outage it is kept as lapsed. */
     void remove(const std::string &id, Millis now);
+    /**
+        The incarnation leaves, whether it is listed yet or not. Returns its record if it is listed,
+        and null otherwise.
+    */
+    UpstreamPointer markLeaving(UpstreamIncarnation incarnation, Millis now);
     /** Call when the store responds again after it was unreachable. */
     void storeReturned(Millis now) { storeReturnedAt_ = now; }
     /** Drops lapsed entries after the grace period. */
@@ -80,12 +94,11 @@
     const std::unordered_map<std::string, UpstreamPointer> &all() const { return records_; }
 
 private:
-    /** Id and start time, which identify an incarnation of an upstream. */
-    using IncarnationKey = std::pair<std::string, std::int64_t>;
-
     bool isWithinGrace(Millis now) const;
     void markLapsed(const std::string &id, Millis now);
     void erase(const std::string &id);
+    /** Forgets leaving incarnations that have not been listed for long. */
+    void expireLeaving(Millis now);
     void rebuild() const;
 
     std::unordered_map<std::string, UpstreamPointer> records_;
@@ -94,7 +107,7 @@
     mutable bool isStale_ = false;
     /** Incarnations known to be leaving, and when; overrides stale reads that show them as ready.
      */
-    std::map<IncarnationKey, Millis> leavingIncarnations_;
+    std::unordered_map<UpstreamIncarnation, Millis> leavingIncarnations_;
     Millis storeReturnedAt_ = Millis(-1000000);
 };
 
--- a/modules/dataplane/fleet/UpstreamDirectory_test.cpp
+++ b/modules/dataplane/fleet/UpstreamDirectory_test.cpp
@@ -40,6 +40,39 @@
     CHECK(usable(directory) == 1);
 }
 
+// Guards against requests sent to an upstream that stated in a response that it leaves.
+TEST_CASE("an incarnation marked as leaving stays so, listed before or after")
+{
+    for (const bool isListedBefore : {true, false}) {
+        CAPTURE(isListedBefore);
+        UpstreamDirectory directory;
+        if (isListedBefore)
+            directory.update(entry("a"), Millis(0));
+        const UpstreamPointer record = directory.markLeaving(entry("a").incarnation(), Millis(5));
+        CHECK((record != nullptr) == isListedBefore);
+        directory.update(entry("a"), Millis(10));
+        CHECK(usable(directory) == 0);
+        CHECK(directory.find("a")->isLeaving);
+        directory.update(entry("b"), Millis(15));
+        CHECK(usable(directory) == 1);
+        directory.update(entry("a", 2), Millis(20));
+        CHECK(usable(directory) == 2);
+    }
+}
+
+// Guards against an upstream that is listed for long after it said that it leaves.
+TEST_CASE("a leaving incarnation is not forgotten while it is listed")
+{
+    UpstreamDirectory directory;
+    directory.update(entry("a"), Millis(0));
+    directory.markLeaving(entry("a").incarnation(), Millis(5));
+    for (Millis now(0); now < Millis::minutes(30); now += Millis::minutes(1)) {
+        directory.expire(now);
+        directory.update(entry("a"), now);
+        CHECK(usable(directory) == 0);
+    }
+}
+
 // Guards against a request sent to an upstream that has left: a request has selected a decode
 // engine and waits for its prefill at another engine; meanwhile the decode engine's entry is
 // removed.
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -93,6 +93,7 @@
                      context_.quotas->tick();
                      context_.quarantine->tick();
                      context_.limits->tick();
+                     context_.departures->tick();
                      queryTick_.setAfter(queryTickInterval);
                  }),
       feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
@@ -111,6 +112,13 @@
     context_.limits = std::make_unique<LimitExchange>(settings_.upstreamLimits, fabric_.transport(),
                                                       environment_.clock, environment_.random);
     context_.limits->setLinkCheck(feeds_.isLinked);
+    context_.departures = std::make_unique<DepartureExchange>(
+        fabric_.transport(), environment_.clock, environment_.random);
+    context_.departures->setLinkCheck(feeds_.isLinked);
+    context_.departures->onDeparture = [this](UpstreamIncarnation upstream,
+                                              DepartureSource source) {
+        onDeparture(upstream, source);
+    };
     if (!settings_.links.isSet()) {
         context_.quotas->setStandalone();
         context_.limits->setStandalone();
@@ -181,6 +189,16 @@
     context_.quotas->setQuotas(std::move(quotas));
 }
 
+void Gateway::onDeparture(UpstreamIncarnation incarnation, DepartureSource source)
+{
+    const UpstreamPointer upstream =
+        context_.directory.markLeaving(incarnation, environment_.clock.now());
+    environment_.events(
+        Event{&events::upstreamLeaving,
+              {{"upstream", upstream == nullptr ? "not listed" : upstream->entry.id},
+               {"source", std::string(departureSourceNames.name(source))}}});
+}
+
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
 {
     std::make_shared<RequestRelay>(context_, exchange)->start();
@@ -217,6 +235,7 @@
     gauges.quarantine = context_.quarantine->stats();
     gauges.suspects = context_.quarantine->table().suspectCount();
     gauges.limits = context_.limits->stats();
+    gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
     gauges.counters = context_.counters;
     return gauges;
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -82,6 +82,7 @@
 
 private:
     static RegisteredInstance registrationOf(const InstanceSettings &settings);
+    void onDeparture(UpstreamIncarnation incarnation, DepartureSource source);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse problemAnswer(int status, const Reason &reason) const;
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -35,6 +35,7 @@
         context_.limits->setPeers(peers);
     }
     context_.quarantine->setPeers(peers);
+    context_.departures->setPeers(peers);
     context_.prefillExchange->setPeers(std::move(peers));
     fabric_.maintainLinks(context_.prefillExchange->ownerAddresses());
     updateGroup();
@@ -85,7 +86,7 @@
     const bool isHandled = feeds_.handleFrame(from, frame) || usage_.handleFrame(from, frame)
         || context_.quotas->handleFrame(from, frame)
         || context_.quarantine->handleFrame(from, frame)
-        || context_.limits->handleFrame(from, frame);
+        || context_.limits->handleFrame(from, frame) || context_.departures->handleFrame(frame);
     if (!isHandled)
         context_.prefillExchange->handleFrame(from, frame);
 }
--- a/modules/gateway/GatewayProtocol.h
+++ b/modules/gateway/GatewayProtocol.h
@@ -58,7 +58,17 @@
     std::uint64_t ordersAccepted = 0;
 };
 
+/** An engine's reply to a query of its state. */
+struct EngineReply
+{
+    /** Nothing if the engine gave no report. */
+    std::optional<EngineReportSummary> report;
+    ResponseTraits traits;
+};
+
 using DutyCompletion = std::function<void(DutyResult, const Reason &)>;
+using EngineOrderCompletion =
+    std::function<void(DutyResult, const Reason &, const ResponseTraits &)>;
 
 /** Hooks that encode, decode and send the messages of the outside protocols. */
 struct GatewayProtocol
@@ -90,12 +100,11 @@
                        DutyCompletion)>
         reportUsage;
     std::function<void(const ScaleTarget &, const DutyAuthority &, DutyCompletion)> orderUpstreams;
-    std::function<void(const UpstreamEntry &,
-                       std::function<void(const std::optional<EngineReportSummary> &)>)>
+    std::function<void(const UpstreamEntry &, std::function<void(const EngineReply &)>)>
         fetchEngineReport;
     /** Takes effect only if the engine has accepted exactly @c ordersAccepted orders so far. */
     std::function<void(const UpstreamEntry &, EngineStage to, std::uint64_t ordersAccepted,
-                       const DutyAuthority &, DutyCompletion)>
+                       const DutyAuthority &, EngineOrderCompletion)>
         orderStage;
 };
 
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -163,6 +163,9 @@
     setGauge("cuminrail_upstreams_age_seconds", "Since the store confirmed the list of upstreams",
              gauges.upstreamsAgeSeconds);
     setGauge("cuminrail_upstreams", "Upstreams in the list", static_cast<double>(gauges.upstreams));
+    setGauge("cuminrail_upstreams_leaving",
+             "Upstreams known to leave from a response in the last minutes",
+             static_cast<double>(gauges.leavingUpstreams));
     setGauge("cuminrail_caller_connections", "Open connections of callers",
              static_cast<double>(gauges.callerConnections));
     setGauge("cuminrail_upstream_connections", "Open connections to upstreams",
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -96,6 +96,7 @@
     std::size_t suspects = 0;
     LimitStats limits;
     std::size_t limitedUpstreams = 0;
+    std::size_t leavingUpstreams = 0;
     RelayCounters counters;
 };
 
--- a/modules/gateway/control/FleetDuties_test.cpp
+++ b/modules/gateway/control/FleetDuties_test.cpp
@@ -19,13 +19,23 @@
             scaleOrders.push_back(target);
             done(scaleResult, {});
         };
-        wire.fetchEngineReport = [this](const UpstreamEntry &, const auto &done) { done(report); };
+        wire.fetchEngineReport = [this](const UpstreamEntry &, const auto &done) {
+            done({report, reportTraits});
+        };
         wire.orderStage = [this](const UpstreamEntry &engine, EngineStage to,
                                  std::uint64_t accepted, const DutyAuthority &,
-                                 const DutyCompletion &done) {
+                                 const EngineOrderCompletion &done) {
             stageOrders.push_back({engine.id, to});
             CHECK(accepted == report->ordersAccepted);
-            done(stageResult, {});
+            done(stageResult, {}, orderTraits);
+        };
+        const Clock clock([this] { return now; });
+        context.limits = std::make_unique<LimitExchange>(QuotaTolerance(), PeerTransport(), clock,
+                                                         seededRandom(1));
+        context.departures =
+            std::make_unique<DepartureExchange>(PeerTransport(), clock, seededRandom(1));
+        context.departures->onDeparture = [this](UpstreamIncarnation upstream, DepartureSource) {
+            context.directory.markLeaving(upstream, now);
         };
         context.events = ignoreEvents();
         Configuration configuration;
@@ -71,6 +81,8 @@
     DutyResult scaleResult = DutyResult::Accepted;
     DutyResult stageResult = DutyResult::Accepted;
     std::optional<EngineReportSummary> report = EngineReportSummary{EngineStage::Decode, false, 4};
+    ResponseTraits reportTraits;
+    ResponseTraits orderTraits;
     std::vector<ScaleTarget> scaleOrders;
     std::vector<std::pair<std::string, EngineStage>> stageOrders;
 };
@@ -178,3 +190,24 @@
         CHECK(fixture.stageOrders.empty());
     }
 }
+
+// What an engine states must count also where the response is to the instance itself.
+TEST_CASE("an engine that states it leaves in a response to a report or an order gets no requests")
+{
+    for (const bool isInReport : {true, false}) {
+        CAPTURE(isInReport);
+        DutyFixture fixture;
+        (isInReport ? fixture.reportTraits : fixture.orderTraits).isLeaving = true;
+        StageDuty duty(fixture.context, fixture.authority());
+        for (const char *id : {"d-1", "d-2", "d-3", "d-4"})
+            fixture.addEngine(id, EngineStage::Decode);
+        for (const Millis end = fixture.now + Millis(4000); fixture.now < end;
+             fixture.now += Millis(100))
+            duty.tick();
+        std::size_t leaving = 0;
+        for (const auto &[id, record] : fixture.context.directory.all())
+            leaving += record->isLeaving ? 1 : 0;
+        CHECK(leaving > 0);
+        CHECK(fixture.stageOrders.empty() == isInReport);
+    }
+}
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/control/StageDuty.h"
 
 #include "core/events/EventCatalogue.h"
+#include "gateway/request/UpstreamStatements.h"
 
 namespace cuminrail {
 
@@ -74,13 +75,15 @@
               {{"engine", change.id}, {"to", std::string(engineStageNames.name(change.to))}}});
     context_.wire.fetchEngineReport(
         engine->entry,
-        [this, engine, to = change.to](const auto &report) { onEngineReport(engine, to, report); });
+        [this, engine, to = change.to](const auto &reply) { onEngineReply(engine, to, reply); });
 }
 
-void StageDuty::onEngineReport(const UpstreamPointer &engine, EngineStage to,
-                               const std::optional<EngineReportSummary> &report)
+void StageDuty::onEngineReply(const UpstreamPointer &engine, EngineStage to,
+                              const EngineReply &reply)
 {
+    recordStatements(context_, *engine, reply.traits);
     const std::string &id = engine->entry.id;
+    const auto &report = reply.report;
     const auto authority = authority_();
     if (!report || !authority || report->isBusy || report->stage == to || engine->isLeaving)
         return orderEnded(
@@ -89,7 +92,10 @@
              "is unreachable, busy, leaving or in this stage already, or the lease ended"});
     context_.wire.orderStage(
         engine->entry, to, report->ordersAccepted, *authority,
-        [this, id](DutyResult result, const Reason &reason) { orderEnded(id, result, reason); });
+        [this, engine](DutyResult result, const Reason &reason, const ResponseTraits &traits) {
+            recordStatements(context_, *engine, traits);
+            orderEnded(engine->entry.id, result, reason);
+        });
 }
 
 void StageDuty::orderEnded(const std::string &id, DutyResult result, const Reason &reason)
--- a/modules/gateway/control/StageDuty.h
+++ b/modules/gateway/control/StageDuty.h
@@ -36,8 +36,7 @@
 
     void decideService(const Service &service, Millis now);
     void order(const UpstreamPointer &engine, const StageChange &change, const Service &service);
-    void onEngineReport(const UpstreamPointer &engine, EngineStage to,
-                        const std::optional<EngineReportSummary> &report);
+    void onEngineReply(const UpstreamPointer &engine, EngineStage to, const EngineReply &reply);
     void orderEnded(const std::string &id, DutyResult result, const Reason &reason);
 
     RelayContext &context_;
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -1,5 +1,6 @@
 #include "core/events/EventCatalogue.h"
 #include "gateway/request/RequestRelay.h"
+#include "gateway/request/UpstreamStatements.h"
 
 #include <algorithm>
 
@@ -26,8 +27,8 @@
     attempt_.traits = context_.wire.decodeResponse(head);
     attempt_.isInvalid =
         head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
-    if (!attempt_.isInvalid && !attempt_.traits.isOtherUpstream)
-        noteLimit(upstream->entry);
+    if (!attempt_.isInvalid)
+        recordStatements(context_, *upstream, attempt_.traits);
     if (attempt_.isPrefill)
         return;
     const bool isSuccess = head.status >= 200 && head.status < 300;
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -6,6 +6,7 @@
 #include "dataplane/placement/LeastLoaded.h"
 #include "dataplane/waiting/CallerTimeout.h"
 #include "dataplane/waiting/DeferredPrompts.h"
+#include "departures/departures.h"
 #include "gateway/GatewayProtocol.h"
 #include "gateway/admin/GatewayMetrics.h"
 #include "gateway/request/RelayCounters.h"
@@ -54,6 +55,8 @@
     std::unique_ptr<QuarantineExchange> quarantine;
     /** Never null while requests are accepted. */
     std::unique_ptr<LimitExchange> limits;
+    /** Never null while requests are accepted. */
+    std::unique_ptr<DepartureExchange> departures;
     LeastLoaded services;
     RetryAllowance retries;
     RelayCounters counters;
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -1,4 +1,5 @@
 #include "gateway/request/RequestRelay.h"
+#include "gateway/request/UpstreamStatements.h"
 
 #include <algorithm>
 
@@ -135,7 +136,11 @@
     request.timeouts.connect = connectTimeout;
     request.timeouts.firstByte = Millis::seconds(1);
     request.timeouts.stall = Millis::seconds(1);
-    context_.pool.start(std::move(request), {});
+    UpstreamHooks hooks;
+    hooks.onHead = [&context = context_, upstream = attempt_.choice->prefill](HttpHead &head) {
+        recordStatements(context, *upstream, context.wire.decodeResponse(head));
+    };
+    context_.pool.start(std::move(request), std::move(hooks));
     cacheHandle_.clear();
 }
 
--- a/modules/gateway/request/RelayLimits.cpp
+++ b/modules/gateway/request/RelayLimits.cpp
@@ -1,4 +1,3 @@
-#include "core/events/EventCatalogue.h"
 #include "gateway/request/RequestRelay.h"
 
 #include <algorithm>
@@ -12,16 +11,6 @@
 
 } // namespace
 
-void RequestRelay::noteLimit(const UpstreamEntry &upstream)
-{
-    const std::optional<double> &limit = attempt_.traits.mostPerSecond;
-    if (context_.limits->updateLimit(upstream.incarnation(), limit) != LimitChange::Marked)
-        return;
-    context_.events(Event{
-        &events::upstreamLimited,
-        {{"upstream", upstream.id}, {"per_second", limit ? std::to_string(*limit) : "none"}}});
-}
-
 const std::vector<UpstreamPointer> &RequestRelay::candidates()
 {
     const auto &usable = context_.directory.usable(service_);
@@ -31,10 +20,10 @@
     candidates_.clear();
     std::vector<UpstreamIncarnation> limited;
     for (const UpstreamPointer &upstream : usable) {
-        if (limits.mayUse(upstream->entry.incarnation()))
+        if (limits.mayUse(upstream->incarnation()))
             candidates_.push_back(upstream);
         else
-            limited.push_back(upstream->entry.incarnation());
+            limited.push_back(upstream->incarnation());
     }
     limits.prefetchCredits(limited);
     return candidates_;
@@ -47,7 +36,7 @@
         return false;
     std::vector<UpstreamPointer> available;
     for (const UpstreamPointer &upstream : context_.directory.usable(service_)) {
-        if (const auto wait = limits.retryDelay(upstream->entry.incarnation()))
+        if (const auto wait = limits.retryDelay(upstream->incarnation()))
             noteLimitReached(*wait);
         else
             available.push_back(upstream);
@@ -56,7 +45,7 @@
         return false;
     // Only the decode engine's credit is required; without one for the prefill engine, the decode
     // engine does the prefill itself.
-    const UpstreamIncarnation incarnation = attempt_.upstream->entry.incarnation();
+    const UpstreamIncarnation incarnation = attempt_.upstream->incarnation();
     attempt_ = Attempt();
     limits.acquire(incarnation, [self = shared_from_this()](const CreditResult &result) {
         if (!self->hasEnded_)
@@ -86,7 +75,7 @@
 {
     if (attempt_.choice && attempt_.choice->prefill)
         context_.limits->use(attempt_.choice->prefill->entry.incarnation());
-    context_.limits->use(attempt_.upstream->entry.incarnation());
+    context_.limits->use(attempt_.upstream->incarnation());
 }
 
 } // namespace cuminrail
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -149,7 +149,6 @@
     void attemptFailed(const UpstreamEnd &end);
     void responseCompleted();
 
-    void noteLimit(const UpstreamEntry &upstream);
     void noteEvent();
     void recordOutcome(AttemptSign outcome);
     void notePrefillDone();
--- a/modules/platform/client/PlatformCall.h
+++ b/modules/platform/client/PlatformCall.h
@@ -74,6 +74,7 @@
     /** 0 when there is no whole answer. */
     int status = 0;
     std::string body;
+    std::vector<HttpHeader> headers;
     /** Whether the call may have taken effect; says Ran for every whole answer. */
     Verdict verdict = Verdict::NotRun;
     Reason lastReason;
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -58,7 +58,7 @@
 
     void giveUp(Reason reason)
     {
-        answer = PlatformAnswer{0, {}, call.verdictSoFar(), std::move(reason)};
+        answer = PlatformAnswer{0, {}, {}, call.verdictSoFar(), std::move(reason)};
         call.cancel();
         finish();
     }
@@ -176,7 +176,10 @@
 UpstreamHooks PlatformClient::makeHooks(const std::shared_ptr<Pending> &pending)
 {
     UpstreamHooks hooks;
-    hooks.onHead = [pending](const HttpHead &head) { pending->answer.status = head.status; };
+    hooks.onHead = [pending](const HttpHead &head) {
+        pending->answer.status = head.status;
+        pending->answer.headers = head.headers;
+    };
     hooks.onBody = [this, pending](std::string_view data) {
         if (pending->isOver)
             return;
@@ -186,7 +189,7 @@
     };
     hooks.onEnd = [pending](const UpstreamEnd &end) {
         if (end.kind != UpstreamEndKind::Complete)
-            pending->answer = PlatformAnswer{0, {}, end.verdict, end.lastReason};
+            pending->answer = PlatformAnswer{0, {}, {}, end.verdict, end.lastReason};
         pending->answer.verdict = end.verdict;
         pending->finish();
     };
@@ -196,7 +199,7 @@
 void PlatformClient::refuse(Reason reason, PlatformCompletion done)
 {
     boost::asio::post(io_, [reason = std::move(reason), done = std::move(done)] {
-        done(PlatformAnswer{0, {}, Verdict::NotRun, reason});
+        done(PlatformAnswer{0, {}, {}, Verdict::NotRun, reason});
     });
 }
 
