Nothing is sent to an upstream during the pause that it asked for

What callers saw: in a burst up to 17 requests a second were refused with cause repeat-limit.

Cause: the time in a refusal was read by nobody, and a refusal was remembered for its request alone. A refusing engine has nothing open, so that it was the first choice of the next request.

Change: UpstreamBackoff keeps the pause of an incarnation, never shortened by a later, shorter one. Upstreams that pause are no candidates, for callers' requests, repeats, prefills, orders and handle releases; a prompt that was read meanwhile is fetched by another engine. At the end one request tries the upstream and the others follow its response. When all pause, callers are refused at once (cause upstream-pause) with the time to the first end.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -36,6 +36,7 @@
         &upstreamMisplaced,
         &upstreamLimited,
         &upstreamLeaving,
+        &upstreamPauses,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -106,6 +106,10 @@
     306, EventLevel::Info, "upstream-leaving",
     "An upstream stated in a response, here or at another instance, that it leaves; it gets no new "
     "work."};
+inline constexpr EventKind upstreamPauses{
+    307, EventLevel::Info, "upstream-pauses",
+    "An upstream refused a request and asked this instance for a pause; it gets no requests until "
+    "then, and one afterwards to try it."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -12,6 +12,7 @@
 */
 
 #include "dataplane/fleet/FleetPlan.h"
+#include "dataplane/fleet/UpstreamBackoff.h"
 #include "dataplane/fleet/UpstreamDirectory.h"
 #include "dataplane/fleet/UpstreamHealth.h"
 #include "dataplane/model/Configuration.h"
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -235,6 +235,7 @@
     gauges.quarantine = context_.quarantine->stats();
     gauges.suspects = context_.quarantine->table().suspectCount();
     gauges.limits = context_.limits->stats();
+    gauges.pausingUpstreams = context_.backoffs.size();
     gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
     gauges.counters = context_.counters;
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -166,6 +166,9 @@
     setGauge("cuminrail_upstreams_leaving",
              "Upstreams known to leave from a response in the last minutes",
              static_cast<double>(gauges.leavingUpstreams));
+    setGauge("cuminrail_upstreams_pausing",
+             "Upstreams that asked this instance for a pause and have not taken a request since",
+             static_cast<double>(gauges.pausingUpstreams));
     setGauge("cuminrail_caller_connections", "Open connections of callers",
              static_cast<double>(gauges.callerConnections));
     setGauge("cuminrail_upstream_connections", "Open connections to upstreams",
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -58,9 +58,11 @@
     Quarantined,
     /** Upstreams that state a limit accept no more requests at the moment. */
     UpstreamLimit,
+    /** Upstreams asked for a pause. */
+    UpstreamPause,
 };
 
-inline constexpr NameTable<GiveUpCause, 15> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 16> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -76,6 +78,7 @@
     {GiveUpCause::QuotaUnknown, "quota-unknown"},
     {GiveUpCause::Quarantined, "quarantined"},
     {GiveUpCause::UpstreamLimit, "upstream-limit"},
+    {GiveUpCause::UpstreamPause, "upstream-pause"},
 }}};
 
 /** Current values, computed when the metrics or the state are requested. */
@@ -97,6 +100,7 @@
     LimitStats limits;
     std::size_t limitedUpstreams = 0;
     std::size_t leavingUpstreams = 0;
+    std::size_t pausingUpstreams = 0;
     RelayCounters counters;
 };
 
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -22,8 +22,10 @@
                {"bad_share", context.health.badShare(entry.id)},
                {"set_aside", context.health.isEjected(entry.id, context.now())},
                {"own_open", context.services.open(entry.id)}};
-    if (const auto limit = context.limits->table().limit(entry.incarnation()))
+    if (const auto limit = context.limits->table().limit(record.incarnation()))
         state["stated_limit_per_second"] = *limit;
+    if (const auto pause = context.backoffs.remaining(record.incarnation(), context.now()))
+        state["pauses_ms"] = pause->count();
     if (const EngineTracker *memory = context.engines.memory(entry.id)) {
         state["own_running"] = memory->running();
         state["own_unread_tokens"] = memory->openTokens();
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -52,10 +52,13 @@
         if (pending != pending_.end() && pending->second.to == engine->entry.stage
             && now - pending->second.startedAt > service.engine->roleSwitch)
             pending_.erase(pending);
+        // An engine that asked for a pause wants no orders either.
+        const bool isChanging = pending_.count(engine->entry.id) > 0
+            || context_.backoffs.remaining(engine->incarnation(), now);
         // Engines that do both prefill and decode are not changed.
         if (engine->entry.stage != EngineStage::Whole)
-            engines.push_back({engine->entry.id, engine->entry.failureDomain, engine->entry.stage,
-                               pending_.count(engine->entry.id) > 0});
+            engines.push_back(
+                {engine->entry.id, engine->entry.failureDomain, engine->entry.stage, isChanging});
     }
     const StagePlan fresh(context_.settings.decisions.stages);
     StagePlan &plan = plans_.try_emplace(service.name, fresh).first->second;
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -65,6 +65,7 @@
     hooks.onUpToDate = [this] {
         context_.upstreamsConfirmedAt = context_.now();
         context_.directory.expire(context_.now());
+        context_.backoffs.expire(context_.now());
     };
     hooks.onStoreRecovered = [this, logged = hooks.onStoreRecovered] {
         logged();
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -20,8 +20,7 @@
 void RequestRelay::onHead(HttpHead &head)
 {
     silenceTimer_.clear();
-    const UpstreamPointer &upstream =
-        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    const UpstreamPointer &upstream = target();
     context_.health.progressed(upstream->entry.id, context_.now());
     attempt_.status = head.status;
     attempt_.traits = context_.wire.decodeResponse(head);
@@ -125,6 +124,8 @@
     if (!attempt_.isCounted)
         return;
     attempt_.isCounted = false;
+    if (attempt_.status == 0)
+        context_.backoffs.aborted(target()->incarnation(), context_.now());
     if (context_.prefillExchange)
         context_.prefillExchange->cancelPrefill(trackedPrefill_);
     if (attempt_.choice)
@@ -140,11 +141,14 @@
     const bool isOverload = lastCause_ == GiveUpCause::Overload;
     const Millis queueAge =
         isOverload ? context_.deferredPrompts.oldestAge(route_->name, context_.now()) : Millis(0);
-    const Millis limitWait =
-        lastCause_ == GiveUpCause::UpstreamLimit ? limitRetryAfter_ : Millis(0);
-    const Millis base = std::max({minRetryAfter, queueAge / 2, limitWait});
-    // Callers that were refused together must not retry together.
-    const auto jitter = static_cast<std::uint64_t>(std::max(minRetryJitter, base).count());
+    const bool isPause = lastCause_ == GiveUpCause::UpstreamPause;
+    const Millis upstreamWait =
+        isPause || lastCause_ == GiveUpCause::UpstreamLimit ? upstreamRetryAfter_ : Millis(0);
+    const Millis base = std::max({minRetryAfter, queueAge / 2, upstreamWait});
+    // Callers that were refused together must not retry together. The end of a pause is known, so
+    // a short spread after it suffices.
+    const Millis spread = isPause ? minRetryJitter : std::max(minRetryJitter, base);
+    const auto jitter = static_cast<std::uint64_t>(spread.count());
     return base + Millis(static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id) % jitter));
 }
 
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -44,6 +44,7 @@
     Millis upstreamsConfirmedAt;
     UpstreamDirectory directory;
     UpstreamHealth health;
+    UpstreamBackoff backoffs;
     EnginePlacement engines;
     PromptDeferral deferral;
     DeferredPrompts deferredPrompts;
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -82,9 +82,9 @@
     notePrefillDone();
     if (context_.prefillExchange)
         context_.prefillExchange->completePrefill(trackedPrefill_);
-    // The decode engine may have begun to leave meanwhile. That is neither a failure nor a send:
-    // another engine fetches the KV cache instead.
-    if (!attempt_.choice->engine->isLeaving) {
+    // The decode engine may have begun to leave or to pause meanwhile. That is neither a failure
+    // nor a send: another engine fetches the KV cache instead.
+    if (!attempt_.choice->engine->isLeaving && !pauseOf(*attempt_.choice->engine)) {
         attempt_.body.clear();
         return runWithCache();
     }
@@ -93,7 +93,7 @@
     releaseCacheHandle();
     closeAttempt();
     lastCause_ = GiveUpCause::NoUpstream;
-    lastProblem_ = "the engine that was to generate is leaving";
+    lastProblem_ = "the engine that was to generate leaves or pauses";
     dispatch();
 }
 
@@ -107,7 +107,7 @@
 {
     context_.engines.moved(*attempt_.choice, otherDecodeEngine_, context_.now());
     attempt_.upstream = otherDecodeEngine_;
-    context_.limits->use(otherDecodeEngine_->entry.incarnation());
+    context_.limits->use(otherDecodeEngine_->incarnation());
     otherDecodeEngine_.reset();
     attempt_.body.clear();
     runWithCache();
@@ -128,6 +128,9 @@
 {
     if (cacheHandle_.empty() || !attempt_.choice || !attempt_.choice->prefill)
         return;
+    // A release would be one more request; the engine frees the cache by itself after a while.
+    if (pauseOf(*attempt_.choice->prefill))
+        return cacheHandle_.clear();
     const UpstreamEntry &prefill = attempt_.choice->prefill->entry;
     UpstreamRequest request;
     request.address = prefill.address;
--- a/modules/gateway/request/RelayLimits.cpp
+++ b/modules/gateway/request/RelayLimits.cpp
@@ -11,15 +11,24 @@
 
 } // namespace
 
+std::optional<Millis> RequestRelay::pauseOf(const UpstreamRecord &upstream) const
+{
+    if (!context_.backoffs.isActive())
+        return std::nullopt;
+    return context_.backoffs.remaining(upstream.incarnation(), context_.now());
+}
+
 const std::vector<UpstreamPointer> &RequestRelay::candidates()
 {
     const auto &usable = context_.directory.usable(service_);
     LimitExchange &limits = *context_.limits;
-    if (!limits.hasLimits())
+    if (!limits.hasLimits() && !context_.backoffs.isActive())
         return usable;
     candidates_.clear();
     std::vector<UpstreamIncarnation> limited;
     for (const UpstreamPointer &upstream : usable) {
+        if (pauseOf(*upstream))
+            continue;
         if (limits.mayUse(upstream->incarnation()))
             candidates_.push_back(upstream);
         else
@@ -32,16 +41,19 @@
 bool RequestRelay::requestCredit()
 {
     LimitExchange &limits = *context_.limits;
-    if (!limits.hasLimits() || creditRequests_++ >= maxCreditRequests)
-        return false;
     std::vector<UpstreamPointer> available;
+    Millis firstPauseEnd = Millis::never();
     for (const UpstreamPointer &upstream : context_.directory.usable(service_)) {
-        if (const auto wait = limits.retryDelay(upstream->incarnation()))
-            noteLimitReached(*wait);
+        if (const auto pause = pauseOf(*upstream))
+            firstPauseEnd = std::min(firstPauseEnd, *pause);
+        else if (const auto wait = limits.retryDelay(upstream->incarnation()))
+            noteUnavailable(GiveUpCause::UpstreamLimit, *wait);
         else
             available.push_back(upstream);
     }
-    if (!chooseAmong(available))
+    if (available.empty() && firstPauseEnd < Millis::never())
+        noteUnavailable(GiveUpCause::UpstreamPause, firstPauseEnd);
+    if (!limits.hasLimits() || creditRequests_++ >= maxCreditRequests || !chooseAmong(available))
         return false;
     // Only the decode engine's credit is required; without one for the prefill engine, the decode
     // engine does the prefill itself.
@@ -54,17 +66,17 @@
     return true;
 }
 
-void RequestRelay::noteLimitReached(Millis retryDelay)
+void RequestRelay::noteUnavailable(GiveUpCause cause, Millis retryDelay)
 {
-    lastCause_ = GiveUpCause::UpstreamLimit;
+    lastCause_ = cause;
     lastProblem_ = "the upstreams take no more requests at the moment";
-    limitRetryAfter_ = std::min(limitRetryAfter_, retryDelay);
+    upstreamRetryAfter_ = std::min(upstreamRetryAfter_, retryDelay);
 }
 
 void RequestRelay::onCreditResult(const CreditResult &result)
 {
     if (!result.isGranted)
-        noteLimitReached(result.retryAfter);
+        noteUnavailable(GiveUpCause::UpstreamLimit, result.retryAfter);
     if (choose())
         deferOrSend();
     else if (!requestCredit())
@@ -74,7 +86,7 @@
 void RequestRelay::consumeCredits()
 {
     if (attempt_.choice && attempt_.choice->prefill)
-        context_.limits->use(attempt_.choice->prefill->entry.incarnation());
+        context_.limits->use(attempt_.choice->prefill->incarnation());
     context_.limits->use(attempt_.upstream->incarnation());
 }
 
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -49,8 +49,7 @@
 
 void RequestRelay::logAttempt(const UpstreamEnd &end) const
 {
-    const UpstreamPointer &upstream =
-        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    const UpstreamPointer &upstream = target();
     const Verdict verdict =
         attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun : end.verdict;
     Event event{&events::attemptEnded,
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -44,8 +44,7 @@
     request.timeouts.connect = connectTimeout;
     UpstreamHooks hooks;
     hooks.onEnd = [self = shared_from_this(), content = fingerprint(),
-                   incarnation = upstream->entry.incarnation(),
-                   dispatchesAfter](const UpstreamEnd &end) {
+                   incarnation = upstream->incarnation(), dispatchesAfter](const UpstreamEnd &end) {
         // A refused connection means that the process ended; otherwise only the link broke.
         if (end.kind == UpstreamEndKind::ConnectFailed)
             self->context_.quarantine->upstreamEnded(content, incarnation);
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -103,6 +103,7 @@
         attempt_.sentAt = context_.now();
     }
     context_.health.started(upstream->entry.id, context_.now());
+    context_.backoffs.started(upstream->incarnation(), context_.now());
     if (!wasSent_) {
         wasSent_ = true;
         context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -195,8 +195,7 @@
 {
     if (hasEnded_ || !call_.isActive())
         return;
-    const UpstreamPointer &upstream =
-        attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    const UpstreamPointer &upstream = target();
     // An upstream that responds to other requests is busy, not dead. Sent elsewhere, this request
     // would lose its place in the queue and the work already done, just when capacity is scarce.
     const Millis window = attempt_.isPrefill ? prefillProgressWindow : progressWindow;
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -69,6 +69,11 @@
         Millis longestPause;
     };
 
+    /** Returns the upstream to which the current attempt is sent. */
+    const UpstreamPointer &target() const
+    {
+        return attempt_.isPrefill ? attempt_.choice->prefill : attempt_.upstream;
+    }
     /** Decodes the request, finds its route and its caller; returns false after refusing it. */
     bool validateRequest();
     bool authenticateCaller();
@@ -94,13 +99,18 @@
     void deferOrSend();
     bool choose() { return chooseAmong(candidates()); }
     bool chooseAmong(const std::vector<UpstreamPointer> &upstreams);
-    /** Returns the upstreams that can be used now: those without a limit, or with a credit here. */
+    /**
+        Returns the upstreams that can be used now: those that do not pause, and have no limit or a
+        credit here.
+    */
     const std::vector<UpstreamPointer> &candidates();
+    /** Returns for how long an upstream pauses; nothing if it takes requests. */
+    std::optional<Millis> pauseOf(const UpstreamRecord &upstream) const;
     /** Returns true if a credit of a limited upstream was requested; onCreditResult() continues. */
     bool requestCredit();
     void onCreditResult(const CreditResult &result);
-    /** A limited upstream takes no request before @c retryDelay has passed. */
-    void noteLimitReached(Millis retryDelay);
+    /** An upstream takes no request before @c retryDelay has passed, for this cause. */
+    void noteUnavailable(GiveUpCause cause, Millis retryDelay);
     /** Consumes the credits of the chosen upstreams, just before sending. */
     void consumeCredits();
     bool chooseEngine(const std::vector<UpstreamPointer> &upstreams);
@@ -198,8 +208,8 @@
     mutable std::optional<RequestFingerprint> fingerprint_;
     std::vector<UpstreamPointer> candidates_;
     int creditRequests_ = 0;
-    /** How soon the first of the upstreams that refused a credit may take a request again. */
-    Millis limitRetryAfter_ = Millis::never();
+    /** How soon the first of the upstreams that pause or refused a credit takes a request again. */
+    Millis upstreamRetryAfter_ = Millis::never();
     /** Attempts in which an upstream may have run the request. */
     int sends_ = 0;
     /** Of these, attempts whose connection broke. */
--- a/modules/gateway/request/UpstreamStatements.cpp
+++ b/modules/gateway/request/UpstreamStatements.cpp
@@ -16,6 +16,21 @@
                           {"per_second", perSecond ? std::to_string(*perSecond) : "none"}}});
 }
 
+void recordBackoff(RelayContext &context, const UpstreamRecord &upstream,
+                   const ResponseTraits &traits)
+{
+    const Millis now = context.now();
+    if (!traits.backoff)
+        return context.backoffs.responded(upstream.incarnation(), now);
+    if (!context.backoffs.request(upstream.incarnation(), *traits.backoff, now))
+        return;
+    const auto remaining = context.backoffs.remaining(upstream.incarnation(), now);
+    context.events(Event{&events::upstreamPauses,
+                         {{"upstream", upstream.entry.id},
+                          {"asked", traits.backoffText},
+                          {"pause_ms", std::to_string(remaining.value_or(Millis(0)).count())}}});
+}
+
 } // namespace
 
 void recordStatements(RelayContext &context, const UpstreamRecord &upstream,
@@ -26,6 +41,7 @@
     recordLimit(context, upstream, traits.mostPerSecond);
     if (traits.isLeaving)
         context.departures->report(upstream.incarnation());
+    recordBackoff(context, upstream, traits);
 }
 
 } // namespace cuminrail
