Versions of the store carry the era that its responses state

News of the users' platform: the store may come back from a copy some seconds old, gives its revisions out again, and states in each response an era that rises by one each time.

A version of the store port now consists of era and revision, put together and taken apart in platform/ alone, so that whatever compares versions (feeds, frames from peers, lists) orders across the era, and a frame of an instance that has not met the new era loses. A conditional call under a version of an era before is a conflict without being sent; one that was under way and was carried out is unknown.

--- a/modules/ports/store/ObjectStore.h
+++ b/modules/ports/store/ObjectStore.h
@@ -3,6 +3,7 @@
 #include "core/errors/Reason.h"
 #include "core/names/NameTable.h"
 #include "core/time/Millis.h"
+#include "ports/store/StoreEra.h"
 
 #include <cstdint>
 #include <functional>
@@ -12,9 +13,6 @@
 
 namespace cuminrail {
 
-/** The store's version of an object; rises with every write to the store, 0 means "no object". */
-using ObjectVersion = std::uint64_t;
-
 /** How a call to the object store ended. */
 enum class StoreStatus : std::uint8_t {
     Ok,
@@ -48,7 +46,10 @@
 struct StoreReply
 {
     StoreStatus status = StoreStatus::Unknown;
-    /** For a write the object's new version; for get, list and watch the store's revision. */
+    /**
+        For a write the object's new version; for get, list and watch the store's revision. Other
+        replies of a store that states its era have the lowest version of that era.
+    */
     ObjectVersion version = 0;
     /** What get, list and watch found. */
     std::vector<StoreObject> objects;
@@ -69,6 +70,9 @@
 /**
     The platform's object API: several hundred writes and 2,000 reads a second for the whole
     system, each call counted, values up to 1 MiB, paths like "settings/teams/north".
+
+    A conditional call under a version of an earlier era than a reply has shown is a conflict. One
+    that reached the store before that was known, and was carried out in a later era, is Unknown.
 */
 struct ObjectStore
 {
