--- a/modules/ports/testing/FakeObjectStore.cpp
+++ b/modules/ports/testing/FakeObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "ports/testing/FakeObjectStore.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
 namespace {
@@ -43,9 +45,9 @@
     store.put = [this, process](const StorePut &request, const StoreCompletion &done) {
         call(
             process, "put", request.path,
-            [this, request] {
+            [this, process, request] {
                 ++counts_.puts;
-                return put(request);
+                return put(process->name(), request);
             },
             done);
     };
@@ -74,8 +76,11 @@
     fakeCall.endpoint = endpoint;
     fakeCall.operation = operation;
     fakeCall.subject = subject;
-    fakeCall.effect = [effect, done](const FakeCall::Answer &answer) {
-        answer([reply = effect(), done] { done(reply); });
+    fakeCall.effect = [this, effect, done, name = process->name()](const FakeCall::Answer &answer) {
+        answer([this, reply = effect(), done, name] {
+            knownEra_[name] = std::max(knownEra_[name], eraOf(reply.version));
+            done(reply);
+        });
     };
     fakeCall.refused = [done] { done(withStatus(StoreStatus::Unavailable)); };
     fakeCall.unanswered = [done] { done(withStatus(StoreStatus::Unknown)); };
@@ -119,13 +124,42 @@
     return reply;
 }
 
-StoreReply FakeObjectStore::put(const StorePut &put)
+StoreReply FakeObjectStore::put(const std::string &process, const StorePut &put)
 {
     const auto found = objects_.find(put.path);
     const ObjectVersion current = found == objects_.end() ? 0 : found->second.version;
-    if (put.expected && *put.expected != current)
-        return withStatus(StoreStatus::Conflict, current);
-    return withStatus(StoreStatus::Ok, write(put.path, put.value));
+    const bool isConditional = put.expected && *put.expected != 0;
+    // Who has not met the new era sends a condition on a revision that may be met by chance.
+    const bool isOfOldEra = isConditional && eraOf(*put.expected) != eraOf(revision_);
+    const bool isMetByChance = isOfOldEra && knownEra_[process] == eraOf(*put.expected)
+        && revisionOf(*put.expected) == revisionOf(current);
+    if (put.expected && *put.expected != current && !isMetByChance)
+        return withStatus(StoreStatus::Conflict, std::max(current, versionIn(eraOf(revision_), 0)));
+    const ObjectVersion written = write(put.path, put.value);
+    return isMetByChance ? withStatus(StoreStatus::Unknown, written)
+                         : withStatus(StoreStatus::Ok, written);
+}
+
+void FakeObjectStore::restore(Millis age)
+{
+    const StoreEra era = eraOf(revision_) + 1;
+    const Millis seenUntil = network_.scheduler().now() - age;
+    const auto first = std::upper_bound(historyTimes_.begin(), historyTimes_.end(), seenUntil);
+    const auto kept = static_cast<std::size_t>(first - historyTimes_.begin());
+    history_.resize(kept);
+    historyTimes_.resize(kept);
+    objects_.clear();
+    std::uint64_t revision = 0;
+    for (StoreObject &object : history_) {
+        revision = revisionOf(object.version);
+        object.version = versionIn(era, revision);
+        if (object.removed)
+            objects_.erase(object.path);
+        else
+            objects_[object.path] = object;
+    }
+    revision_ = versionIn(era, revision);
+    droppedThrough_ = revision_;
 }
 
 ObjectVersion FakeObjectStore::write(const std::string &path, const std::string &value)
--- a/modules/ports/testing/FakeObjectStore.h
+++ b/modules/ports/testing/FakeObjectStore.h
@@ -43,6 +43,11 @@
     /** Forgets all changes so far: watches from before them end with NotFound. */
     void dropHistory() { droppedThrough_ = revision_; }
 
+    /**
+        Comes back from a copy of a span ago: what was written since is lost, its revisions are
+       given out again, and the era rises. Watches from before end with NotFound.
+    */
+    void restore(Millis age);
     /** Writes at once and without a condition, as an operator or a test would. */
     ObjectVersion write(const std::string &path, const std::string &value);
     /** Removes at once and without a condition. */
@@ -68,7 +73,7 @@
     Objects stateFor(const std::string &process) const;
     StoreReply read(const Objects &objects, const std::string &path) const;
     StoreReply list(const Objects &objects, const std::string &prefix, ObjectVersion after) const;
-    StoreReply put(const StorePut &put);
+    StoreReply put(const std::string &process, const StorePut &put);
     StoreReply remove(const std::string &path, std::optional<ObjectVersion> expected);
     StoreReply changesSince(const std::string &prefix, ObjectVersion after) const;
     void watch(const FakeProcessPtr &process, const std::string &prefix, ObjectVersion after,
@@ -84,6 +89,8 @@
     std::map<std::uint64_t, Watch> watches_;
     std::uint64_t watchCount_ = 0;
     std::map<std::string, Millis> readLag_;
+    /** The era of the last reply to each process. */
+    std::map<std::string, StoreEra> knownEra_;
     StoreCallCounts counts_;
 };
 
