After the store came back from a copy, no two instances hold the lease

Cause: the next fence was the record's plus one, and after the loss the record is an older one; and what an instance had observed of the lease was used across the loss, so that the copy's lease, of a holder that had been replaced, seemed free or expired while the lost one still lasted.

Change: an instance that meets a new era forgets what it observed and waits a full term before it acquires; every lease that the store acknowledged before has ended by then. The new fence is at least the first one of the era (a million fences an era), above all that anyone alive used. A holder whose lease lasts reads the record and writes its own again under its fence, so that duties go on. A process that starts waits too, unless the whole system starts for the first time. The gateway takes the era from all its replies and logs store-restored.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -42,6 +42,7 @@
         &storeUnavailable,
         &storeReturned,
         &feedGap,
+        &storeRestored,
         // 5xx configuration and keys
         &configurationInForce,
         &configurationRefused,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -123,6 +123,10 @@
 inline constexpr EventKind feedGap{
     403, EventLevel::Info, "feed-gap",
     "Changes told by another instance follow on some that are not known here; they are asked for."};
+inline constexpr EventKind storeRestored{
+    404, EventLevel::Warning, "store-restored",
+    "The store came back from a copy: what was written shortly before is lost. Leases are waited "
+    "for, and what this instance keeps there is written again."};
 
 // 5xx configuration and keys
 inline constexpr EventKind configurationInForce{
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "core/events/EventCatalogue.h"
+#include "gateway/control/StoreEraHook.h"
 #include "gateway/control/StoreFailureHook.h"
 #include "gateway/request/RequestRelay.h"
 
@@ -57,10 +58,18 @@
     return InstanceIncarnation{InstanceId(settings.name), static_cast<Incarnation>(wallMillis)};
 }
 
+Gateway::Environment withEraHook(Gateway::Environment environment,
+                                 const std::function<void(StoreEra)> &onReply)
+{
+    environment.store = withEraHook(environment.store, onReply);
+    return environment;
+}
+
 } // namespace
 
 Gateway::Gateway(InstanceSettings settings, GatewayProtocol wire, Environment environment)
-    : settings_(std::move(settings)), wire_(std::move(wire)), environment_(std::move(environment)),
+    : settings_(std::move(settings)), wire_(std::move(wire)),
+      environment_(withEraHook(std::move(environment), [this](StoreEra era) { onStoreEra(era); })),
       pool_(environment_.io, environment_.deadlines, poolLimits()),
       context_(wire_, environment_.deadlines, pool_, settings_),
       callers_(environment_.io, environment_.deadlines, serverLimits(CallerLimits(), settings_),
@@ -104,6 +113,8 @@
 {
     context_.events = environment_.events;
     context_.onExecutionStarted = [this](const std::string &customer) { usage_.count(customer); };
+    if (settings_.isFirstStart)
+        lease_.setFirstStart();
     sync_.onConfiguration = [this] { applyLimits(); };
     feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onWatchUpdate = [this](const FeedUpdate &update) { feeds_.distribute(update); };
@@ -189,6 +200,19 @@
     context_.quotas->setQuotas(std::move(quotas));
 }
 
+void Gateway::onStoreEra(StoreEra era)
+{
+    if (era <= storeEra_)
+        return;
+    const bool isRestored = storeEra_ > 0;
+    storeEra_ = era;
+    lease_.noteEra(era);
+    if (!isRestored)
+        return;
+    environment_.events(Event{&events::storeRestored, {{"era", std::to_string(era)}}});
+    context_.directory.storeReturned(environment_.clock.now());
+}
+
 void Gateway::onDeparture(UpstreamIncarnation incarnation, DepartureSource source)
 {
     const UpstreamPointer upstream =
@@ -230,6 +254,7 @@
     gauges.upstreamConnections = pool_.openConnections();
     gauges.instances = registry_.instances().size();
     gauges.isDutyHolder = lease_.isHeld();
+    gauges.storeEra = storeEra_;
     gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
     gauges.quotas = context_.quotas->stats();
     gauges.quarantine = context_.quarantine->stats();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -82,6 +82,8 @@
 
 private:
     static RegisteredInstance registrationOf(const InstanceSettings &settings);
+    /** A reply of the store stated its era. */
+    void onStoreEra(StoreEra era);
     void onDeparture(UpstreamIncarnation incarnation, DepartureSource source);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     void onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange);
@@ -117,6 +119,7 @@
     InstanceRegistry registry_;
     FleetLease lease_;
     Millis startedAt_;
+    StoreEra storeEra_ = 0;
     PeerConfigurationFetcher peers_;
     PeerLinkManager fabric_;
     /** Expires queries to other instances. */
--- a/modules/gateway/GatewayProtocol.h
+++ b/modules/gateway/GatewayProtocol.h
@@ -22,6 +22,10 @@
     std::uint64_t fence = 0;
     /** The end of the lease; the call's connection is closed by then. */
     Millis notAfter;
+    /** Since when the instance has held the lease without a break. */
+    Millis heldSince{};
+    /** Holders since the record before may be unknown, as the store came back from a copy. */
+    bool followsEarlierEra = false;
 };
 
 /** The wanted number of upstreams of a service in a failure domain. */
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -176,6 +176,8 @@
     setGauge("cuminrail_instances", "Instances registered", static_cast<double>(gauges.instances));
     setGauge("cuminrail_duty_holder", "1 while this instance holds the fleet's duties",
              gauges.isDutyHolder ? 1 : 0);
+    setGauge("cuminrail_store_era", "Era that the store stated last; 0 if it never did",
+             static_cast<double>(gauges.storeEra));
     setGauge("cuminrail_log_lines_dropped", "Log lines left out since the start",
              static_cast<double>(gauges.logLinesDropped));
     setGauge("cuminrail_requests_in_progress", "Requests not answered yet", counters.inProgress);
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -93,6 +93,7 @@
     std::size_t upstreamConnections = 0;
     std::size_t instances = 0;
     bool isDutyHolder = false;
+    StoreEra storeEra = 0;
     std::uint64_t logLinesDropped = 0;
     QuotaExchangeStats quotas;
     QuarantineStats quarantine;
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -50,6 +50,7 @@
                      {"upstreams_age_s", now.upstreamsAgeSeconds},
                      {"instances", now.instances},
                      {"duty_holder", now.isDutyHolder},
+                     {"store_era", now.storeEra},
                      {"requests_in_progress", now.counters.inProgress},
                      {"suspected_requests", now.suspects},
                      {"upstreams", upstreams}};
--- a/modules/gateway/control/FleetLease.cpp
+++ b/modules/gateway/control/FleetLease.cpp
@@ -74,7 +74,8 @@
     const auto held = lease_.authority(now);
     if (!held || held->notAfter - now < minRemainingTerm)
         return std::nullopt;
-    return DutyAuthority{self_.text(), held->fence, held->notAfter};
+    return DutyAuthority{self_.text(), held->fence, held->notAfter, held->heldSince,
+                         held->followsEarlierEra};
 }
 
 } // namespace cuminrail
--- a/modules/gateway/control/FleetLease.h
+++ b/modules/gateway/control/FleetLease.h
@@ -33,6 +33,10 @@
 
     /** Polls, renews or takes the lease when due; to be called about ten times a second. */
     void tick();
+    /** The whole system starts for the first time. */
+    void setFirstStart() { lease_.setFirstStart(); }
+    /** Call with a later era that the store stated. */
+    void noteEra(StoreEra era) { lease_.noteEra(era); }
     /** Releases the lease and does not take it again. */
     void release();
     bool isHeld() const { return lease_.authority(clock_.now()).has_value(); }
--- a/modules/lease/manager/DutyLease.cpp
+++ b/modules/lease/manager/DutyLease.cpp
@@ -7,6 +7,18 @@
 
 namespace cuminrail {
 
+namespace {
+
+/** Fences of one era, more than its holders: the first one of the next era is above all of them. */
+constexpr FenceNumber fencesPerEra = FenceNumber{1} << 20U;
+
+StoreEra eraOfFence(FenceNumber fence)
+{
+    return static_cast<StoreEra>(fence / fencesPerEra);
+}
+
+} // namespace
+
 DutyLease::DutyLease(std::string duty, InstanceIncarnation self, const LeaseTiming &timing,
                      Hooks hooks)
     : duty_(std::move(duty)), self_(std::move(self)), timing_(timing), hooks_(std::move(hooks))
@@ -19,7 +31,45 @@
 {
     if (!held_ || now >= held_->validUntil || releaseRequested_)
         return std::nullopt;
-    return Authority{held_->fence, held_->validUntil};
+    return Authority{held_->fence, held_->validUntil, held_->since, held_->followsEarlierEra};
+}
+
+void DutyLease::noteEra(StoreEra era)
+{
+    if (era <= era_)
+        return;
+    const bool isAtFirstStart = era_ == 0 && isFirstStart_;
+    era_ = era;
+    if (isAtFirstStart || !guardEnabled(Guard::NewEraWaited))
+        return;
+    const Millis now = hooks_.clock.now();
+    ++generation_;
+    busy_ = false;
+    readBackDue_ = false;
+    releaseRequested_ = false;
+    pending_.clear();
+    observed_.reset();
+    isRewriteDue_ = held_.has_value();
+    // Any lease of the era before was acknowledged before this instance met the new one.
+    earliestAcquireAt_ = now + timing_.term;
+    nextAt_ = now;
+}
+
+StoreCompletion DutyLease::guardCompletion(StoreCompletion done)
+{
+    return [this, done = std::move(done), generation = generation_](const StoreReply &reply) {
+        if (generation != generation_)
+            return;
+        noteEra(eraOf(reply.version));
+        if (generation == generation_)
+            done(reply);
+    };
+}
+
+FenceNumber DutyLease::nextFence() const
+{
+    const FenceNumber lowest = FenceNumber{era_} * fencesPerEra;
+    return std::max(highestFence_ + (guardEnabled(Guard::FenceRisesWithHolder) ? 1 : 0), lowest);
 }
 
 std::optional<LeaseRecord> DutyLease::lastSeen() const
@@ -48,6 +98,11 @@
         sendRelease();
         return false;
     }
+    // After a change of era the record is read before it is written again.
+    if (held_ && !observed_) {
+        read();
+        return false;
+    }
     if (held_) {
         sendRenewal();
         return false;
@@ -82,7 +137,8 @@
         const bool isFresh = hooks_.clock.now() - observed_->lastSeen < Millis::seconds(1);
         if (!isFresh)
             return Millis::never();
-        return observed_->firstSeen + timing_.listInterval / 2 + record.term;
+        return std::max(earliestAcquireAt_,
+                        observed_->firstSeen + timing_.listInterval / 2 + record.term);
     }
     const bool isFree = observed_->version == 0 || record.isReleased() || isOwn(record);
     // The holder counts its term on its own clock, from before it sent the write that created this
@@ -91,7 +147,7 @@
     // the holder at once.
     if (!isFree && guardEnabled(Guard::SuccessorWaitsFullTerm))
         wait += record.term;
-    return observed_->firstSeen + wait;
+    return std::max(earliestAcquireAt_, observed_->firstSeen + wait);
 }
 
 void DutyLease::expireIfDue(Millis now)
@@ -105,6 +161,7 @@
     if (!held_)
         return;
     held_.reset();
+    isRewriteDue_ = false;
     hooks_.events(Event{&events::leaseLost, {{"duty", duty_}, {"why", why}}});
     if (hooks_.onLeaseLost)
         hooks_.onLeaseLost();
@@ -126,7 +183,7 @@
     highestFence_ = std::max(highestFence_, observed_->record.fence);
     // An upstream that has received the last holder's fence refuses whatever that holder still
     // sends, but only if the fence of the new holder is higher.
-    record.fence = highestFence_ + (guardEnabled(Guard::FenceRisesWithHolder) ? 1 : 0);
+    record.fence = nextFence();
     sendWrite(record);
 }
 
@@ -161,7 +218,8 @@
     put.path = path(duty_);
     put.value = record.toText();
     put.expected = observed_ ? observed_->version : 0;
-    hooks_.store.put(put, [this, write](const StoreReply &reply) { written(write, reply); });
+    hooks_.store.put(
+        put, guardCompletion([this, write](const StoreReply &reply) { written(write, reply); }));
 }
 
 void DutyLease::written(const PendingWrite &write, const StoreReply &reply)
@@ -196,7 +254,8 @@
 void DutyLease::read()
 {
     busy_ = true;
-    hooks_.store.get(path(duty_), [this](const StoreReply &reply) { readDone(reply); });
+    hooks_.store.get(path(duty_),
+                     guardCompletion([this](const StoreReply &reply) { readDone(reply); }));
 }
 
 void DutyLease::readDone(const StoreReply &reply)
@@ -243,10 +302,10 @@
             return;
         }
     }
-    if (held_ && record.token != held_->token)
+    if (held_ && record.token != held_->token && !isRewriteDue_)
         lose("replaced");
     if (held_)
-        nextAt_ = now + timing_.firstRetryDelay;
+        nextAt_ = isRewriteDue_ ? now : now + timing_.firstRetryDelay;
     else if (!releaseRequested_ && isOwn(record))
         nextAt_ = now;
     if (!isOwn(record))
@@ -254,6 +313,8 @@
     // Wakes exactly when the term of another holder has passed, not at the next poll after it.
     if (!held_ && !record.isReleased() && version != 0)
         nextAt_ = std::min(nextAt_, std::max(now, observed_->firstSeen + record.term));
+    if (!held_ && now < earliestAcquireAt_)
+        nextAt_ = std::min(nextAt_, earliestAcquireAt_);
 }
 
 void DutyLease::acceptWrite(ObjectVersion version, const PendingWrite &write)
@@ -262,7 +323,10 @@
     retryDelay_ = Millis(0);
     pending_.clear();
     highestFence_ = std::max(highestFence_, write.record.fence);
+    const bool followsEarlierEra =
+        !isFirstStart_ && observed_ && eraOfFence(observed_->record.fence) < era_;
     observed_ = Observed{version, write.record, now, now};
+    isRewriteDue_ = false;
     if (write.record.isReleased()) {
         releaseRequested_ = false;
         nextAt_ = now + withJitter(timing_.pollInterval);
@@ -279,14 +343,15 @@
         return;
     }
     const bool isNew = !held_;
-    held_ = Held{write.record.fence, validUntil, write.record.token};
+    held_ = Held{write.record.fence, validUntil, write.record.token, isNew ? now : held_->since,
+                 isNew ? followsEarlierEra : held_->followsEarlierEra};
     nextAt_ = write.sentAt + timing_.renewInterval;
     if (!isNew)
         return;
     hooks_.events(
         Event{&events::leaseTaken, {{"duty", duty_}, {"fence", std::to_string(held_->fence)}}});
     if (hooks_.onLeaseAcquired)
-        hooks_.onLeaseAcquired(Authority{held_->fence, held_->validUntil});
+        hooks_.onLeaseAcquired(*authority(now));
 }
 
 void DutyLease::scheduleRetry()
--- a/modules/lease/manager/DutyLease.h
+++ b/modules/lease/manager/DutyLease.h
@@ -22,6 +22,10 @@
 {
     FenceNumber fence = 0;
     Millis notAfter;
+    /** Since when this instance has held it without a break. */
+    Millis heldSince{};
+    /** The record before this holder's was of an earlier era: holders since may be unknown. */
+    bool followsEarlierEra = false;
 };
 
 /** The instance that runs this code, and its incarnation. */
@@ -50,6 +54,10 @@
     Counts the term from before each write was sent, so that a slow reply shortens the remaining
     lease and never lengthens it. The expiry of another holder's lease is derived only from the
     version of its object and from how long ago this instance first observed that version.
+
+    After the store came back from a copy, a holder unknown to it may still act. So an instance
+    that meets a new era waits a full term before it acquires the lease, with a fence above all of
+    the eras before. A holder whose lease lasts writes its record again and keeps its fence.
 */
 class DutyLease
 {
@@ -72,6 +80,8 @@
 
     /** Performs due work. Returns whether it wrote to acquire the lease. */
     bool tick(const Candidacy &candidacy);
+    /** The whole system starts for the first time: no holder can be unknown to the store. */
+    void setFirstStart() { isFirstStart_ = true; }
     /** Applies an object from a list of all leases. */
     void observe(const StoreObject &object);
     /** Releases the lease so that another instance can acquire it at once. */
@@ -84,6 +94,9 @@
     /** Returns the last record observed, for the state dump. */
     std::optional<LeaseRecord> lastSeen() const;
 
+    /** Call with the era of any reply of the store; a later one voids what was observed. */
+    void noteEra(StoreEra era);
+
     static std::string path(const std::string &duty) { return "leases/" + duty; }
 
 private:
@@ -105,6 +118,8 @@
         FenceNumber fence = 0;
         Millis validUntil;
         std::string token;
+        Millis since;
+        bool followsEarlierEra = false;
     };
 
     Millis acquireAt(const Candidacy &candidacy) const;
@@ -123,6 +138,8 @@
     void acceptWrite(ObjectVersion version, const PendingWrite &write);
     void scheduleRetry();
     Millis withJitter(Millis span) const;
+    StoreCompletion guardCompletion(StoreCompletion done);
+    FenceNumber nextFence() const;
 
     std::string duty_;
     InstanceIncarnation self_;
@@ -138,6 +155,14 @@
     bool releaseRequested_ = false;
     Millis nextAt_;
     Millis retryDelay_;
+    StoreEra era_ = 0;
+    /** A holder unknown to the store may act until then. */
+    Millis earliestAcquireAt_ = Millis(0);
+    /** The record in the store is older than the lease held, which is to be written again. */
+    bool isRewriteDue_ = false;
+    bool isFirstStart_ = false;
+    /** Replies to calls of earlier generations are ignored. */
+    std::uint64_t generation_ = 0;
 };
 
 } // namespace cuminrail
