A window whose seal the store lost is not reported with other counts

Cause: a seal that had been acknowledged was taken as lasting.

Change: a holder keeps the seals that it wrote or read and writes them again after the store came back. A window that had ended by then and has no seal is summed only by an instance that has held the duty since before the window's end; another one leaves it out (usage-window-left-out): what it costs is a report too few, never two. Instances send their ledgers again, spread over 1.5 s.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -83,6 +83,7 @@
         &usageReportFailed,
         &usageLedgerUnreadable,
         &usageLedgersNotWritten,
+        &usageWindowLeftOut,
     };
     return kinds;
 }
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -231,6 +231,10 @@
 inline constexpr EventKind usageReportFailed{
     904, EventLevel::Info, "usage-report-postponed",
     "A window's report could not be made yet; it is tried again until it is due and after."};
+inline constexpr EventKind usageWindowLeftOut{908, EventLevel::Warning, "usage-window-left-out",
+                                              "The store lost a window's seal, and another holder "
+                                              "may have reported the window from it; it is "
+                                              "not summed again."};
 inline constexpr EventKind usageLedgerUnreadable{
     905, EventLevel::Warning, "usage-ledger-unreadable",
     "An instance's counts in the store cannot be read; the window's report lacks them."};
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -211,6 +211,7 @@
         return;
     environment_.events(Event{&events::storeRestored, {{"era", std::to_string(era)}}});
     context_.directory.storeReturned(environment_.clock.now());
+    usage_.storeRestored();
 }
 
 void Gateway::onDeparture(UpstreamIncarnation incarnation, DepartureSource source)
--- a/modules/gateway/usage/GatewayUsage.cpp
+++ b/modules/gateway/usage/GatewayUsage.cpp
@@ -61,4 +61,10 @@
     return false;
 }
 
+void GatewayUsage::storeRestored()
+{
+    duty_.storeRestored();
+    sender_.storeRestored();
+}
+
 } // namespace cuminrail
--- a/modules/gateway/usage/GatewayUsage.h
+++ b/modules/gateway/usage/GatewayUsage.h
@@ -28,6 +28,8 @@
     void setShared(bool isShared) { sender_.setDirectFirst(!isShared); }
     /** Sends, collects and reports when due; to be called about ten times a second. */
     void tick();
+    /** The store came back from a copy: what was written shortly before may be lost. */
+    void storeRestored();
     /** Starts sending counts that are not in the store yet; for the process's shutdown. */
     void flush() { sender_.flush(); }
     bool isFlushed() const { return sender_.isFlushed(); }
--- a/modules/gateway/usage/LedgerSender.cpp
+++ b/modules/gateway/usage/LedgerSender.cpp
@@ -19,6 +19,15 @@
                                 std::max(timing_.minFlushInterval, timing_.window));
 }
 
+void LedgerSender::storeRestored()
+{
+    writtenChanges_ = 0;
+    delivery_.reset();
+    hasFailed_ = true;
+    const auto spread = static_cast<std::uint64_t>(restoreSpread.count());
+    nextFlushAt_ = hooks_.clock.now() + Millis(static_cast<std::int64_t>(hooks_.random() % spread));
+}
+
 void LedgerSender::tick(std::int64_t closedWindow)
 {
     const Millis now = hooks_.clock.now();
--- a/modules/gateway/usage/LedgerSender.h
+++ b/modules/gateway/usage/LedgerSender.h
@@ -33,6 +33,8 @@
     static constexpr Millis receiptTimeout = Millis(900);
     /** Delay after all routes failed; half of it is random to spread the instances. */
     static constexpr Millis retryDelay = Millis(3000);
+    /** Instances spread over this time what they write again after the store came back. */
+    static constexpr Millis restoreSpread = Millis(1500);
 
     struct Hooks
     {
@@ -55,6 +57,8 @@
         ledger_.count(window, customer);
     }
     void setInstances(std::size_t count);
+    /** The store came back from a copy: the ledger is sent again, spread over the instances. */
+    void storeRestored();
     /** With few instances, each writes its own ledger and uses collectors only if that fails. */
     void setDirectFirst(bool isDirectFirst) { isDirectFirst_ = isDirectFirst; }
     /**
--- a/modules/gateway/usage/UsageDuty.cpp
+++ b/modules/gateway/usage/UsageDuty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/usage/UsageDuty.h"
 
 #include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
 
 #include <algorithm>
 
@@ -79,9 +80,44 @@
     reportIfDue(hooks_.wallMillis());
 }
 
+void UsageDuty::storeRestored()
+{
+    doubtfulBefore_ = windowAt(hooks_.wallMillis());
+    isRewriteDue_ = true;
+}
+
+void UsageDuty::noteAuthority(const DutyAuthority &authority, std::int64_t wall)
+{
+    if (heldSince_ == authority.heldSince)
+        return;
+    heldSince_ = authority.heldSince;
+    heldSinceWindow_ = windowAt(wall - (hooks_.clock.now() - authority.heldSince).count());
+    if (authority.followsEarlierEra)
+        doubtfulBefore_ = std::max(doubtfulBefore_, firstWindow_);
+}
+
+void UsageDuty::rewriteSeals()
+{
+    isRewriteDue_ = false;
+    for (const auto &[window, text] : seals_)
+        hooks_.store.put(StorePut{sealPath(window), text, 0}, [](const StoreReply &) {});
+}
+
+void UsageDuty::leaveOut(std::int64_t window)
+{
+    windows_[window] = WindowState::Reported;
+    hooks_.events(Event{&events::usageWindowLeftOut, {{"window", std::to_string(window)}}});
+}
+
 void UsageDuty::reportIfDue(std::int64_t wall)
 {
-    if (!hooks_.authority() || hooks_.clock.now() < nextReportAt_)
+    const auto authority = hooks_.authority();
+    if (!authority)
+        return;
+    noteAuthority(*authority, wall);
+    if (isRewriteDue_)
+        rewriteSeals();
+    if (hooks_.clock.now() < nextReportAt_)
         return;
     const std::int64_t newest = windowAt(wall - timing_.sealDelay.count()) - 1;
     for (std::int64_t window = newest - timing_.lookBackWindows; window <= newest; ++window) {
@@ -92,6 +128,8 @@
         collect(window);
         return;
     }
+    while (!seals_.empty() && seals_.begin()->first < newest - 2 * timing_.lookBackWindows)
+        seals_.erase(seals_.begin());
     while (!windows_.empty() && windows_.begin()->first < newest - 2 * timing_.lookBackWindows)
         windows_.erase(windows_.begin());
 }
@@ -103,6 +141,11 @@
             return reportSealed(window, reply.objects.front().value);
         if (reply.status != StoreStatus::NotFound)
             return postpone(window, reply.lastReason);
+        const auto known = seals_.find(window);
+        if (known != seals_.end())
+            return seal(window, known->second);
+        if (isDoubtful(window) && guardEnabled(Guard::DoubtfulWindowLeftOut))
+            return leaveOut(window);
         hooks_.store.list(ledgersPrefix, [this, window](const StoreReply &list) {
             onLedgersListed(window, list);
         });
@@ -148,7 +191,10 @@
         return;
     }
     removeExpired(reply.objects, window);
-    seal(window, sum);
+    // The store may have come back from a copy since the seal was looked for.
+    if (isDoubtful(window) && guardEnabled(Guard::DoubtfulWindowLeftOut))
+        return leaveOut(window);
+    seal(window, encodeSeal(sum));
 }
 
 bool UsageDuty::isAwaited(const LedgerRecord &ledger, std::int64_t window) const
@@ -175,9 +221,8 @@
     }
 }
 
-void UsageDuty::seal(std::int64_t window, const CustomerCounts &counts)
+void UsageDuty::seal(std::int64_t window, const std::string &text)
 {
-    const std::string text = encodeSeal(counts);
     hooks_.store.put(StorePut{sealPath(window), text, 0},
                      [this, window, text](const StoreReply &reply) {
                          if (reply.status == StoreStatus::Ok)
@@ -207,6 +252,10 @@
     const auto authority = hooks_.authority();
     if (!authority)
         return postpone(window, {"lease", "ended"});
+    // What is reported is what any later report of this window repeats.
+    const std::string &sealed = seals_.emplace(window, text).first->second;
+    if (sealed != text)
+        return leaveOut(window);
     hooks_.report(
         window, *counts, *authority,
         [this, window](DutyResult result, const Reason &why) { reported(window, result, why); });
--- a/modules/gateway/usage/UsageDuty.h
+++ b/modules/gateway/usage/UsageDuty.h
@@ -9,6 +9,8 @@
 #include "ports/store/ObjectStore.h"
 
 #include <map>
+#include <optional>
+#include <string>
 
 namespace cuminrail {
 
@@ -19,6 +21,11 @@
     one creation can succeed. Reports are always read from the sealed object, so that two holders,
     or one that retries, can never report two different figures for a window.
 
+    A store that came back from a copy may have lost seals that were reported from. A holder writes
+    the seals that it knows again. A window that ended before and has none is sealed anew only by an
+    instance that has held the duty since before the window's end; for any other one it may have
+    been reported, so it is left out.
+
     @see LedgerSender, LedgerCollector
 */
 class UsageDuty
@@ -40,6 +47,8 @@
 
     UsageDuty(const UsageTiming &timing, Hooks hooks);
 
+    /** The store came back from a copy: seals of windows that have ended may be lost. */
+    void storeRestored();
     /** Seals and reports windows when due; to be called every few hundred milliseconds. */
     void tick();
     std::int64_t windowAt(std::int64_t wallMillis) const;
@@ -47,12 +56,22 @@
 private:
     enum class WindowState : std::uint8_t { Open, Busy, Reported };
 
+    /** Notes when this instance took the duty over, and whether seals may have been lost before. */
+    void noteAuthority(const DutyAuthority &authority, std::int64_t wall);
+    /** Writes the known seals to the store again. */
+    void rewriteSeals();
+    /** Whether another holder may have reported the window from a seal that the store lost. */
+    bool isDoubtful(std::int64_t window) const
+    {
+        return window < doubtfulBefore_ && window < heldSinceWindow_;
+    }
+    void leaveOut(std::int64_t window);
     void reportIfDue(std::int64_t wall);
     void collect(std::int64_t window);
     /** Returns whether the ledger's owner may still complete the window. */
     bool isAwaited(const LedgerRecord &ledger, std::int64_t window) const;
     void onLedgersListed(std::int64_t window, const StoreReply &reply);
-    void seal(std::int64_t window, const CustomerCounts &counts);
+    void seal(std::int64_t window, const std::string &text);
     void readSeal(std::int64_t window);
     void reportSealed(std::int64_t window, const std::string &text);
     void reported(std::int64_t window, DutyResult result, const Reason &reason);
@@ -64,6 +83,14 @@
     Millis nextReportAt_;
     std::int64_t firstWindow_ = 0;
     std::map<std::int64_t, WindowState> windows_;
+    /** The seals that this instance wrote or read, by window. */
+    std::map<std::int64_t, std::string> seals_;
+    bool isRewriteDue_ = false;
+    /** Windows below had ended when this instance learned that the store came back from a copy. */
+    std::int64_t doubtfulBefore_ = 0;
+    /** The window in which this instance took the duty over. */
+    std::int64_t heldSinceWindow_ = 0;
+    std::optional<Millis> heldSince_;
 };
 
 } // namespace cuminrail
