Instances register again when the store came back from a copy

Callers could be refused for a while: what instances share is divided by their registered number, and entries that the store lost would be written again only at the next refresh, after 20 s and more, while lists showed the others as gone.

Change: all entries are written again within 1.5 s, and no list is read before that and 1.2 s more; what was observed under versions of the era before is forgotten. The gateway passes the change of era on.

Result: InstanceRegistry_test, 10 seeds at 20 instances with all entries lost: no instance counts another one as gone, all entries are back within 6 s.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -212,6 +212,9 @@
     environment_.events(Event{&events::storeRestored, {{"era", std::to_string(era)}}});
     context_.directory.storeReturned(environment_.clock.now());
     usage_.storeRestored();
+    registry_.storeRestored();
+    context_.quarantine->storeRestored();
+    fabric_.storeRestored();
 }
 
 void Gateway::onDeparture(UpstreamIncarnation incarnation, DepartureSource source)
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -124,6 +124,19 @@
     ++revision_;
 }
 
+void InstanceRegistry::storeRestored()
+{
+    const Millis now = clock_.now();
+    const auto spread = static_cast<std::uint64_t>(restoreSpread.count());
+    const auto jitter = [&] { return Millis(static_cast<std::int64_t>(random_() % spread)); };
+    observations_.clear();
+    refreshedAt_.reset();
+    nextRefreshAt_ = now + jitter();
+    // A list before all have written again would count the others as gone.
+    listedAt_.reset();
+    nextListAt_ = now + restoreSpread + settleDelay + jitter();
+}
+
 void InstanceRegistry::leave()
 {
     isLeaving_ = true;
--- a/modules/gateway/control/InstanceRegistry.h
+++ b/modules/gateway/control/InstanceRegistry.h
@@ -43,6 +43,8 @@
     /** Delay after a failed call, doubled with each failure up to the maximum. */
     static constexpr Millis minRetryDelay = Millis::seconds(2);
     static constexpr Millis maxRetryDelay = Millis::seconds(16);
+    /** All instances write their entries again within this time after the store came back. */
+    static constexpr Millis restoreSpread = Millis(1500);
 
     /** @param startsWithOthers  the whole system starts, so most entries are not written yet */
     InstanceRegistry(RegisteredInstance self, bool startsWithOthers, ObjectStore store, Clock clock,
@@ -50,6 +52,8 @@
 
     /** Refreshes and lists entries when due; to be called every few hundred milliseconds. */
     void tick();
+    /** The store came back from a copy: entries may be lost, and versions are given out again. */
+    void storeRestored();
     /** Removes the own entry, for a graceful shutdown. */
     void leave();
 
--- a/modules/gateway/control/InstanceRegistry_test.cpp
+++ b/modules/gateway/control/InstanceRegistry_test.cpp
@@ -115,6 +115,27 @@
         CHECK(cluster.knownCount(i) == 200);
 }
 
+// Guards against instances that the store lost and the others count as gone until their next
+// refresh.
+TEST_CASE("entries that the store lost are written again, and no list is read before")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        RegistryCluster cluster(20, seed);
+        cluster.scheduler.runFor(Millis::seconds(8));
+        cluster.store.restore(Millis::minutes(1));
+        for (const auto &registry : cluster.registries)
+            registry->storeRestored();
+        for (int i = 0; i < 60; ++i) {
+            cluster.scheduler.runFor(Millis(100));
+            for (const auto &registry : cluster.registries)
+                CHECK(registry->instances().size() == 20);
+        }
+        for (int i = 0; i < 20; ++i)
+            CHECK(!cluster.store.value("instances/i-" + std::to_string(i)).empty());
+    }
+}
+
 // An entry that is never refreshed would count as an instance forever.
 TEST_CASE("an instance that ended without leaving is omitted after missed refreshes")
 {
