Quarantines and the links' secret are written again when the store lost them

Callers could be hit by a request that ends upstreams once more: an instance that starts reads the quarantined requests from the store, and one that had been acknowledged and lost was not there. Instances that start after the links' secret was lost would make another one and reach nobody.

Change: the owners of a quarantined request write it again, spread over a second; each instance looks for the secret within two seconds and creates the one in use if there is none.

Result: QuarantineExchange_test has a case for it. Open: a quarantine that was cleared shortly before the copy's loss is back in the copy, and instances that start take it as valid; an instance that starts between the loss and the rewriting may create another secret.

--- a/modules/gateway/peers/PeerLinkManager.cpp
+++ b/modules/gateway/peers/PeerLinkManager.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t secretBytes = 32;
 /** Interval at which the secret is read while the store does not return it. */
 constexpr Millis secretRetryInterval = Millis(500);
+/** After the store came back from a copy, all instances look for the secret within this time. */
+constexpr Millis secretCheckSpread = Millis(2000);
 
 /**
     Connection attempts per tick, and the interval of attempts to the same peer. A hundred links are
@@ -58,6 +60,8 @@
     const Millis now = environment_.clock.now();
     if (isOpen())
         connectDuePeers(now);
+    if (secretCheckAt_ && now >= *secretCheckAt_)
+        checkSecret();
     if (isOpen() || isSecretRequested_ || isStopped_ || now < nextSecretReadAt_)
         return;
     isSecretRequested_ = true;
@@ -65,6 +69,26 @@
     environment_.store.get(secretPath, [this](const StoreReply &reply) { onSecretRead(reply); });
 }
 
+void PeerLinkManager::storeRestored()
+{
+    if (secret_.empty())
+        return;
+    const auto hash = StableHash().add(listen_.toString()).value();
+    secretCheckAt_ = environment_.clock.now()
+        + Millis(static_cast<std::int64_t>(hash % secretCheckSpread.count()));
+}
+
+void PeerLinkManager::checkSecret()
+{
+    secretCheckAt_.reset();
+    environment_.store.get(secretPath, [this](const StoreReply &reply) {
+        if (reply.status == StoreStatus::NotFound && !isStopped_)
+            environment_.store.put(StorePut{secretPath, secret_, 0}, [](const StoreReply &) {});
+        else if (reply.status != StoreStatus::Ok)
+            secretCheckAt_ = environment_.clock.now() + secretRetryInterval;
+    });
+}
+
 void PeerLinkManager::maintainLinks(std::vector<PeerAddress> peers)
 {
     const Millis now = environment_.clock.now();
@@ -127,6 +151,7 @@
             [this](const PeerAddress &from, const std::string &frame) { onFrame_(from, frame); });
         if (links->listen(listen_.toString(), listen_.toString(), &reason)) {
             links_ = std::move(links);
+            secret_ = secret;
             environment_.events(Event{&events::peerLinksOpen, {{"address", listen_.toString()}}});
             return;
         }
--- a/modules/gateway/peers/PeerLinkManager.h
+++ b/modules/gateway/peers/PeerLinkManager.h
@@ -45,6 +45,8 @@
 
     /** Reads the secret and connects to peers when due; to be called a few times a second. */
     void tick();
+    /** The store came back from a copy: the secret is written again if it is lost. */
+    void storeRestored();
     bool isOpen() const { return links_ != nullptr; }
     /**
         Keeps links to these instances established. Queries time out within milliseconds, so without
@@ -61,6 +63,7 @@
     void onSecretRead(const StoreReply &reply);
     void createSecret();
     void open(const std::string &secret);
+    void checkSecret();
     void connectDuePeers(Millis now);
 
     Environment environment_;
@@ -71,6 +74,9 @@
     std::map<PeerAddress, Millis> nextConnectAt_;
     Millis nextSecretReadAt_;
     bool isSecretRequested_ = false;
+    /** The secret in use; instances that start later must find it in the store. */
+    std::string secret_;
+    std::optional<Millis> secretCheckAt_;
     bool isStopped_ = false;
 };
 
--- a/modules/quarantine/exchange/QuarantineExchange.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange.cpp
@@ -129,6 +129,19 @@
         remove(fingerprint);
 }
 
+void QuarantineExchange::storeRestored()
+{
+    const Millis now = environment_.clock.now();
+    const auto jitter = static_cast<std::uint64_t>(storeReadJitter.count());
+    for (const RequestFingerprint &fingerprint : table_.quarantined(now)) {
+        if (!isOwnerOf(fingerprint))
+            continue;
+        PendingWrite write;
+        write.nextAt = now + Millis(static_cast<std::int64_t>(environment_.random() % jitter));
+        pendingWrites_.insert_or_assign(fingerprint.text(), write);
+    }
+}
+
 bool QuarantineExchange::handleFrame(const PeerAddress &from, const std::string &frame)
 {
     const auto message = decodeQuarantineMessage(frame);
--- a/modules/quarantine/exchange/QuarantineExchange.h
+++ b/modules/quarantine/exchange/QuarantineExchange.h
@@ -91,6 +91,9 @@
     /** An upstream sent the complete response and is therefore still running. */
     void requestCompleted(const RequestFingerprint &fingerprint);
 
+    /** The store came back from a copy: owners write quarantined requests again. */
+    void storeRestored();
+
     /** Handles a frame from another instance. Returns false if it is not a quarantine message. */
     bool handleFrame(const PeerAddress &from, const std::string &frame);
     /** Performs due work; to be called every few milliseconds. */
--- a/modules/quarantine/exchange/QuarantineExchange_test.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange_test.cpp
@@ -199,6 +199,22 @@
     CHECK(cluster.store.empty());
 }
 
+// Guards against instances that start after the store lost a quarantine and run the request.
+TEST_CASE("a quarantine that the store lost is written again by its owners")
+{
+    QuarantineCluster cluster(6, 12, 1);
+    for (UpstreamIncarnation incarnation = 1; incarnation <= SuspicionTable::quarantinedThreshold;
+         ++incarnation)
+        cluster.at(1).upstreamEnded(fatal, incarnation);
+    cluster.advance(Millis(200));
+    REQUIRE(cluster.store.size() == 1);
+    cluster.store.clear();
+    for (int i = 0; i < cluster.count(); ++i)
+        cluster.at(i).storeRestored();
+    cluster.advance(QuarantineExchange::storeReadJitter + Millis(200));
+    CHECK(cluster.store.size() == 1);
+}
+
 // Guards against a quarantine without an end, and against a wrong retry time for callers.
 TEST_CASE("a quarantine expires, and reports its remaining time until then")
 {
--- a/modules/quarantine/table/SuspicionTable.cpp
+++ b/modules/quarantine/table/SuspicionTable.cpp
@@ -117,6 +117,16 @@
     return next;
 }
 
+std::vector<RequestFingerprint> SuspicionTable::quarantined(Millis now) const
+{
+    std::vector<RequestFingerprint> all;
+    for (const auto &[fingerprint, known] : suspects_.entries) {
+        if (known.expiresAt > now && levelOf(known) == SuspicionLevel::Quarantined)
+            all.push_back(fingerprint);
+    }
+    return all;
+}
+
 std::vector<RequestFingerprint> SuspicionTable::expire(Millis now)
 {
     std::vector<RequestFingerprint> quarantined;
--- a/modules/quarantine/table/SuspicionTable.h
+++ b/modules/quarantine/table/SuspicionTable.h
@@ -75,6 +75,8 @@
     std::size_t suspectCount() const { return suspects_.entries.size(); }
     /** Returns the next suspected or quarantined requests, in round-robin order over calls. */
     std::vector<Suspicion> nextSuspects(std::size_t maxCount, Millis now);
+    /** Returns all requests that are quarantined. */
+    std::vector<RequestFingerprint> quarantined(Millis now) const;
     /** Removes expired entries and returns those that were quarantined. */
     std::vector<RequestFingerprint> expire(Millis now);
 
