--- a/modules/feeds/testing/FeedCluster.h
+++ b/modules/feeds/testing/FeedCluster.h
@@ -157,7 +157,11 @@
             else
                 instance.known[object.path] = object.value;
         };
-        hooks.onListed = [apply](const std::vector<StoreObject> &objects) {
+        hooks.onListed = [apply, &instance,
+                          start = std::string(prefix)](const std::vector<StoreObject> &objects) {
+            // A list is the whole state: what it does not show is gone.
+            for (auto it = instance.known.begin(); it != instance.known.end();)
+                it = it->first.rfind(start, 0) == 0 ? instance.known.erase(it) : std::next(it);
             for (const StoreObject &object : objects)
                 apply(object);
         };
--- a/modules/ports/testing/FakeObjectStore.cpp
+++ b/modules/ports/testing/FakeObjectStore.cpp
@@ -1,6 +1,7 @@
 #include "ports/testing/FakeObjectStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminrail {
 
@@ -160,6 +161,8 @@
     }
     revision_ = versionIn(era, revision);
     droppedThrough_ = revision_;
+    for (const auto &[number, watch] : std::exchange(watches_, {}))
+        watch.answer(withStatus(StoreStatus::NotFound, revision_));
 }
 
 ObjectVersion FakeObjectStore::write(const std::string &path, const std::string &value)
