The soak's servers leave and ask for pauses, and its store comes back from a copy

Until now no run of real gateways met a server that states in its responses that it leaves, one that asks for a pause, or a store that loses what it acknowledged. The soak brings all three, in random order with its other faults: at most one server leaves at a time and starts again under its id, without a word to the store.

A judge joins each arrival at a server with the gateway that the caller had called: no request sent 2 s after a passed on statement may reach that incarnation from that gateway, and no more than two may from half a second after a refusal to the end of the pause. Signals to the gateway excuse it, and harmed links to that server.

--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -83,16 +83,19 @@
 {
     const auto random = seededRandom(seed_ * 1000 + static_cast<std::uint64_t>(number));
     testing::TestSocket socket;
+    std::uint16_t gateway = 0;
     for (int call = 0; !isStopping_; ++call) {
         CallResult result;
         result.id = "r" + std::to_string(number) + "-" + std::to_string(call);
         result.kind = static_cast<CallKind>(random() % callKindNames.entries.size());
         result.customer = random() % 3 == 0 ? "south" : "north";
         if (!socket.isOpen() || random() % 8 == 0) {
-            socket = testing::TestSocket::connectTo(ports_[random() % ports_.size()]);
+            gateway = ports_[random() % ports_.size()];
+            socket = testing::TestSocket::connectTo(gateway);
             if (socket.isOpen())
                 socket.setTimeout(socketPatienceSeconds);
         }
+        result.gateway = gateway;
         result.sentAt = bootTime();
         const auto began = std::chrono::steady_clock::now();
         const std::string path = "/" + std::string(callKindNames.name(result.kind)) + "/x";
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -28,6 +28,8 @@
     std::string id;
     CallKind kind = CallKind::Safe;
     std::string customer;
+    /** The port of the gateway to which it was sent. */
+    std::uint16_t gateway = 0;
     Millis sentAt;
     /** From sending to the end of the answer. */
     double tookMillis = 0;
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -83,6 +83,7 @@
 {
     if (number == SIGTERM)
         termAt_ = bootTime();
+    signalledAt_.push_back(bootTime());
     if (pid_ > 0)
         kill(pid_, number);
 }
@@ -151,7 +152,14 @@
 
 void Fleet::list(std::size_t index)
 {
-    store->write("servers", servers[index]->id(), platform::standinEntry(proxies[index]->port()));
+    store->write("servers", servers[index]->id(),
+                 platform::standinEntry(proxies[index]->port(), servers[index]->incarnation()));
+}
+
+void Fleet::restartServer(std::size_t index)
+{
+    servers[index]->restart();
+    list(index);
 }
 
 void Fleet::start()
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "FaultProxy.h"
+#include "StatementJudge.h"
 #include "platform/testing/StandinServer.h"
 #include "platform/testing/StandinStore.h"
+#include "runtime/time/BootClock.h"
 
+#include <map>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -39,6 +42,8 @@
     /** Set when the process ended in a way that nobody asked for. */
     const std::string &complaint() const { return complaint_; }
     void expectKill() { isKillExpected_ = true; }
+    /** When a signal was sent to it. */
+    const std::vector<Millis> &signalledAt() const { return signalledAt_; }
 
     std::uint16_t callersPort = 0;
     std::uint16_t adminPort = 0;
@@ -53,6 +58,7 @@
     int unreadLog_ = -1;
     Millis startedAt_;
     Millis termAt_;
+    std::vector<Millis> signalledAt_;
     std::string complaint_;
 };
 
@@ -70,6 +76,23 @@
     std::vector<std::string> stop();
     void startGateway(std::size_t index);
 
+    /** A server that left starts again under its id and address. Call on the stand-ins' thread. */
+    void restartServer(std::size_t index);
+    /** The link to a server was harmed, healed or reset. */
+    void noteLinkChange(std::size_t server, bool isHarmed)
+    {
+        linkChanges_[server].push_back({bootTime(), isHarmed});
+    }
+    bool isLinkHarmed(std::size_t server) const
+    {
+        const auto found = linkChanges_.find(server);
+        return found != linkChanges_.end() && found->second.back().isHarmed;
+    }
+    std::vector<LinkChange> linkChanges(std::size_t server) const
+    {
+        const auto found = linkChanges_.find(server);
+        return found == linkChanges_.end() ? std::vector<LinkChange>() : found->second;
+    }
     /** Writes a configuration; the second customer's first key can be left out. */
     void configure(bool hasSecondKey);
     /** Runs a function on the stand-ins' thread. */
@@ -89,6 +112,7 @@
     IoThread thread_;
     platform::ServerRequestLog record_;
     std::uint64_t version_ = 0;
+    std::map<std::size_t, std::vector<LinkChange>> linkChanges_;
 };
 
 } // namespace cuminrail::soak
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -1,5 +1,6 @@
 #include "Callers.h"
 #include "Fleet.h"
+#include "StatementJudge.h"
 
 #include "runtime/time/BootClock.h"
 
@@ -35,7 +36,7 @@
     {
         reap();
         const std::size_t index = random_() % fleet_.gateways.size();
-        const std::uint64_t choice = random_() % (isCalm_ ? 2 : 12);
+        const std::uint64_t choice = random_() % (isCalm_ ? 2 : 14);
         switch (choice) {
         case 0:
             return planStop(index);
@@ -51,11 +52,19 @@
         case 5:
             return fleet_.onThread([this] { harmLink(); });
         case 6:
-            return fleet_.onThread([this] { fleet_.proxies[anyServer()]->resetAll(); });
+            return fleet_.onThread([this] {
+                const std::size_t server = anyServer();
+                fleet_.proxies[server]->resetAll();
+                fleet_.noteLinkChange(server, fleet_.isLinkHarmed(server));
+            });
         case 7:
             return fleet_.onThread([this] { harmStore(); });
         case 8:
             return fleet_.onThread([this] { harmStoreLink(); });
+        case 9:
+            return fleet_.onThread([this] { changeLeaving(); });
+        case 10:
+            return fleet_.onThread([this] { restoreStore(); });
         default:
             return fleet_.onThread([this] { changeTemper(); });
         }
@@ -70,8 +79,11 @@
             fleet_.storeProxy->resetAll();
             for (const auto &proxy : fleet_.proxies)
                 proxy->setFault(LinkFault::None);
-            for (const auto &server : fleet_.servers)
-                server->setFaultRates({});
+            for (std::size_t i = 0; i < fleet_.servers.size(); ++i) {
+                fleet_.servers[i]->setFaultRates({});
+                if (fleet_.servers[i]->isLeaving())
+                    fleet_.restartServer(i);
+            }
         });
         for (const auto &gateway : fleet_.gateways)
             gateway->signal(SIGCONT);
@@ -110,12 +122,34 @@
         fleet_.gateways[index]->signal(SIGTERM);
     }
 
+    /** A server begins to leave, without a word to the store; one that left starts again. */
+    void changeLeaving()
+    {
+        const auto leaving = std::find_if(fleet_.servers.begin(), fleet_.servers.end(),
+                                          [](const auto &server) { return server->isLeaving(); });
+        if (leaving == fleet_.servers.end())
+            fleet_.servers[anyServer()]->leave();
+        else
+            fleet_.restartServer(static_cast<std::size_t>(leaving - fleet_.servers.begin()));
+    }
+
+    /** The store comes back from its copy, or takes another one. */
+    void restoreStore()
+    {
+        if (random_() % 2 == 0)
+            fleet_.store->restore();
+        else
+            fleet_.store->takeCopy();
+    }
+
     std::size_t anyServer() { return random_() % fleet_.servers.size(); }
 
     void harmLink()
     {
         const auto fault = static_cast<LinkFault>(random_() % 4);
-        fleet_.proxies[anyServer()]->setFault(fault);
+        const std::size_t index = anyServer();
+        fleet_.proxies[index]->setFault(fault);
+        fleet_.noteLinkChange(index, fault != LinkFault::None);
     }
 
     void harmStore() { fleet_.store->setFault(static_cast<platform::StoreFault>(random_() % 4)); }
@@ -133,6 +167,7 @@
         temper.breaks = static_cast<int>(random_() % 30);
         temper.fails = static_cast<int>(random_() % 20);
         temper.staysSilent = static_cast<int>(random_() % 8);
+        temper.asksForBackoff = random_() % 3 == 0 ? static_cast<int>(random_() % 60) : 0;
         fleet_.servers[anyServer()]->setFaultRates(temper);
     }
 
@@ -161,6 +196,17 @@
     return cut;
 }
 
+/** Returns when gateways were signalled, and links to servers were harmed. */
+Disturbances disturbances(const Fleet &fleet)
+{
+    Disturbances all;
+    for (const auto &gateway : fleet.gateways)
+        all.signals[gateway->callersPort] = gateway->signalledAt();
+    for (std::size_t i = 0; i < fleet.servers.size(); ++i)
+        all.links[fleet.servers[i]->id()] = fleet.linkChanges(i);
+    return all;
+}
+
 /** Starts all processes and waits until they serve. Returns where callers reach them. */
 std::vector<std::uint16_t> startFleet(Fleet &fleet)
 {
@@ -194,6 +240,8 @@
     const auto results = callers.results();
     const auto rules = judge(results, fleet.record(), withdrawnAt);
     broken.insert(broken.end(), rules.begin(), rules.end());
+    const auto statements = judgeStatements(results, fleet.record(), disturbances(fleet));
+    broken.insert(broken.end(), statements.begin(), statements.end());
     broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
     if (driver.isCalm()) {
         const auto cut = cutCalls(results);
