The soak's judge reads a header of the platform through the stand-ins

No behaviour. check-wire-names.sh, run by make check, refused the commit of the soak's judge: a name of the users' wire stood outside platform/.

--- a/programs/cuminrail-soak/StatementJudge.cpp
+++ b/programs/cuminrail-soak/StatementJudge.cpp
@@ -74,7 +74,7 @@
 {
     for (const Sending &stated : sendings) {
         const bool isPassedOn = stated.arrival->statesLeaving && stated.call->isWhole
-            && stated.call->text.find("Server-Leaving: 1") != std::string::npos;
+            && platform::statesLeaving(stated.call->text);
         if (!isPassedOn)
             continue;
         const Millis passedOnAt = stated.callEnd();
