Groups of bounded size act for their instances, and a start reads the store in few

Cause: one instance in four owned trackers, whatever its size, and each kept a link to each owner; a domain of any size was one group; each instance read the whole list of upstreams from the store. Change: owners, watchers, collectors and candidates for the lease are the largest instances; a large failure domain has several groups; the configuration and the upstreams are fetched from the instance above in the order of the watches, in pieces, and from the store after 2 to 4 s without a reply; one end of an idle link pings instead of both. Why it works: the links of an instance depend on its group, the calls of a start on the number of groups.

--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -42,6 +42,8 @@
     bool ordersUpstreams = false;
     /** First start of the whole system: no instance has run before. */
     bool isFirstStart = false;
+    /** Processor share in thousandths of a core. */
+    std::uint32_t milliCores = 1000;
     std::uint32_t memoryMb = 256;
     std::uint32_t descriptors = 1024;
     RetryBounds retries;
--- a/modules/departures/exchange/DepartureExchange.h
+++ b/modules/departures/exchange/DepartureExchange.h
@@ -52,8 +52,9 @@
     /** Called for each departure that was not known. */
     std::function<void(UpstreamIncarnation, DepartureSource)> onDeparture;
 
-    /** All instances, this one first, each other one with the address on which it accepts links. */
-    void setPeers(const std::vector<OwnerCandidate> &peers);
+    /** Sets the instances that tell each other, this one first, and the least number of owners. */
+    void setPeers(const std::vector<OwnerCandidate> &peers,
+                  std::size_t leastOwners = OwnerRanking::minOwners);
     /** Returns whether a link is ready; optional. Anti-entropy uses only peers with a ready link.
      */
     void setLinkCheck(std::function<bool(const PeerAddress &)> isLinked)
--- a/modules/feeds/follower/FeedFollower.cpp
+++ b/modules/feeds/follower/FeedFollower.cpp
@@ -29,9 +29,27 @@
       positionWaitUntil_(hooks_.clock.now() + maxPositionWait)
 { }
 
-void FeedFollower::start()
+void FeedFollower::start(bool hasPeers)
 {
-    listAll();
+    if (!hasPeers)
+        return listAll();
+    const auto half = static_cast<std::uint64_t>(maxPeerStateWait.count()) / 2;
+    peerStateWaitUntil_ = hooks_.clock.now() + maxPeerStateWait / 2
+        + Millis(static_cast<std::int64_t>(hooks_.random() % half));
+}
+
+bool FeedFollower::wantsWholeState() const
+{
+    const WatchPosition &position = coordinator_.position();
+    return !isListed_ && !isBusy_ && peerStateWaitUntil_ && hasPosition_ && position.isShared
+        && !position.isWatcher();
+}
+
+bool FeedFollower::mayList(Millis now) const
+{
+    if (!peerStateWaitUntil_ || now >= *peerStateWaitUntil_)
+        return true;
+    return hasPosition_ && !wantsWholeState();
 }
 
 void FeedFollower::stop()
@@ -50,9 +68,10 @@
         abandonWatch();
     if (isBusy_)
         return;
-    if (!isListed_)
+    if (!isListed_ && mayList(now))
         return listAll();
-    watchIfDue();
+    if (isListed_)
+        watchIfDue();
 }
 
 void FeedFollower::watchIfDue()
@@ -143,6 +162,7 @@
     std::vector<StoreObject> changes = differencesFrom(reply.objects);
     handleSuccess();
     isListed_ = true;
+    peerStateWaitUntil_.reset();
     behindSince_.reset();
     seen_ = std::max(seen_, reply.version);
     for (const StoreObject &change : changes)
@@ -209,6 +229,8 @@
 {
     // Changes between this replica and the start of the update are missing: the sender's next
     // heartbeat shows the gap.
+    if (wantsWholeState() && update.isWhole)
+        return adoptState(update);
     const bool hasGap = update.isWhole ? update.to <= seen_ : update.from > seen_;
     if (!isListed_ || hasGap) {
         if (hooks_.onGap)
@@ -222,15 +244,36 @@
     changedAt_ = std::max(changedAt_, lastChangeRevision(update.objects, update.to));
 }
 
+void FeedFollower::adoptState(const FeedUpdate &update)
+{
+    isListed_ = true;
+    peerStateWaitUntil_.reset();
+    seen_ = historyStart_ = changedAt_ = update.to;
+    for (const StoreObject &object : update.objects)
+        recordIfNewer(object, seen_);
+    markUpToDate();
+    hooks_.onListed(update.objects);
+}
+
+FeedUpdate FeedFollower::wholeState() const
+{
+    FeedUpdate update{kind_, 0, seen_, {}, true};
+    for (const auto &[path, known] : known_) {
+        if (!known.object.removed)
+            update.objects.push_back(known.object);
+    }
+    return update;
+}
+
 std::optional<FeedUpdate> FeedFollower::changesSince(ObjectVersion revision) const
 {
     if (!isListed_ || revision >= seen_)
         return std::nullopt;
-    FeedUpdate update{kind_, revision, seen_, {}, revision < historyStart_};
+    if (revision < historyStart_)
+        return wholeState();
+    FeedUpdate update{kind_, revision, seen_, {}, false};
     for (const auto &[path, known] : known_) {
-        const bool isIncluded =
-            update.isWhole ? !known.object.removed : known.knownRevision > revision;
-        if (isIncluded)
+        if (known.knownRevision > revision)
             update.objects.push_back(known.object);
     }
     return update;
--- a/modules/feeds/follower/FeedFollower.h
+++ b/modules/feeds/follower/FeedFollower.h
@@ -49,6 +49,11 @@
     static constexpr Millis gapTimeout = Millis(500);
     /** How long an instance that does not know its rank yet waits before it watches on its own. */
     static constexpr Millis maxPositionWait = Millis(2500);
+    /**
+        How long an instance that others watch for waits for their state before it lists the store
+        itself; half of it is jitter.
+    */
+    static constexpr Millis maxPeerStateWait = Millis(4000);
 
     struct Hooks
     {
@@ -74,7 +79,13 @@
     FeedFollower(const FeedFollower &) = delete;
     FeedFollower &operator=(const FeedFollower &) = delete;
 
-    void start();
+    /**
+        Begins to follow the store.
+
+        @param hasPeers  others may have the state: it is listed only if this instance watches, or
+            if none of them sends it in time
+    */
+    void start(bool hasPeers = false);
     /** Ignores all replies from now on. */
     void stop();
     /** Performs due work; to be called about ten times a second. */
@@ -91,6 +102,8 @@
     void noteStoreFailure();
     /** Applies an update from another instance's watch. */
     void handleUpdate(const FeedUpdate &update);
+    /** Whether this instance has no state yet and waits for that of another instance. */
+    bool wantsWholeState() const;
     /** Handles the status that another instance that watches announced. */
     void handleStatus(const FeedStatus &feedStatus, std::size_t byRank);
 
@@ -99,9 +112,13 @@
         back that far.
     */
     std::optional<FeedUpdate> changesSince(ObjectVersion revision) const;
+    /** Returns all objects; to be called once the state is known. */
+    FeedUpdate wholeState() const;
 
     FeedKind kind() const { return kind_; }
     ObjectVersion seen() const { return seen_; }
+    /** The revision of the last change. */
+    ObjectVersion changedAt() const { return changedAt_; }
     /** Others have changes that did not arrive here. */
     bool isBehind() const { return behindSince_.has_value(); }
     /** How long changes have been missing; 0 while none are. */
@@ -131,7 +148,9 @@
     bool isStoreSuspect(Millis now) const { return now < suspectUntil_; }
     bool isFresh(Millis now) const;
     Millis watchWait(Millis now) const;
+    bool mayList(Millis now) const;
     void listAll();
+    void adoptState(const FeedUpdate &update);
     void watchIfDue();
     void watch(Millis wait);
     void abandonWatch();
@@ -159,6 +178,8 @@
     ObjectVersion seen_ = 0;
     ObjectVersion changedAt_ = 0;
     bool isListed_ = false;
+    /** Until then the state may come from another instance. */
+    std::optional<Millis> peerStateWaitUntil_;
     bool isDown_ = false;
     /** The last call of this instance failed, whatever others announce. */
     bool isRefused_ = false;
--- a/modules/feeds/follower/FeedGroup.cpp
+++ b/modules/feeds/follower/FeedGroup.cpp
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace cuminrail {
 
 namespace {
 
+/** Bounds who waits for a state; the others ask again. */
+constexpr std::size_t maxWaiting = 64;
 /** Rank of an instance that is not in the list of members. */
 constexpr std::size_t unknownRank = std::numeric_limits<std::size_t>::max();
 
@@ -32,6 +35,8 @@
     position.isShared = true;
     position.members = inOrder.size();
     position.watchers = watchers;
+    for (StateExchange &state : states_)
+        state.fetch.setSources(inOrder, watchers);
     watchers_.clear();
     others_.clear();
     ranks_.clear();
@@ -85,6 +90,7 @@
 {
     const Millis now = clock_.now();
     queryMissing(now);
+    exchangeStates(now);
     if (now < nextHeartbeat_ && !hasUnannouncedRefusal())
         return;
     const WatchTiming &timing = feeds_.front()->coordinator().timing();
@@ -158,6 +164,14 @@
         replyTo(from, *query);
         return true;
     }
+    if (const auto piece = decodeFeedPiece(frame)) {
+        handlePiece(from, *piece);
+        return true;
+    }
+    if (const auto query = decodeFeedPieceQuery(frame)) {
+        replyTo(from, *query);
+        return true;
+    }
     return false;
 }
 
@@ -187,13 +201,59 @@
     }
 }
 
-void FeedGroup::replyTo(const PeerAddress &from, const FeedQuery &query) const
+void FeedGroup::replyTo(const PeerAddress &from, const FeedQuery &query)
 {
     const auto update = feed(query.kind).changesSince(query.seen);
     // Without a reply the other instance reads the missing changes from the store.
-    const auto encoded = update ? encodeFeedUpdate(*update) : std::nullopt;
-    if (encoded)
+    if (!update)
+        return;
+    if (const auto encoded = encodeFeedUpdate(*update))
         transport_.send(from, encodeFeedDelivery({*encoded, {}}));
+    else
+        replyTo(from, FeedPieceQuery{query.kind, 0, 0});
+}
+
+void FeedGroup::replyTo(const PeerAddress &from, const FeedPieceQuery &query)
+{
+    StateExchange &state = stateOf(query.kind);
+    if (const auto piece = state.snapshot.piece(feed(query.kind), query, clock_.now()))
+        transport_.send(from, encodeFeedPiece(*piece));
+    else if (query.number == 0 && state.waiting.size() < maxWaiting)
+        state.waiting.insert(from);
+}
+
+void FeedGroup::sendQuery(const PeerAddress &to, const FeedPieceQuery &query) const
+{
+    transport_.send(to, encodeFeedPieceQuery(query));
+}
+
+void FeedGroup::handlePiece(const PeerAddress &from, const FeedPiece &piece)
+{
+    FeedFollower &follower = feed(piece.kind);
+    if (!follower.wantsWholeState() && !follower.isBehind())
+        return;
+    const auto send = [this](const PeerAddress &to, const FeedPieceQuery &query) {
+        sendQuery(to, query);
+    };
+    const auto whole = stateOf(piece.kind).fetch.handlePiece(from, piece, clock_.now(), send);
+    if (whole)
+        follower.handleUpdate(*whole);
+}
+
+void FeedGroup::exchangeStates(Millis now)
+{
+    const auto send = [this](const PeerAddress &to, const FeedPieceQuery &query) {
+        sendQuery(to, query);
+    };
+    for (const FeedFollower *follower : feeds_) {
+        StateExchange &state = stateOf(follower->kind());
+        if (follower->wantsWholeState())
+            state.fetch.tick(follower->kind(), now, send);
+        if (!follower->isListed())
+            continue;
+        for (const PeerAddress &waiting : std::exchange(state.waiting, {}))
+            replyTo(waiting, FeedPieceQuery{follower->kind(), 0, 0});
+    }
 }
 
 void FeedGroup::broadcast(const std::string &frame) const
--- a/modules/feeds/follower/FeedGroup.h
+++ b/modules/feeds/follower/FeedGroup.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "core/time/Clock.h"
+#include "feeds/follower/FeedFetch.h"
 #include "feeds/follower/FeedFollower.h"
+#include "feeds/follower/FeedSnapshot.h"
 #include "ports/peers/PeerTransport.h"
 
 #include <array>
 #include <functional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -64,7 +67,12 @@
     std::string heartbeat() const;
     void handleDelivery(const FeedDelivery &delivery);
     void handleHeartbeat(const PeerAddress &from, const FeedHeartbeat &heartbeat);
-    void replyTo(const PeerAddress &from, const FeedQuery &query) const;
+    void replyTo(const PeerAddress &from, const FeedQuery &query);
+    void replyTo(const PeerAddress &from, const FeedPieceQuery &query);
+    void handlePiece(const PeerAddress &from, const FeedPiece &piece);
+    void sendQuery(const PeerAddress &to, const FeedPieceQuery &query) const;
+    /** Fetches states that are wanted here, and sends first pieces to those who wait for them. */
+    void exchangeStates(Millis now);
     void deliver(const std::string &update, const std::vector<PeerAddress> &receivers) const;
     void queryMissing(Millis now);
     /** Whether the refusal state of a feed of this watcher differs from the last one announced. */
@@ -87,6 +95,16 @@
         Millis querySentAt;
     };
     std::array<Missing, feedKinds> missing_;
+    /** The exchange of a feed's whole state. */
+    struct StateExchange
+    {
+        FeedSnapshot snapshot;
+        FeedFetch fetch;
+        /** Instances that asked for the state before it was known here. */
+        std::set<PeerAddress> waiting;
+    };
+    std::array<StateExchange, feedKinds> states_;
+    StateExchange &stateOf(FeedKind kind) { return states_[static_cast<std::size_t>(kind)]; }
 };
 
 } // namespace cuminrail
--- a/modules/feeds/testing/FeedCluster.h
+++ b/modules/feeds/testing/FeedCluster.h
@@ -46,12 +46,17 @@
     /** Messages that never arrive. */
     std::function<bool(const std::string &frame)> isDropped;
 
+    /** Bytes that an instance's own link takes in a millisecond: 20 Mbit/s. */
+    static constexpr std::size_t smallLinkBytesPerMs = 2500;
+
+    /** @param hasPeers  instances start with the state of others where they have it */
     FeedCluster(std::size_t domains, std::size_t instancesPerDomain, bool isShared,
-                std::uint64_t seed)
-        : scheduler(seed), instancesPerDomain_(instancesPerDomain), isShared_(isShared)
+                std::uint64_t seed, int upstreams = 80, bool hasPeers = false)
+        : scheduler(seed), instancesPerDomain_(instancesPerDomain), isShared_(isShared),
+          hasPeers_(hasPeers)
     {
         store.write("configuration/current", "1");
-        for (int i = 0; i < 80; ++i)
+        for (int i = 0; i < upstreams; ++i)
             store.write("upstreams/u-" + std::to_string(i), "ready");
         instances.resize(domains * instancesPerDomain);
         for (std::size_t i = 0; i < instances.size(); ++i)
@@ -84,8 +89,8 @@
             instance.group->setMembers(domainOf(index), watchers);
         else
             instance.group->setStandalone();
-        instance.configuration->start();
-        instance.upstreams->start();
+        instance.configuration->start(hasPeers_);
+        instance.upstreams->start(hasPeers_);
     }
 
     void kill(std::size_t index) { instances[index].process->kill(); }
@@ -232,6 +237,7 @@
 
     std::size_t instancesPerDomain_;
     bool isShared_;
+    bool hasPeers_;
     std::deque<FollowingInstance> previous_;
     std::map<std::size_t, Millis> linkBusyUntil_;
 };
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -116,6 +116,11 @@
     if (settings_.isFirstStart)
         lease_.setFirstStart();
     sync_.onConfiguration = [this] { applyLimits(); };
+    registry_.onListed = [this] {
+        // An instance that just started has nothing to respond with until it follows the store.
+        tickPeers();
+        sync_.tick();
+    };
     feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onWatchUpdate = [this](const FeedUpdate &update) { feeds_.distribute(update); };
     context_.quotas =
@@ -156,7 +161,7 @@
         return address.isSet() ? address.toString() : std::string();
     };
     return {InstanceId(settings.name), textOf(settings.admin), textOf(settings.links),
-            settings.failureDomain};
+            settings.failureDomain, settings.milliCores};
 }
 
 bool Gateway::start(Reason *lastReason)
@@ -172,7 +177,9 @@
     startedAt_ = environment_.clock.now();
     if (!settings_.links.isSet())
         feeds_.setStandalone();
-    sync_.start();
+    sync_.start(settings_.links.isSet());
+    registry_.tick();
+    tickPeers();
     armTick();
     return true;
 }
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -95,6 +95,8 @@
     void tickPeers();
     /** Updates the share of instances that this one has links to. */
     void updateReachableShare();
+    /** Returns the share of a set of instances, this one and the others, that have links. */
+    double linkedShare(const std::vector<PeerAddress> &others) const;
     /** Returns whether an engine had no prefilled prompt yet at a time of the steady clock. */
     bool wasUnusedAt(EngineKey engine, Millis at) const;
     void updateGroup();
@@ -128,6 +130,10 @@
     Millis nextReachUpdateAt_;
     FeedGroup feeds_;
     InstanceGroup group_;
+    /** Exchanges prefill estimates with a group of the instances rather than with all. */
+    bool isPartitioned_ = false;
+    /** The others with which it does. */
+    std::vector<PeerAddress> exchangingPeers_;
     /** Wall clock minus steady clock, at the start. */
     std::int64_t wallOffset_ = environment_.wallMillis() - environment_.clock.now().count();
     GatewayUsage usage_;
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -24,21 +24,40 @@
     if (peersRevision_ == registry_.revision())
         return;
     peersRevision_ = registry_.revision();
+    updateGroup();
     std::vector<OwnerCandidate> peers;
     for (const RegisteredInstance &instance : registry_.instances()) {
         const bool isSelf = instance.instance.text() == settings_.name;
         if (isSelf || !instance.links.empty())
-            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links});
+            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links,
+                             instance.milliCores});
     }
+    isPartitioned_ = peers.size() > InstanceGroup::maxSize;
     if (registry_.isSettled()) {
         context_.quotas->setPeers(peers);
         context_.limits->setPeers(peers);
     }
     context_.quarantine->setPeers(peers);
-    context_.departures->setPeers(peers);
-    context_.prefillExchange->setPeers(std::move(peers));
+    // Estimates and departures may be known to a part of the instances only; limits may not.
+    const std::vector<OwnerCandidate> &exchanging = isPartitioned_ ? group_.members : peers;
+    const std::size_t leastOwners =
+        isPartitioned_ ? InstanceGroup::leastOwners : OwnerRanking::minOwners;
+    exchangingPeers_.clear();
+    for (const OwnerCandidate &each : exchanging) {
+        if (!each.address.empty())
+            exchangingPeers_.push_back(each.address);
+    }
+    context_.departures->setPeers(exchanging, leastOwners);
+    context_.prefillExchange->setPeers(exchanging, leastOwners);
     fabric_.maintainLinks(context_.prefillExchange->ownerAddresses());
-    updateGroup();
+}
+
+double Gateway::linkedShare(const std::vector<PeerAddress> &others) const
+{
+    const auto linked = std::count_if(others.begin(), others.end(), [this](const auto &other) {
+        return fabric_.isLinked(other);
+    });
+    return static_cast<double>(1 + linked) / static_cast<double>(1 + others.size());
 }
 
 void Gateway::updateReachableShare()
@@ -47,18 +66,16 @@
     if (now < nextReachUpdateAt_)
         return;
     nextReachUpdateAt_ = now + reachInterval;
-    const auto &instances = registry_.instances();
-    const auto linked = std::count_if(instances.begin(), instances.end(), [this](const auto &each) {
-        return each.instance.text() == settings_.name || fabric_.isLinked(each.links);
-    });
-    const double reach = static_cast<double>(linked)
-        / static_cast<double>(std::max<std::size_t>(1, instances.size()));
+    const double reach = linkedShare(exchangingPeers_);
     context_.quotas->setReachableShare(reach);
     context_.limits->setReachableShare(reach);
 }
 
 bool Gateway::wasUnusedAt(EngineKey engine, Millis at) const
 {
+    // Instances of other groups send prompts there that are not announced here.
+    if (isPartitioned_)
+        return false;
     // On the first start of a whole system, the engines have not been used by any instance.
     if (settings_.isFirstStart && at < startedAt_ + firstStartSettleTime)
         return true;
--- a/modules/gateway/control/FleetLease.cpp
+++ b/modules/gateway/control/FleetLease.cpp
@@ -34,6 +34,29 @@
       lease_(fleetDuty, self, leaseTiming(), std::move(hooks)), startedAt_(clock_.now())
 { }
 
+std::optional<std::size_t> FleetLease::rank()
+{
+    if (rankedRevision_ == registry_.revision())
+        return rank_;
+    rankedRevision_ = registry_.revision();
+    const std::uint32_t ownMilliCores = registry_.instances().front().milliCores;
+    std::size_t larger = 0;
+    std::vector<InstanceId> equal;
+    for (const RegisteredInstance &each : registry_.instances()) {
+        if (each.milliCores > ownMilliCores)
+            ++larger;
+        else if (each.milliCores == ownMilliCores)
+            equal.push_back(each.instance);
+    }
+    rank_.reset();
+    if (larger >= candidates)
+        return rank_;
+    if (const auto amongEqual =
+            DutyAssignment::rank(fleetDuty, self_, equal, candidates - larger))
+        rank_ = larger + *amongEqual;
+    return rank_;
+}
+
 bool FleetLease::isOutsiderCheckDue(Millis now)
 {
     const auto instances = static_cast<std::int64_t>(registry_.instances().size());
@@ -53,12 +76,12 @@
     const Millis now = clock_.now();
     if (!registry_.isSettled() && now - startedAt_ < maxUnsettledWait)
         return;
-    const auto rank = DutyAssignment::rank(fleetDuty, self_, registry_.names(), candidates);
-    if (!rank && !isHeld() && !isLeaving_ && !isOutsiderCheckDue(now))
+    const auto ownRank = rank();
+    if (!ownRank && !isHeld() && !isLeaving_ && !isOutsiderCheckDue(now))
         return;
     Candidacy candidacy;
     candidacy.isCandidate = !isLeaving_;
-    candidacy.rank = rank.value_or(candidates);
+    candidacy.rank = ownRank.value_or(candidates);
     lease_.tick(candidacy);
 }
 
--- a/modules/gateway/control/FleetLease.h
+++ b/modules/gateway/control/FleetLease.h
@@ -12,7 +12,7 @@
     This instance's participation in the single lease under which the fleet's duties are performed.
 
     Load: hundreds of instances, each of which may have to take over. The first few by rank poll the
-    lease often. The others poll it rarely, in case all of those are gone, as every poll is a billed
+    lease often; the largest come first, as the holder's work grows with the number of all. The others poll it rarely, in case all of those are gone, as every poll is a billed
     call of the store.
 */
 class FleetLease
@@ -47,6 +47,8 @@
 
 private:
     bool isOutsiderCheckDue(Millis now);
+    /** Returns this instance's rank among the candidates, if it is one. */
+    std::optional<std::size_t> rank();
 
     InstanceId self_;
     const InstanceRegistry &registry_;
@@ -56,6 +58,9 @@
     Millis startedAt_;
     std::optional<Millis> nextOutsiderCheckAt_;
     bool isLeaving_ = false;
+    /** The rank, and the revision of the list of instances from which it was computed. */
+    std::optional<std::size_t> rank_;
+    std::uint64_t rankedRevision_ = 0;
 };
 
 } // namespace cuminrail
--- a/modules/gateway/control/InstanceGroup.cpp
+++ b/modules/gateway/control/InstanceGroup.cpp
@@ -1,5 +1,6 @@
 #include "gateway/control/InstanceGroup.h"
 
+#include "core/hash/StableHash.h"
 #include "lease/assignment/DutyAssignment.h"
 
 #include <algorithm>
@@ -14,27 +15,66 @@
 /** If the store refuses a third of the instances, one owner in 27 must write its own ledger. */
 constexpr std::size_t maxCollectors = 3;
 
+bool isMember(const RegisteredInstance &instance, const RegisteredInstance &self)
+{
+    return instance.failureDomain == self.failureDomain && !instance.links.empty();
+}
+
+/** Returns the part of a failure domain that an instance belongs to, of so many parts. */
+std::uint64_t partOf(const InstanceId &instance, std::size_t parts)
+{
+    return StableHash().add(instance.text()).value() % parts;
+}
+
+std::vector<OwnerCandidate> membersOf(const std::vector<RegisteredInstance> &instances,
+                                      const RegisteredInstance &self)
+{
+    const auto size = static_cast<std::size_t>(
+        std::count_if(instances.begin(), instances.end(),
+                      [&](const auto &instance) { return isMember(instance, self); }));
+    const std::size_t parts = size / InstanceGroup::maxSize + 1;
+    const std::uint64_t ownPart = partOf(self.instance, parts);
+    std::vector<OwnerCandidate> members{{self.instance, {}, self.milliCores}};
+    for (const RegisteredInstance &each : instances) {
+        if (each.instance != self.instance && isMember(each, self)
+            && partOf(each.instance, parts) == ownPart)
+            members.push_back({each.instance, each.links, each.milliCores});
+    }
+    return members;
+}
+
+/** Returns the addresses of the members in the order in which they acquire a duty. */
+std::vector<PeerAddress> dutyOrder(const char *duty, const std::vector<OwnerCandidate> &members)
+{
+    std::vector<InstanceId> names;
+    std::map<InstanceId, const OwnerCandidate *> byName;
+    for (const OwnerCandidate &member : members) {
+        names.push_back(member.instance);
+        byName[member.instance] = &member;
+    }
+    std::vector<InstanceId> order = DutyAssignment::order(duty, std::move(names));
+    // Acting for others takes more processor time and bandwidth than a small instance has.
+    std::stable_sort(order.begin(), order.end(), [&](const auto &one, const auto &other) {
+        return byName.at(one)->milliCores > byName.at(other)->milliCores;
+    });
+    std::vector<PeerAddress> addresses;
+    for (const InstanceId &instance : order)
+        addresses.push_back(byName.at(instance)->address);
+    return addresses;
+}
+
 } // namespace
 
 InstanceGroup InstanceGroup::of(const std::vector<RegisteredInstance> &instances,
                                 const RegisteredInstance &self)
 {
-    std::vector<InstanceId> domain;
-    std::map<InstanceId, PeerAddress> links;
-    for (const RegisteredInstance &instance : instances) {
-        if (instance.failureDomain != self.failureDomain || instance.links.empty())
-            continue;
-        domain.push_back(instance.instance);
-        links[instance.instance] = instance.instance == self.instance ? "" : instance.links;
-    }
     InstanceGroup group;
-    group.isShared = domain.size() >= minSharedSize;
+    group.members = membersOf(instances, self);
+    group.isShared = group.members.size() >= minSharedSize && !self.links.empty();
     if (!group.isShared)
         return group;
-    for (const InstanceId &instance : DutyAssignment::order(feedDuty, domain))
-        group.watchOrder.push_back(links.at(instance));
-    for (const InstanceId &instance : DutyAssignment::order(collectDuty, domain))
-        group.collectors.push_back(links.at(instance));
+    group.watchOrder = dutyOrder(feedDuty, group.members);
+    group.collectors = dutyOrder(collectDuty, group.members);
     group.collectors.resize(std::min(group.collectors.size(), maxCollectors));
     return group;
 }
--- a/modules/gateway/control/InstanceGroup.h
+++ b/modules/gateway/control/InstanceGroup.h
@@ -2,13 +2,20 @@
 
 #include "core/ids/Ids.h"
 #include "gateway/control/InstanceRegistry.h"
+#include "keepers/ranking/OwnerRanking.h"
 
 #include <string>
 #include <vector>
 
 namespace cuminrail {
 
-/** The instances of a failure domain that act on behalf of the others there. */
+/**
+    The instances that share work with one another: those of a failure domain, or a part of a large
+    one.
+
+    Load: any number of instances, each with links to the few that act for its group. Groups of
+    bounded size bound the links, messages and memory of each instance, whatever the number of all.
+*/
 struct InstanceGroup
 {
     /**
@@ -16,6 +23,10 @@
         With fewer instances, the saved calls are not worth the messages between them.
     */
     static constexpr std::size_t minSharedSize = 8;
+    /** Average size of the parts of a large failure domain, at most. */
+    static constexpr std::size_t maxSize = 256;
+    /** Number of members that own state for the others, at least. */
+    static constexpr std::size_t leastOwners = 8;
 
     /** False if every instance watches the store and writes its ledger itself. */
     bool isShared = false;
@@ -23,8 +34,10 @@
     std::vector<PeerAddress> watchOrder;
     /** Link addresses of the instances that collect usage ledgers, in the order to try them. */
     std::vector<PeerAddress> collectors;
+    /** The members, this instance first. */
+    std::vector<OwnerCandidate> members;
 
-    /** Computes the group of @c self, whose own address is empty in both lists. */
+    /** Computes the group of @c self, whose own address is empty in all lists. */
     static InstanceGroup of(const std::vector<RegisteredInstance> &instances,
                             const RegisteredInstance &self);
 };
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -20,13 +20,23 @@
     return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+std::uint32_t milliCoresOf(const nlohmann::json &entry)
+{
+    constexpr std::uint64_t maxMilliCores = 1000 * 1000;
+    const auto found = entry.is_object() ? entry.find("milli_cores") : entry.end();
+    if (found == entry.end() || !found->is_number_unsigned())
+        return 0;
+    return static_cast<std::uint32_t>(std::min(found->get<std::uint64_t>(), maxMilliCores));
+}
+
 } // namespace
 
 InstanceRegistry::InstanceRegistry(RegisteredInstance self, bool startsWithOthers,
                                    ObjectStore store, Clock clock, RandomHook random)
     : self_(std::move(self)), path_(prefix + self_.instance.text()), store_(std::move(store)),
       clock_(std::move(clock)), random_(std::move(random)), instances_{self_},
-      startsWithOthers_(startsWithOthers), nextRefreshAt_(clock_.now()), nextListAt_(clock_.now())
+      startsWithOthers_(startsWithOthers), nextRefreshAt_(clock_.now()),
+      nextListAt_(clock_.now() + (startsWithOthers ? settleDelay : Millis(0)))
 { }
 
 Millis InstanceRegistry::refreshInterval() const
@@ -65,6 +75,7 @@
     const nlohmann::json value{{"address", self_.address},
                                {"links", self_.links},
                                {"domain", self_.failureDomain},
+                               {"milli_cores", self_.milliCores},
                                {"refreshes", ++refreshes_}};
     StorePut put{path_, value.dump(), std::nullopt};
     if (isCreation)
@@ -97,13 +108,8 @@
         return;
     }
     listRetryDelay_ = minRetryDelay;
-    if (startsWithOthers_) {
-        startsWithOthers_ = false;
-        listedAt_.reset();
-        nextListAt_ = now + settleDelay;
-    } else {
-        isSettled_ = true;
-    }
+    startsWithOthers_ = false;
+    isSettled_ = true;
     const Millis staleAfter = refreshInterval() * maxMissedRefreshes + staleSlack;
     instances_ = {self_};
     for (const StoreObject &object : reply.objects) {
@@ -119,9 +125,11 @@
         const auto json = nlohmann::json::parse(object.value, nullptr, false);
         instances_.push_back({InstanceId(object.path.substr(std::string(prefix).size())),
                               textMember(json, "address"), textMember(json, "links"),
-                              textMember(json, "domain")});
+                              textMember(json, "domain"), milliCoresOf(json)});
     }
     ++revision_;
+    if (onListed)
+        onListed();
 }
 
 void InstanceRegistry::storeRestored()
--- a/modules/gateway/control/InstanceRegistry.h
+++ b/modules/gateway/control/InstanceRegistry.h
@@ -6,6 +6,7 @@
 #include "ports/peers/PeerTransport.h"
 #include "ports/store/ObjectStore.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
     /** Address on which it accepts links; empty if it accepts none. */
     PeerAddress links;
     std::string failureDomain;
+    /** Processor share in thousandths of a core; 0 if its entry does not state it. */
+    std::uint32_t milliCores = 0;
 };
 
 /**
@@ -64,6 +67,8 @@
     bool isSettled() const { return isSettled_; }
     /** Incremented each time the instances are read from the store. */
     std::uint64_t revision() const { return revision_; }
+    /** Called after each such reading; optional. */
+    std::function<void()> onListed;
 
 private:
     /** The last change seen of another instance's entry. */
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -74,10 +74,10 @@
     return hooks;
 }
 
-void StoreSync::start()
+void StoreSync::start(bool hasPeers)
 {
-    configuration_.start();
-    upstreams_.start();
+    configuration_.start(hasPeers);
+    upstreams_.start(hasPeers);
 }
 
 void StoreSync::stop()
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -24,7 +24,8 @@
     StoreSync(const StoreSync &) = delete;
     StoreSync &operator=(const StoreSync &) = delete;
 
-    void start();
+    /** @param hasPeers  other instances may have the state already */
+    void start(bool hasPeers);
     /** Stops following; replies of the store that arrive later are ignored. */
     void stop();
     /** Renews the watches when due; to be called about ten times a second. */
--- a/modules/keepers/ranking/OwnerRanking.cpp
+++ b/modules/keepers/ranking/OwnerRanking.cpp
@@ -7,24 +7,53 @@
 
 namespace cuminrail {
 
-bool OwnerRanking::setPeers(std::vector<OwnerCandidate> peers)
+namespace {
+
+/** An instance whose size is not known counts, but for next to nothing. */
+std::uint64_t sizeOf(const OwnerCandidate &peer)
+{
+    return std::max<std::uint64_t>(1, peer.milliCores);
+}
+
+} // namespace
+
+bool OwnerRanking::setPeers(std::vector<OwnerCandidate> peers, std::size_t leastOwners)
 {
     const std::vector<Ranked> before = std::exchange(owners_, {});
+    std::uint64_t allMilliCores = 0;
     for (OwnerCandidate &peer : peers) {
         const std::uint64_t hash = StableHash().add(peer.instance.text()).value();
+        allMilliCores += sizeOf(peer);
         owners_.push_back({std::move(peer), hash});
     }
-    // Those with the lowest hashes, so that an instance that joins or leaves changes one owner.
-    std::sort(owners_.begin(), owners_.end(),
-              [](const Ranked &one, const Ranked &other) { return one.hash < other.hash; });
-    const std::size_t ownerCount = std::max(minOwners, owners_.size() / instancesPerOwner);
-    owners_.resize(std::min(owners_.size(), ownerCount));
+    // Of equal ones those with the lowest hashes, so that an instance that joins or leaves changes
+    // one owner.
+    std::sort(owners_.begin(), owners_.end(), [](const Ranked &one, const Ranked &other) {
+        const std::uint64_t size = sizeOf(one.peer);
+        const std::uint64_t otherSize = sizeOf(other.peer);
+        return size != otherSize ? size > otherSize : one.hash < other.hash;
+    });
+    owners_.resize(countOwners(allMilliCores, leastOwners));
     const auto isSame = [](const Ranked &one, const Ranked &other) {
         return one.hash == other.hash && one.peer.address == other.peer.address;
     };
     return !std::equal(before.begin(), before.end(), owners_.begin(), owners_.end(), isSame);
 }
 
+std::size_t OwnerRanking::countOwners(std::uint64_t allMilliCores,
+                                      std::size_t leastOwners) const
+{
+    std::size_t count = 0;
+    std::uint64_t milliCores = 0;
+    for (const Ranked &candidate : owners_) {
+        milliCores += sizeOf(candidate.peer);
+        if (count >= leastOwners && milliCores * processorsPerOwner > allMilliCores)
+            break;
+        ++count;
+    }
+    return count;
+}
+
 std::vector<PeerAddress> OwnerRanking::addresses() const
 {
     std::vector<PeerAddress> addresses;
--- a/modules/keepers/ranking/OwnerRanking.h
+++ b/modules/keepers/ranking/OwnerRanking.h
@@ -20,6 +20,8 @@
     InstanceId instance;
     /** Address on which it accepts links; empty for this instance itself. */
     PeerAddress address;
+    /** Processor share in thousandths of a core; 0 if it is not known. */
+    std::uint32_t milliCores = 0;
 };
 
 /**
@@ -28,7 +30,7 @@
     Expected load: hundreds of instances that start together and query each other at once. If all of
     them were owners, each would need a link to every other one, and most of the first queries would
     get no reply while the links are set up. Therefore only some of them are owners, and links to
-    these are kept open.
+    these are kept open: the largest instances, which together have a part of all processors.
 
     All instances compute the same ranking from the registered instances, so no agreement protocol
     is needed. A dead instance can stay registered for a minute before its entry expires: an owner
@@ -42,12 +44,16 @@
     static constexpr int maxMissedReplies = 2;
     static constexpr Millis exclusionPeriod = Millis(2000);
 
-    /** One instance in this many is an owner, but at least minOwners are. */
-    static constexpr std::size_t instancesPerOwner = 4;
+    /** One part in this many of all processors is that of the owners, if they are more than the
+        least number. */
+    static constexpr std::uint64_t processorsPerOwner = 4;
     static constexpr std::size_t minOwners = 16;
 
-    /** The first is this instance. Returns false if the owners are the same as before. */
-    bool setPeers(std::vector<OwnerCandidate> peers);
+    /**
+        Sets the instances, this one first, and the number of owners if there are as many. Returns
+        false if the owners are the same as before.
+    */
+    bool setPeers(std::vector<OwnerCandidate> peers, std::size_t leastOwners = minOwners);
     bool isEmpty() const { return owners_.empty(); }
     /** Whether this instance is one of the owners. */
     bool isOwner() const;
@@ -89,6 +95,8 @@
     template<typename IsSkipped>
     const PeerAddress &firstAllowed(OwnershipKey key, IsSkipped isSkipped) const;
     bool isExcluded(const PeerAddress &peer, Millis now) const;
+    /** Returns how many of the candidates in owners_, the largest first, become owners. */
+    std::size_t countOwners(std::uint64_t allMilliCores, std::size_t leastOwners) const;
 
     std::vector<Ranked> owners_;
     std::unordered_map<PeerAddress, MissedReplies> missedReplies_;
--- a/modules/keepers/ranking/OwnerRanking_test.cpp
+++ b/modules/keepers/ranking/OwnerRanking_test.cpp
@@ -57,6 +57,35 @@
     }
 }
 
+// Guards against owners on machines that have a tenth of a core, while others have a whole one.
+TEST_CASE("the largest instances are the owners, until they have a quarter of all processors")
+{
+    struct Row
+    {
+        int small;
+        int large;
+        std::size_t leastOwners;
+        std::size_t owners;
+    };
+    for (const Row &row : {Row{190, 10, 8, 8}, Row{380, 20, 8, 16}, Row{60, 6, 16, 16},
+                           Row{4, 1, 16, 5}, Row{1900, 100, 8, 82}}) {
+        CAPTURE(row.small);
+        std::vector<OwnerCandidate> peers{{InstanceId("self"), {}, 120}};
+        for (int i = 1; i < row.small; ++i)
+            peers.push_back({InstanceId("s-" + std::to_string(i)), "s" + std::to_string(i), 120});
+        for (int i = 0; i < row.large; ++i)
+            peers.push_back({InstanceId("l-" + std::to_string(i)), "l" + std::to_string(i), 1000});
+        OwnerRanking owners;
+        owners.setPeers(peers, row.leastOwners);
+        const std::vector<PeerAddress> addresses = owners.addresses();
+        CHECK(addresses.size() + (owners.isOwner() ? 1 : 0) == row.owners);
+        const auto large = std::count_if(addresses.begin(), addresses.end(),
+                                         [](const auto &address) { return address[0] == 'l'; });
+        CHECK(static_cast<std::size_t>(large)
+              == std::min(static_cast<std::size_t>(row.large), row.owners));
+    }
+}
+
 // Guards against a ranking that moves the keys of all owners when one leaves for good. State starts
 // empty at a new owner, so every estimate would be wrong for seconds.
 TEST_CASE("an instance that leaves moves only its own keys")
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -116,13 +116,23 @@
         whileAlive([this](const Handle &handle, const typename Endpoint::message_ptr &message) {
             handleMessage(handle, message->get_payload());
         }));
-    endpoint.set_pong_handler(whileAlive([this](const Handle &handle, const std::string &) {
+    const auto recordActivity = [this](const Handle &handle) {
         const auto found = links_.find(handle);
-        if (found == links_.end())
-            return;
-        ++stats_.pongs;
-        found->second->recordActivity(clock_.now());
-    }));
+        if (found != links_.end())
+            found->second->recordActivity(clock_.now());
+        return found != links_.end();
+    };
+    endpoint.set_pong_handler(
+        whileAlive([this, recordActivity](const Handle &handle, const std::string &) {
+            if (recordActivity(handle))
+                ++stats_.pongs;
+        }));
+    // A ping shows as much as a pong, so of the two ends of an idle link only one has to send any.
+    endpoint.set_ping_handler(
+        whileAlive([recordActivity](const Handle &handle, const std::string &) {
+            recordActivity(handle);
+            return true;
+        }));
     endpoint.set_close_handler(whileAlive([this](const Handle &handle) { handleClosed(handle); }));
     endpoint.set_fail_handler(whileAlive([this](const Handle &handle) { handleClosed(handle); }));
 }
--- a/modules/readingbooks/exchange/PrefillExchange.cpp
+++ b/modules/readingbooks/exchange/PrefillExchange.cpp
@@ -19,9 +19,9 @@
     return tracked.tracker;
 }
 
-void PrefillExchange::setPeers(std::vector<OwnerCandidate> peers)
+void PrefillExchange::setPeers(std::vector<OwnerCandidate> peers, std::size_t leastOwners)
 {
-    if (owners_.setPeers(std::move(peers)))
+    if (owners_.setPeers(std::move(peers), leastOwners))
         ownersChangedAt_ = clock_.now();
 }
 
