The fleet orders at most four upstreams for each instance

Callers saw: no gain from upstreams that nobody asked for, and their price. Cause: the operators' upper bound was ordered, whatever is asked: 6,973 engines stood there where 2,910 were listed. Change: the plan is bounded by the number of instances too, since each has few requests at a time. Kept out: letting go by measured demand, which is known 7 s after the first request and takes caches along; see docs/design/whole-fleet.md.

--- a/modules/dataplane/fleet/FleetPlan.cpp
+++ b/modules/dataplane/fleet/FleetPlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cuminrail {
 
@@ -9,7 +10,10 @@
                                const DomainSupply &supply) const
 {
     const auto usedCount = std::lround(static_cast<double>(bounds.most) * settings_.usedShare);
-    const std::uint32_t most = std::max({1U, bounds.least, static_cast<std::uint32_t>(usedCount)});
+    const std::uint32_t wanted =
+        std::min(static_cast<std::uint32_t>(usedCount),
+                 supply.usable.value_or(std::numeric_limits<std::uint32_t>::max()));
+    const std::uint32_t most = std::max({1U, bounds.least, wanted});
     const auto keptCount = std::lround(static_cast<double>(most) * settings_.keptShare);
     const std::uint32_t kept =
         std::clamp(static_cast<std::uint32_t>(keptCount), std::max(1U, bounds.least), most);
--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -23,6 +23,8 @@
     Millis denialDuration;
     /** Time since it last denied them; not set if it never did. */
     std::optional<Millis> timeSinceDenial;
+    /** Number of upstreams in the domain beyond which the instances cannot use more; optional. */
+    std::optional<std::uint32_t> usable;
 };
 
 /** Target number of upstreams of each kind in one failure domain. */
@@ -41,6 +43,12 @@
 {
     /** Share of the operators' upper bound that is used. */
     double usedShare = 1.0;
+    /**
+        Upstreams for each instance, at most. The operators' bound says what may be ordered, not
+        what the callers need: instances have few requests at a time each, and every further
+        upstream is billed and listed everywhere.
+    */
+    double mostPerInstance = 4;
     /**
         Share of regular upstreams in the target number. All reclaimable upstreams of a domain are
         withdrawn at once, at two seconds' notice; the regular ones must then serve its callers,
--- a/modules/dataplane/fleet/FleetPlan_test.cpp
+++ b/modules/dataplane/fleet/FleetPlan_test.cpp
@@ -27,6 +27,15 @@
           Row{"regular ones are gone: the rest is reclaimable", {1, 3}, {}, {1, 5}},
           Row{"no requests yet: replaced at once", {3, 0}, {true, Millis(0), {}}, {1, 5}},
           Row{"more are listed than the bounds allow", {9, 0}, {}, {6, 0}},
+          Row{"fewer are usable: only those are ordered",
+              {1, 0},
+              {false, Millis(0), {}, 4U},
+              {1, 3}},
+          Row{"fewer are usable than are listed", {1, 5}, {false, Millis(0), {}, 2U}, {1, 1}},
+          Row{"fewer are usable than the operators' least number",
+              {1, 0},
+              {false, Millis(0), {}, 0U},
+              {1, 0}},
           Row{"a short denial changes nothing", {1, 0}, {false, Millis(900), {}}, {1, 5}}}) {
         CAPTURE(row.what);
         FleetPlan plan;
--- a/modules/dataplane/policy/DecisionSettings.cpp
+++ b/modules/dataplane/policy/DecisionSettings.cpp
@@ -70,6 +70,7 @@
         {"dwell-ms", 0, maxWeight,
          [](DecisionSettings &settings, double value) { settings.stages.dwell = toMillis(value); }},
         {"used-share", 0, 1, fleet(&FleetPlanSettings::usedShare)},
+        {"most-per-instance", 0, maxWeight, fleet(&FleetPlanSettings::mostPerInstance)},
         {"kept-share", 0, 1, fleet(&FleetPlanSettings::keptShare)},
         {"substitute-share", 0, 1, fleet(&FleetPlanSettings::substituteShare)},
         {"denial-borne-ms", 0, maxWeight,
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -317,6 +317,8 @@
     sync_.setInstances(instances);
     usage_.setInstances(instances);
     stages_.setInstances(instances);
+    if (registry_.isSettled())
+        scale_.setInstances(instances);
     if (settings_.reportsUsage || settings_.ordersUpstreams)
         lease_.tick();
     if (settings_.reportsUsage)
--- a/modules/gateway/control/ScaleDuty.cpp
+++ b/modules/gateway/control/ScaleDuty.cpp
@@ -2,6 +2,8 @@
 
 #include "core/events/EventCatalogue.h"
 
+#include <cmath>
+
 namespace cuminrail {
 
 namespace {
@@ -38,6 +40,15 @@
     }
 }
 
+std::optional<std::uint32_t> ScaleDuty::usablePerDomain(std::size_t failureDomains) const
+{
+    if (!instances_)
+        return std::nullopt;
+    const double all =
+        context_.settings.decisions.fleet.mostPerInstance * static_cast<double>(*instances_);
+    return static_cast<std::uint32_t>(std::ceil(all / static_cast<double>(failureDomains)));
+}
+
 void ScaleDuty::planService(const Service &service, bool isIdle)
 {
     const Millis now = context_.now();
@@ -57,7 +68,8 @@
         const auto lastDenied = state.reclaimable.lastDeniedAt;
         const DomainSupply supply{isIdle, firstDenied ? now - *firstDenied : Millis(0),
                                   lastDenied ? std::optional<Millis>(now - *lastDenied)
-                                             : std::nullopt};
+                                             : std::nullopt,
+                                  usablePerDomain(fleets.size())};
         const DomainTarget target = state.plan.decide(*service.scale, fleet, supply);
         ScaleTarget regular{service.name, domain, target.regular, false};
         ScaleTarget reclaimable{service.name, domain, target.reclaimable, true};
--- a/modules/gateway/control/ScaleDuty.h
+++ b/modules/gateway/control/ScaleDuty.h
@@ -24,6 +24,8 @@
         system has just been set up and has received no request.
     */
     void tick(bool isIdle);
+    /** Sets the number of instances that send requests to the upstreams; unlimited by default. */
+    void setInstances(std::size_t count) { instances_ = count; }
 
 private:
     /** The upstreams of one service in one failure domain. */
@@ -62,7 +64,11 @@
 
     RelayContext &context_;
     std::function<std::optional<DutyAuthority>()> authority_;
+    /** Returns how many upstreams of a domain the instances can use, if their number is known. */
+    std::optional<std::uint32_t> usablePerDomain(std::size_t failureDomains) const;
+
     std::map<FleetKey, FleetState> states_;
+    std::optional<std::size_t> instances_;
     Millis authorityGainedAt_ = Millis::never();
 };
 
