A choice of an engine sorts the head of the ranking only

Callers saw: the choice takes an instance with a tenth of a core milliseconds before 3,000 engines. Cause: all engines of a stage were sorted, for prefill and for decode, again for each repeat. Change: the first of the ranking are selected, more only if most of them are ejected; the hash of the prompt is computed once. Order and result are the same. Measured: tests of placement unchanged; not measured apart.

--- a/modules/dataplane/placement/EnginePlacement.cpp
+++ b/modules/dataplane/placement/EnginePlacement.cpp
@@ -67,36 +67,53 @@
 {
     std::vector<RankedEngine> order;
     order.reserve(engines.size());
+    const StableHash promptHash = StableHash().add(chain.sharedKey);
     for (const UpstreamPointer &engine : engines) {
         if (!isCandidateFor(engine->entry, stage))
             continue;
         if (query.tried != nullptr && query.tried->count(engine->entry.id) > 0)
             continue;
-        const auto affinity = StableHash().add(chain.sharedKey).add(engine->idHash()).value();
+        const auto affinity = StableHash(promptHash).add(engine->idHash()).value();
         order.push_back({affinity, &engine});
     }
-    // Homes are common to all failure domains: with a ranking for each domain, the prefill of a
-    // part would be executed in every one of them.
-    std::sort(order.begin(), order.end(),
-              [](const RankedEngine &a, const RankedEngine &b) { return a.affinity > b.affinity; });
     return order;
 }
 
-std::vector<EnginePlacement::Candidate>
-EnginePlacement::evaluate(const std::vector<UpstreamPointer> &engines, EngineStage stage,
-                          const PlacementQuery &query, const PromptChain &chain)
+std::vector<UpstreamPointer>
+EnginePlacement::firstByAffinity(const std::vector<UpstreamPointer> &engines, EngineStage stage,
+                                 const PlacementQuery &query, const PromptChain &chain) const
 {
     const auto maxCandidates = static_cast<std::size_t>(weights_.mostCandidates);
+    std::vector<RankedEngine> order = rankByAffinity(engines, stage, query, chain);
+    // Homes are common to all failure domains: with a ranking for each domain, the prefill of a
+    // part would be executed in every one of them.
+    const auto isBefore = [](const RankedEngine &a, const RankedEngine &b) {
+        return a.affinity > b.affinity;
+    };
     std::vector<UpstreamPointer> eligible;
     std::vector<UpstreamPointer> ejected;
-    for (const RankedEngine &next : rankByAffinity(engines, stage, query, chain)) {
-        if (eligible.size() >= maxCandidates)
-            break;
-        const bool isEjected = query.isEjected((*next.engine)->entry.id);
-        (isEjected ? ejected : eligible).push_back(*next.engine);
+    // Only the head of the ranking is needed, unless most of it is ejected.
+    auto sortedEnd = order.begin();
+    for (auto next = order.begin(); next != order.end() && eligible.size() < maxCandidates;
+         ++next) {
+        if (next == sortedEnd) {
+            const auto remaining = static_cast<std::size_t>(std::distance(next, order.end()));
+            sortedEnd += static_cast<std::ptrdiff_t>(std::min(remaining, 2 * maxCandidates));
+            std::partial_sort(next, sortedEnd, order.end(), isBefore);
+        }
+        const bool isEjected = query.isEjected((*next->engine)->entry.id);
+        (isEjected ? ejected : eligible).push_back(*next->engine);
     }
     if (eligible.empty() && stage != EngineStage::Prefill)
-        eligible = std::move(ejected);
+        return ejected;
+    return eligible;
+}
+
+std::vector<EnginePlacement::Candidate>
+EnginePlacement::evaluate(const std::vector<UpstreamPointer> &engines, EngineStage stage,
+                          const PlacementQuery &query, const PromptChain &chain)
+{
+    const std::vector<UpstreamPointer> eligible = firstByAffinity(engines, stage, query, chain);
     std::vector<Candidate> candidates;
     candidates.reserve(eligible.size());
     for (std::size_t rank = 0; rank < eligible.size(); ++rank) {
--- a/modules/dataplane/placement/EnginePlacement.h
+++ b/modules/dataplane/placement/EnginePlacement.h
@@ -171,9 +171,14 @@
     };
     struct RankedEngine;
 
+    /** Returns the engines of a stage in no order, each with its position in the ranking. */
     std::vector<RankedEngine> rankByAffinity(const std::vector<UpstreamPointer> &engines,
                                              EngineStage stage, const PlacementQuery &query,
                                              const PromptChain &chain) const;
+    /** Returns the first engines of the ranking that are not ejected, mostCandidates at most. */
+    std::vector<UpstreamPointer> firstByAffinity(const std::vector<UpstreamPointer> &engines,
+                                                 EngineStage stage, const PlacementQuery &query,
+                                                 const PromptChain &chain) const;
     PrefillRateEstimator &rateOf(const UpstreamEntry &entry);
     EngineTracker &trackerOf(const std::string &id) { return engines_[id]; }
     std::vector<Candidate> evaluate(const std::vector<UpstreamPointer> &engines, EngineStage stage,
