Starting instances learn of quarantines from a watcher of their group

Callers saw: nothing; each start of an instance cost a billed list of the store. Cause: every instance read the quarantines itself: n calls when all start. Change: a report without suspicions asks a watcher for those quarantined; without a reply after six attempts the store is read.

--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -91,6 +91,11 @@
     const auto watchers = static_cast<std::size_t>(settings_.decisions.feedWatchers);
     group_ = InstanceGroup::of(registry_.instances(), registrationOf(settings_));
     group_.isShared = group_.isShared && watchers > 0;
+    std::vector<PeerAddress> readers = group_.watchOrder;
+    readers.resize(group_.isShared ? std::min(readers.size(), watchers) : 0);
+    if (std::find(readers.begin(), readers.end(), PeerAddress()) != readers.end())
+        readers.clear();
+    context_.quarantine->setReaders(std::move(readers));
     usage_.setShared(group_.isShared);
     if (group_.isShared)
         feeds_.setMembers(group_.watchOrder, watchers);
--- a/modules/quarantine/exchange/QuarantineExchange.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange.cpp
@@ -154,6 +154,11 @@
 void QuarantineExchange::handle(const PeerAddress &from, const SuspicionAnnouncement &announcement)
 {
     const Millis now = environment_.clock.now();
+    if (announcement.isReport && announcement.suspicions.empty())
+        return sendQuarantined(from);
+    if (!announcement.isReport && !queriedReader_.empty() && from == queriedReader_
+        && announcement.suspicions.size() < suspicionsPerRound)
+        isStoreRead_ = true;
     for (const Suspicion &suspicion : announcement.suspicions) {
         if (table_.hasCompletedRecently(suspicion.fingerprint, now)) {
             // The request completed here recently, and the sender does not know that yet.
@@ -194,7 +199,7 @@
         sendAntiEntropy();
     }
     if (!isStoreRead_ && !isStoreReadInFlight_ && now >= storeReadAt_)
-        readStore(now);
+        readQuarantined(now);
     writeStore(now);
     if (now < expireAt_)
         return;
@@ -233,6 +238,32 @@
                  false, table_.nextSuspects(suspicionsPerRound, environment_.clock.now())});
 }
 
+void QuarantineExchange::readQuarantined(Millis now)
+{
+    if (readers_.empty() || peerQueries_ >= maxPeerQueries)
+        return readStore(now);
+    queriedReader_ = readers_[static_cast<std::size_t>(peerQueries_++) % readers_.size()];
+    storeReadAt_ = now + peerQueryInterval;
+    send(queriedReader_, SuspicionAnnouncement{true, {}});
+}
+
+void QuarantineExchange::sendQuarantined(const PeerAddress &to)
+{
+    if (!isStoreRead_)
+        return;
+    const Millis now = environment_.clock.now();
+    SuspicionAnnouncement announcement{false, {}};
+    for (const RequestFingerprint &fingerprint : table_.quarantined(now)) {
+        announcement.suspicions.push_back(*table_.find(fingerprint, now));
+        if (announcement.suspicions.size() < suspicionsPerRound)
+            continue;
+        send(to, announcement);
+        announcement.suspicions.clear();
+    }
+    // The last one is sent even if it is empty: it shows that there are no more.
+    send(to, announcement);
+}
+
 void QuarantineExchange::readStore(Millis now)
 {
     isStoreReadInFlight_ = true;
--- a/modules/quarantine/exchange/QuarantineExchange.h
+++ b/modules/quarantine/exchange/QuarantineExchange.h
@@ -35,6 +35,9 @@
     of which sees one end at most; and engines that fail for other reasons with dozens of requests
     running.
 
+    A starting instance sends a report without suspicions to one that reads the store for its group,
+    and is sent those known there; without a reply it reads the store itself.
+
     An instance that sees an upstream end under a request reports it to the first three owners of
     the request's fingerprint. An owner at which the request thereby becomes suspected announces it
     to all instances. It also writes quarantined requests to the store, from which starting
@@ -56,6 +59,9 @@
     static constexpr Millis initialRetryDelay = Millis(1000);
     static constexpr Millis maxRetryDelay = Millis::seconds(16);
     static constexpr Millis expireInterval = Millis::seconds(60);
+    /** A starting instance asks others so often before it reads the store, with these pauses. */
+    static constexpr int maxPeerQueries = 6;
+    static constexpr Millis peerQueryInterval = Millis(500);
 
     struct Environment
     {
@@ -70,6 +76,8 @@
 
     /** All instances, this one first, each other one with the address on which it accepts links. */
     void setPeers(std::vector<OwnerCandidate> peers);
+    /** Instances that read the store on behalf of this one; none if it reads the store itself. */
+    void setReaders(std::vector<PeerAddress> readers) { readers_ = std::move(readers); }
     /** Returns whether a link is ready; optional. Anti-entropy uses only peers with a ready link.
      */
     void setLinkCheck(std::function<bool(const PeerAddress &)> isLinked)
@@ -121,7 +129,10 @@
     std::vector<PeerAddress> ownersOf(const RequestFingerprint &fingerprint) const;
     void announce(Millis now);
     void sendAntiEntropy();
+    /** Learns what was quarantined before the start, from a reader or from the store. */
+    void readQuarantined(Millis now);
     void readStore(Millis now);
+    void sendQuarantined(const PeerAddress &to);
     void handleStoreRead(const StoreReply &reply);
     void writeStore(Millis now);
     void handleStoreWrite(const std::string &fingerprint, StoreStatus status);
@@ -141,7 +152,11 @@
     Millis storeReadAt_;
     Millis storeReadRetryDelay_ = initialRetryDelay;
     bool isStoreReadInFlight_ = false;
+    /** What was quarantined before the start is known, from the store or from a reader. */
     bool isStoreRead_ = false;
+    std::vector<PeerAddress> readers_;
+    int peerQueries_ = 0;
+    PeerAddress queriedReader_;
     QuarantineStats stats_;
 };
 
