Metrics count frames and bytes between instances by purpose

Callers saw: nothing. Which purpose the traffic between instances served could not be seen. Change: a transport for each purpose counts what it sends; received frames are counted where they are told apart.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -105,7 +105,7 @@
                      context_.departures->tick();
                      queryTick_.setAfter(queryTickInterval);
                  }),
-      feeds_(environment_.clock, fabric_.transport(), sync_.configuration(), sync_.upstreams()),
+      feeds_(environment_.clock, transportFor(LinkPurpose::Feeds), sync_.configuration(), sync_.upstreams()),
       usage_(settings_.name + "." + std::to_string(environment_.wallMillis()),
              usageTiming(settings_), usageHooks()),
       stages_(context_, [this] { return lease_.authority(); }),
@@ -124,12 +124,14 @@
     feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onWatchUpdate = [this](const FeedUpdate &update) { feeds_.distribute(update); };
     context_.quotas =
-        std::make_unique<QuotaExchange>(settings_.quotas, fabric_.transport(), environment_.clock);
-    context_.limits = std::make_unique<LimitExchange>(settings_.upstreamLimits, fabric_.transport(),
-                                                      environment_.clock, environment_.random);
+        std::make_unique<QuotaExchange>(
+        settings_.quotas, transportFor(LinkPurpose::Quotas), environment_.clock);
+    context_.limits = std::make_unique<LimitExchange>(
+        settings_.upstreamLimits, transportFor(LinkPurpose::Limits), environment_.clock,
+        environment_.random);
     context_.limits->setLinkCheck(feeds_.isLinked);
     context_.departures = std::make_unique<DepartureExchange>(
-        fabric_.transport(), environment_.clock, environment_.random);
+        transportFor(LinkPurpose::Departures), environment_.clock, environment_.random);
     context_.departures->setLinkCheck(feeds_.isLinked);
     context_.departures->onDeparture = [this](UpstreamIncarnation upstream,
                                               DepartureSource source) {
@@ -140,12 +142,12 @@
         context_.limits->setStandalone();
     }
     context_.quarantine = std::make_unique<QuarantineExchange>(
-        QuarantineExchange::Environment{fabric_.transport(), environment_.store, environment_.clock,
+        QuarantineExchange::Environment{transportFor(LinkPurpose::Quarantine), environment_.store, environment_.clock,
                                         environment_.random, environment_.events});
     context_.quarantine->setLinkCheck(feeds_.isLinked);
     if (settings_.links.isSet()) {
         context_.prefillExchange = std::make_unique<PrefillExchange>(
-            settings_.links.toString(), fabric_.transport(), environment_.clock);
+            settings_.links.toString(), transportFor(LinkPurpose::Estimates), environment_.clock);
         context_.prefillExchange->wasUnusedAt = [this](EngineKey engine, Millis at) {
             return wasUnusedAt(engine, at);
         };
@@ -275,6 +277,7 @@
     gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
     gauges.counters = context_.counters;
+    gauges.linkTraffic = linkTraffic_;
     return gauges;
 }
 
@@ -330,20 +333,6 @@
         tickDrain();
 }
 
-GatewayUsage::Hooks Gateway::usageHooks()
-{
-    UsageDuty::Hooks duty{withFailureHook(environment_.store, [this] { sync_.noteStoreFailure(); }),
-                          environment_.clock,
-                          [this] { return wallTime(); },
-                          environment_.events,
-                          wire_.reportUsage,
-                          [this] { return lease_.authority(); }};
-    const auto send = [this](const PeerAddress &to, std::string frame) {
-        fabric_.transport().send(to, std::move(frame));
-    };
-    return {std::move(duty), environment_.random, [this] { return ledgerCollectors(); }, send};
-}
-
 void Gateway::drain(std::function<void()> onDrained)
 {
     if (isDraining_)
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/control/ScaleDuty.h"
 #include "gateway/control/StageDuty.h"
 #include "gateway/control/StoreSync.h"
+#include "gateway/peers/LinkTraffic.h"
 #include "gateway/peers/PeerLinkManager.h"
 #include "gateway/request/RelayContext.h"
 #include "gateway/usage/GatewayUsage.h"
@@ -101,6 +102,10 @@
     bool wasUnusedAt(EngineKey engine, Millis at) const;
     void updateGroup();
     void onPeerFrame(const PeerAddress &from, const std::string &frame);
+    PeerTransport transportFor(LinkPurpose purpose)
+    {
+        return linkTraffic_.counted(purpose, fabric_.transport());
+    }
     /** Returns the instances to which this one may send its usage ledger. */
     std::vector<PeerAddress> ledgerCollectors();
     GatewayUsage::Hooks usageHooks();
@@ -124,6 +129,7 @@
     StoreEra storeEra_ = 0;
     PeerConfigurationFetcher peers_;
     PeerLinkManager fabric_;
+    LinkTraffic linkTraffic_;
     /** Expires queries to other instances. */
     Deadline queryTick_;
     std::uint64_t peersRevision_ = 0;
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -1,4 +1,5 @@
 #include "gateway/Gateway.h"
+#include "gateway/control/StoreFailureHook.h"
 
 #include <algorithm>
 
@@ -105,12 +106,35 @@
 
 void Gateway::onPeerFrame(const PeerAddress &from, const std::string &frame)
 {
-    const bool isHandled = feeds_.handleFrame(from, frame) || usage_.handleFrame(from, frame)
-        || context_.quotas->handleFrame(from, frame)
-        || context_.quarantine->handleFrame(from, frame)
-        || context_.limits->handleFrame(from, frame) || context_.departures->handleFrame(frame);
-    if (!isHandled)
-        context_.prefillExchange->handleFrame(from, frame);
+    const auto received = [&](LinkPurpose purpose) {
+        linkTraffic_.recordReceived(purpose, frame.size());
+    };
+    if (feeds_.handleFrame(from, frame))
+        received(LinkPurpose::Feeds);
+    else if (usage_.handleFrame(from, frame))
+        received(LinkPurpose::Usage);
+    else if (context_.quotas->handleFrame(from, frame))
+        received(LinkPurpose::Quotas);
+    else if (context_.quarantine->handleFrame(from, frame))
+        received(LinkPurpose::Quarantine);
+    else if (context_.limits->handleFrame(from, frame))
+        received(LinkPurpose::Limits);
+    else if (context_.departures->handleFrame(frame))
+        received(LinkPurpose::Departures);
+    else if (context_.prefillExchange->handleFrame(from, frame))
+        received(LinkPurpose::Estimates);
+}
+
+GatewayUsage::Hooks Gateway::usageHooks()
+{
+    UsageDuty::Hooks duty{withFailureHook(environment_.store, [this] { sync_.noteStoreFailure(); }),
+                          environment_.clock,
+                          [this] { return wallTime(); },
+                          environment_.events,
+                          wire_.reportUsage,
+                          [this] { return lease_.authority(); }};
+    const auto send = transportFor(LinkPurpose::Usage).send;
+    return {std::move(duty), environment_.random, [this] { return ledgerCollectors(); }, send};
 }
 
 std::vector<PeerAddress> Gateway::ledgerCollectors()
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -151,6 +151,28 @@
              static_cast<double>(stats.refused));
 }
 
+void GatewayMetrics::setLinkTraffic(const LinkTraffic &traffic)
+{
+    auto &frames = prometheus::BuildGauge()
+                       .Name("cuminrail_link_frames")
+                       .Help("Frames between instances since the start")
+                       .Register(registry_);
+    auto &bytes = prometheus::BuildGauge()
+                      .Name("cuminrail_link_bytes")
+                      .Help("Bytes of these frames, without the overhead of links")
+                      .Register(registry_);
+    const auto set = [&](LinkPurpose purpose, const char *direction, const FrameCount &count) {
+        const prometheus::Labels labels{{"purpose", std::string(linkPurposeNames.name(purpose))},
+                                        {"direction", direction}};
+        frames.Add(labels).Set(static_cast<double>(count.frames));
+        bytes.Add(labels).Set(static_cast<double>(count.bytes));
+    };
+    for (const auto &[purpose, name] : linkPurposeNames.entries) {
+        set(purpose, "sent", traffic.sent(purpose));
+        set(purpose, "received", traffic.received(purpose));
+    }
+}
+
 std::string GatewayMetrics::page(const GatewayGauges &gauges)
 {
     const RelayCounters &counters = gauges.counters;
@@ -198,6 +220,7 @@
     setQuotas(gauges.quotas);
     setQuarantine(gauges);
     setLimits(gauges);
+    setLinkTraffic(gauges.linkTraffic);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dataplane/model/Configuration.h"
+#include "gateway/peers/LinkTraffic.h"
 #include "gateway/request/RelayCounters.h"
 #include "quarantine/exchange/QuarantineExchange.h"
 #include "quotas/exchange/QuotaExchange.h"
@@ -103,6 +104,7 @@
     std::size_t leavingUpstreams = 0;
     std::size_t pausingUpstreams = 0;
     RelayCounters counters;
+    LinkTraffic linkTraffic;
 };
 
 /**
@@ -136,6 +138,7 @@
     void setQuotas(const QuotaExchangeStats &quotas);
     void setQuarantine(const GatewayGauges &gauges);
     void setLimits(const GatewayGauges &gauges);
+    void setLinkTraffic(const LinkTraffic &traffic);
     void setGauge(const std::string &name, const std::string &help, double value);
 
     prometheus::Registry registry_;
