Changes of the list of upstreams are logged in bounded lines, and full links are said

Callers saw: nothing. A release of 1,000 upstreams wrote a million lines over a thousand instances; a link closed because as many as may be were open was closed silently.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -37,6 +37,7 @@
         &upstreamLimited,
         &upstreamLeaving,
         &upstreamPauses,
+        &upstreamsListed,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
@@ -66,6 +67,7 @@
         &peerSecretsNotReloaded,
         &peerLinksOpen,
         &peerLinksNotOpen,
+        &peerLinksFull,
         // 7xx leases and orders
         &leaseTaken,
         &leaseLost,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -110,6 +110,9 @@
     307, EventLevel::Info, "upstream-pauses",
     "An upstream refused a request and asked this instance for a pause; it gets no requests until "
     "then, and one afterwards to try it."};
+inline constexpr EventKind upstreamsListed{
+    308, EventLevel::Info, "upstreams-listed",
+    "So many more upstreams were listed, changed or removed within a second, without a line each."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
@@ -191,6 +194,10 @@
     615, EventLevel::Warning, "peer-links-not-open",
     "Links between instances cannot be taken; placement knows only this instance's own work."};
 
+inline constexpr EventKind peerLinksFull{
+    616, EventLevel::Warning, "peer-links-full",
+    "As many links are open as may be; the one without frames for the longest time is closed."};
+
 // 7xx leases and orders
 inline constexpr EventKind leaseTaken{701, EventLevel::Info, "lease-taken",
                                       "This instance holds a duty; the fence is in the fields."};
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -7,7 +7,10 @@
 namespace cuminrail {
 
 StoreSync::StoreSync(RelayContext &context, const ObjectStore &store, const RandomHook &random)
-    : context_(context), configuration_(FeedKind::Configuration,
+    : context_(context),
+      listingLog_(Clock([this] { return context_.now(); }),
+                  [this](const Event &event) { context_.events(event); }),
+      configuration_(FeedKind::Configuration,
                                         context.wire.configurationPath.substr(
                                             0, context.wire.configurationPath.find('/') + 1),
                                         WatchTiming::forMaxDelay(context.settings.changeAllowance),
@@ -90,6 +93,7 @@
 {
     configuration_.tick();
     upstreams_.tick();
+    listingLog_.tick();
 }
 
 void StoreSync::setInstances(std::size_t count)
@@ -160,7 +164,7 @@
         context_.directory.remove(id, context_.now());
         context_.health.forget(id);
         context_.engines.forget(id);
-        context_.events(Event{&events::upstreamListed, {{"upstream", id}, {"state", "removed"}}});
+        listingLog_.record({{"upstream", id}, {"state", "removed"}});
         return;
     }
     Reason reason;
@@ -179,12 +183,11 @@
             context_.prefillExchange->removeEngine(engineKey(*known));
     }
     context_.directory.update(*entry, context_.now());
-    context_.events(Event{&events::upstreamListed,
-                          {{"upstream", id},
-                           {"service", entry->service},
-                           {"address", entry->address},
-                           {"state", entry->isLeaving ? "leaving" : "ready"},
-                           {"stage", std::string(engineStageNames.name(entry->stage))}}});
+    listingLog_.record({{"upstream", id},
+                        {"service", entry->service},
+                        {"address", entry->address},
+                        {"state", entry->isLeaving ? "leaving" : "ready"},
+                        {"stage", std::string(engineStageNames.name(entry->stage))}});
 }
 
 } // namespace cuminrail
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "core/random/Random.h"
 #include "feeds/feeds.h"
+#include "gateway/control/ListingLog.h"
 #include "gateway/request/RelayContext.h"
 #include "ports/store/ObjectStore.h"
 
@@ -58,6 +59,7 @@
     std::string upstreamId(const StoreObject &object) const;
 
     RelayContext &context_;
+    ListingLog listingLog_;
     FeedFollower configuration_;
     FeedFollower upstreams_;
     bool hasUpstreams_ = false;
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -290,6 +290,8 @@
     }
     if (oldest == links_.end())
         oldest = links_.begin();
+    ++stats_.evicted;
+    events_(Event{&events::peerLinksFull, {{"closed", oldest->second->peer()}}});
     removeLink(oldest)->close();
 }
 
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -34,6 +34,8 @@
     std::uint64_t silent = 0;
     std::uint64_t dialled = 0;
     std::uint64_t pongs = 0;
+    /** Links closed since as many were open as may be. */
+    std::uint64_t evicted = 0;
 };
 
 /**
