Instances without open requests spread over equal upstreams

Callers saw: 78 of 92 plain upstreams got no request, one got 24 times the mean. Cause: with hundreds of instances most have no request open, so all upstreams are equal, and all took the first of the list. Change: of equal ones each instance prefers another, always the same, by hash of both.

--- a/modules/dataplane/placement/LeastLoaded.cpp
+++ b/modules/dataplane/placement/LeastLoaded.cpp
@@ -1,5 +1,7 @@
 #include "dataplane/placement/LeastLoaded.h"
 
+#include "core/hash/StableHash.h"
+
 #include <algorithm>
 
 namespace cuminrail {
@@ -12,6 +14,11 @@
     return occupiedShare + domainCost + badWeight * query.badShare(entry.id);
 }
 
+std::uint64_t LeastLoaded::preference(const UpstreamRecord &upstream, const Query &query)
+{
+    return StableHash().add(query.spreadKey).add(upstream.idHash()).value();
+}
+
 UpstreamPointer LeastLoaded::choose(const std::vector<UpstreamPointer> &upstreams,
                                     const Query &query) const
 {
@@ -27,7 +34,10 @@
         const bool isEjected = query.isEjected(id);
         UpstreamPointer &bestOfGroup = isEjected ? bestEjected : best;
         double &lowestOfGroup = isEjected ? lowestEjectedCost : lowestCost;
-        if (bestOfGroup == nullptr || upstreamCost < lowestOfGroup) {
+        const bool isEqual = bestOfGroup != nullptr && upstreamCost == lowestOfGroup;
+        const bool isPreferred =
+            isEqual && preference(*upstream, query) > preference(*bestOfGroup, query);
+        if (bestOfGroup == nullptr || upstreamCost < lowestOfGroup || isPreferred) {
             bestOfGroup = upstream;
             lowestOfGroup = upstreamCost;
         }
--- a/modules/dataplane/placement/LeastLoaded.h
+++ b/modules/dataplane/placement/LeastLoaded.h
@@ -2,6 +2,7 @@
 
 #include "dataplane/fleet/UpstreamDirectory.h"
 
+#include <cstdint>
 #include <functional>
 #include <set>
 #include <string>
@@ -14,7 +15,8 @@
     this instance relative to its slots, in the own failure domain if equal.
 
     Load reports would be a second old and direct every instance to the same upstream at once; the
-    number of own open requests is always current.
+    number of own open requests is always current. With hundreds of instances most have none open,
+    and all would select the first upstream of the list.
 */
 class LeastLoaded
 {
@@ -27,6 +29,8 @@
     struct Query
     {
         std::string ownDomain;
+        /** Differs between instances: of equal upstreams each prefers another one. */
+        std::uint64_t spreadKey = 0;
         const std::set<std::string> *tried = nullptr;
         std::function<double(const std::string &id)> badShare;
         std::function<bool(const std::string &id)> isEjected;
@@ -41,6 +45,7 @@
 
 private:
     double cost(const UpstreamEntry &entry, const Query &query) const;
+    static std::uint64_t preference(const UpstreamRecord &upstream, const Query &query);
 
     std::unordered_map<std::string, int> open_;
 };
--- a/modules/gateway/request/RelayChoice.cpp
+++ b/modules/gateway/request/RelayChoice.cpp
@@ -50,6 +50,7 @@
 {
     LeastLoaded::Query query;
     query.ownDomain = context_.settings.failureDomain;
+    query.spreadKey = context_.spreadKey;
     query.tried = &tried_;
     query.badShare = [this](const std::string &id) { return context_.health.badShare(id); };
     query.isEjected = [this](const std::string &id) {
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/events/Event.h"
+#include "core/hash/StableHash.h"
 #include "dataplane/dataplane.h"
 #include "dataplane/model/InstanceSettings.h"
 #include "dataplane/placement/LeastLoaded.h"
@@ -59,6 +60,8 @@
     /** Never null while requests are accepted. */
     std::unique_ptr<DepartureExchange> departures;
     LeastLoaded services;
+    /** Differs between instances, see LeastLoaded. */
+    std::uint64_t spreadKey = StableHash().add(settings.name).value();
     RetryAllowance retries;
     RelayCounters counters;
     GatewayMetrics metrics;
