Small failure domains share their watches

Callers saw: nothing; where domains have few instances, each change cost a billed call of each. Cause: domains of fewer than eight instances watched each by itself.

--- a/modules/gateway/control/InstanceGroup.cpp
+++ b/modules/gateway/control/InstanceGroup.cpp
@@ -15,9 +15,27 @@
 /** If the store refuses a third of the instances, one owner in 27 must write its own ledger. */
 constexpr std::size_t maxCollectors = 3;
 
-bool isMember(const RegisteredInstance &instance, const RegisteredInstance &self)
+using DomainSizes = std::map<std::string, std::size_t>;
+
+/** Returns how many instances with links each failure domain has. */
+DomainSizes sizesOf(const std::vector<RegisteredInstance> &instances)
+{
+    DomainSizes sizes;
+    for (const RegisteredInstance &each : instances)
+        sizes[each.failureDomain] += each.links.empty() ? 0 : 1;
+    return sizes;
+}
+
+/** Whether two instances belong together; domains too small for a group of their own have one. */
+bool isSameGroup(const RegisteredInstance &one, const RegisteredInstance &other,
+                 const DomainSizes &sizes)
 {
-    return instance.failureDomain == self.failureDomain && !instance.links.empty();
+    if (one.links.empty())
+        return false;
+    const auto isSmall = [&sizes](const RegisteredInstance &instance) {
+        return sizes.at(instance.failureDomain) < InstanceGroup::minSharedSize;
+    };
+    return one.failureDomain == other.failureDomain || (isSmall(one) && isSmall(other));
 }
 
 /** Returns the part of a failure domain that an instance belongs to, of so many parts. */
@@ -29,14 +47,15 @@
 std::vector<OwnerCandidate> membersOf(const std::vector<RegisteredInstance> &instances,
                                       const RegisteredInstance &self)
 {
+    const DomainSizes sizes = sizesOf(instances);
     const auto size = static_cast<std::size_t>(
         std::count_if(instances.begin(), instances.end(),
-                      [&](const auto &instance) { return isMember(instance, self); }));
+                      [&](const auto &each) { return isSameGroup(each, self, sizes); }));
     const std::size_t parts = size / InstanceGroup::maxSize + 1;
     const std::uint64_t ownPart = partOf(self.instance, parts);
     std::vector<OwnerCandidate> members{{self.instance, {}, self.milliCores}};
     for (const RegisteredInstance &each : instances) {
-        if (each.instance != self.instance && isMember(each, self)
+        if (each.instance != self.instance && isSameGroup(each, self, sizes)
             && partOf(each.instance, parts) == ownPart)
             members.push_back({each.instance, each.links, each.milliCores});
     }
--- a/modules/gateway/control/InstanceGroup.h
+++ b/modules/gateway/control/InstanceGroup.h
@@ -10,8 +10,8 @@
 namespace cuminrail {
 
 /**
-    The instances that share work with one another: those of a failure domain, or a part of a large
-    one.
+    The instances that share work with one another: those of a failure domain, a part of a large
+    one, or those of all small ones together.
 
     Load: any number of instances, each with links to the few that act for its group. Groups of
     bounded size bound the links, messages and memory of each instance, whatever the number of all.
@@ -19,8 +19,8 @@
 struct InstanceGroup
 {
     /**
-        Smallest number of instances in a failure domain for which some act on behalf of the others.
-        With fewer instances, the saved calls are not worth the messages between them.
+        Smallest number of instances for which some act on behalf of the others. With fewer
+        instances, the saved calls are not worth the messages between them.
     */
     static constexpr std::size_t minSharedSize = 8;
     /** Average size of the parts of a large failure domain, at most. */
