Instances read one roster instead of all entries

Callers saw: nothing was served until each instance had listed all others. Cause: each listed all entries, twice at a first start: calls and bytes with the square of n. Change: one object has all instances and the secret of the links; the holder of the lease lists the entries and maintains it, the first to find none write it, and who is missing twice adds itself.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -44,6 +44,7 @@
         &storeReturned,
         &feedGap,
         &storeRestored,
+        &rosterMalformed,
         // 5xx configuration and keys
         &configurationInForce,
         &configurationRefused,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -131,6 +131,10 @@
     "The store came back from a copy: what was written shortly before is lost. Leases are waited "
     "for, and what this instance keeps there is written again."};
 
+inline constexpr EventKind rosterMalformed{
+    405, EventLevel::Warning, "roster-malformed",
+    "The store's list of all instances could not be read; their entries are listed instead."};
+
 // 5xx configuration and keys
 inline constexpr EventKind configurationInForce{
     501, EventLevel::Info, "configuration-in-force",
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** The secret of the links is read by itself if the roster has not provided it by then. */
+constexpr Millis maxSecretWait = Millis(1000);
+constexpr Millis maxFirstSecretWait = Millis(4000);
 /** Interval of the periodic work: leases, usage, graceful shutdown. */
 constexpr Millis tickInterval = Millis(100);
 /** The load balancer probes each second and removes an instance after two failed probes. */
@@ -83,8 +86,7 @@
           std::make_shared<ServerLoad>()),
       admin_(environment_.io, environment_.deadlines, adminPages()),
       sync_(context_, environment_.store, environment_.random),
-      registry_(registrationOf(settings_), settings_.isFirstStart, environment_.store,
-                environment_.clock, environment_.random),
+      registry_(registrationOf(settings_), settings_.isFirstStart, registryHooks()),
       lease_(incarnationOf(settings_, environment_.wallMillis()), registry_,
              {withFailureHook(environment_.store, [this] { sync_.noteStoreFailure(); }),
               environment_.clock, environment_.random, environment_.events, nullptr, nullptr}),
@@ -119,11 +121,6 @@
     if (settings_.isFirstStart)
         lease_.setFirstStart();
     sync_.onConfiguration = [this] { applyLimits(); };
-    registry_.onListed = [this] {
-        // An instance that just started has nothing to respond with until it follows the store.
-        tickPeers();
-        sync_.tick();
-    };
     feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onWatchUpdate = [this](const FeedUpdate &update) { feeds_.distribute(update); };
     context_.quotas =
@@ -183,6 +180,7 @@
     if (!settings_.links.isSet())
         feeds_.setStandalone();
     sync_.start(settings_.links.isSet());
+    fabric_.awaitSecret(settings_.isFirstStart ? maxFirstSecretWait : maxSecretWait);
     registry_.tick();
     tickPeers();
     armTick();
@@ -325,8 +323,9 @@
     stages_.setInstances(instances);
     if (registry_.isSettled())
         scale_.setInstances(instances);
-    if (settings_.reportsUsage || settings_.ordersUpstreams)
-        lease_.tick();
+    // The holder also maintains the roster, so the lease is held where there are no other duties.
+    lease_.tick();
+    registry_.setMaintainer(lease_.isHeld());
     if (settings_.reportsUsage)
         usage_.tick();
     stages_.tick();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -109,6 +109,7 @@
     /** Returns the instances to which this one may send its usage ledger. */
     std::vector<PeerAddress> ledgerCollectors();
     GatewayUsage::Hooks usageHooks();
+    InstanceRegistry::Hooks registryHooks();
     std::int64_t wallTime() const;
     GatewayGauges gauges() const;
     AdminPages adminPages();
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -1,4 +1,6 @@
 #include "gateway/Gateway.h"
+
+#include "core/events/EventCatalogue.h"
 #include "gateway/control/LinkPlan.h"
 #include "gateway/control/StoreFailureHook.h"
 
@@ -135,6 +137,26 @@
         received(LinkPurpose::Estimates);
 }
 
+InstanceRegistry::Hooks Gateway::registryHooks()
+{
+    InstanceRegistry::Hooks hooks{environment_.store, environment_.clock, environment_.random};
+    hooks.onListed = [this] {
+        // An instance that just started has nothing to respond with until it follows the store.
+        tickPeers();
+        sync_.tick();
+    };
+    hooks.onMalformed = [this](const Reason &reason) {
+        environment_.events(Event{&events::rosterMalformed, {{"reason", reason.toString()}}});
+    };
+    if (!settings_.links.isSet())
+        return hooks;
+    hooks.obtainSecret = [this](std::function<void(const std::string &)> done) {
+        fabric_.obtainSecret(std::move(done));
+    };
+    hooks.onSecret = [this](const std::string &secret) { fabric_.useSecret(secret); };
+    return hooks;
+}
+
 GatewayUsage::Hooks Gateway::usageHooks()
 {
     UsageDuty::Hooks duty{withFailureHook(environment_.store, [this] { sync_.noteStoreFailure(); }),
--- a/modules/gateway/peers/PeerLinkManager.cpp
+++ b/modules/gateway/peers/PeerLinkManager.cpp
@@ -62,10 +62,35 @@
         connectDuePeers(now);
     if (secretCheckAt_ && now >= *secretCheckAt_)
         checkSecret();
-    if (isOpen() || isSecretRequested_ || isStopped_ || now < nextSecretReadAt_)
+    if (now >= nextSecretReadAt_)
+        readSecret();
+}
+
+void PeerLinkManager::awaitSecret(Millis duration)
+{
+    nextSecretReadAt_ = environment_.clock.now() + duration;
+}
+
+void PeerLinkManager::useSecret(const std::string &secret)
+{
+    if (!isOpen() && !isStopped_)
+        open(secret);
+}
+
+void PeerLinkManager::obtainSecret(std::function<void(const std::string &)> done)
+{
+    if (!secret_.empty())
+        return done(secret_);
+    secretWaiters_.push_back(std::move(done));
+    readSecret();
+}
+
+void PeerLinkManager::readSecret()
+{
+    if (isOpen() || isSecretRequested_ || isStopped_)
         return;
     isSecretRequested_ = true;
-    nextSecretReadAt_ = now + secretRetryInterval;
+    nextSecretReadAt_ = environment_.clock.now() + secretRetryInterval;
     environment_.store.get(secretPath, [this](const StoreReply &reply) { onSecretRead(reply); });
 }
 
@@ -124,8 +149,11 @@
         return;
     if (reply.status == StoreStatus::NotFound)
         return createSecret();
-    if (reply.status == StoreStatus::Ok && !reply.objects.empty())
-        open(reply.objects.front().value);
+    if (reply.status != StoreStatus::Ok || reply.objects.empty())
+        return;
+    open(reply.objects.front().value);
+    for (const auto &done : std::exchange(secretWaiters_, {}))
+        done(reply.objects.front().value);
 }
 
 void PeerLinkManager::createSecret()
@@ -135,7 +163,7 @@
     environment_.store.put(StorePut{secretPath, generated, 0}, [this](const StoreReply &) {
         // Whatever the result of the creation, the stored secret is read next.
         isSecretRequested_ = false;
-        nextSecretReadAt_ = environment_.clock.now();
+        readSecret();
     });
 }
 
--- a/modules/gateway/peers/PeerLinkManager.h
+++ b/modules/gateway/peers/PeerLinkManager.h
@@ -45,6 +45,12 @@
 
     /** Reads the secret and connects to peers when due; to be called a few times a second. */
     void tick();
+    /** Postpones reading the secret from the store, as another way may provide it before. */
+    void awaitSecret(Millis duration);
+    /** Opens the links with a secret that is known from elsewhere, unless they are open. */
+    void useSecret(const std::string &secret);
+    /** Calls back with the secret, once it is known; reads it from the store at once if needed. */
+    void obtainSecret(std::function<void(const std::string &)> done);
     /** The store came back from a copy: the secret is written again if it is lost. */
     void storeRestored();
     bool isOpen() const { return links_ != nullptr; }
@@ -60,6 +66,7 @@
     void stop();
 
 private:
+    void readSecret();
     void onSecretRead(const StoreReply &reply);
     void createSecret();
     void open(const std::string &secret);
@@ -74,6 +81,7 @@
     std::map<PeerAddress, Millis> nextConnectAt_;
     Millis nextSecretReadAt_;
     bool isSecretRequested_ = false;
+    std::vector<std::function<void(const std::string &)>> secretWaiters_;
     /** The secret in use; instances that start later must find it in the store. */
     std::string secret_;
     std::optional<Millis> secretCheckAt_;
