--- a/modules/gateway/control/InstanceGroup.cpp
+++ b/modules/gateway/control/InstanceGroup.cpp
@@ -44,10 +44,17 @@
     return StableHash().add(instance.text()).value() % parts;
 }
 
+/** Returns the smallest size of a group of @c self in which some act for the others. */
+std::size_t minSizeFor(const RegisteredInstance &self, const DomainSizes &sizes)
+{
+    return sizes.at(self.failureDomain) < InstanceGroup::minSharedSize
+        ? InstanceGroup::minMergedSize
+        : InstanceGroup::minSharedSize;
+}
+
 std::vector<OwnerCandidate> membersOf(const std::vector<RegisteredInstance> &instances,
-                                      const RegisteredInstance &self)
+                                      const RegisteredInstance &self, const DomainSizes &sizes)
 {
-    const DomainSizes sizes = sizesOf(instances);
     const auto size = static_cast<std::size_t>(
         std::count_if(instances.begin(), instances.end(),
                       [&](const auto &each) { return isSameGroup(each, self, sizes); }));
@@ -88,8 +95,9 @@
                                 const RegisteredInstance &self)
 {
     InstanceGroup group;
-    group.members = membersOf(instances, self);
-    group.isShared = group.members.size() >= minSharedSize && !self.links.empty();
+    const DomainSizes sizes = sizesOf(instances);
+    group.members = membersOf(instances, self, sizes);
+    group.isShared = group.members.size() >= minSizeFor(self, sizes) && !self.links.empty();
     if (!group.isShared)
         return group;
     group.watchOrder = dutyOrder(feedDuty, group.members);
--- a/modules/gateway/control/InstanceGroup.h
+++ b/modules/gateway/control/InstanceGroup.h
@@ -23,6 +23,8 @@
         instances, the saved calls are not worth the messages between them.
     */
     static constexpr std::size_t minSharedSize = 8;
+    /** The same where the group has several failure domains: traffic between them costs more. */
+    static constexpr std::size_t minMergedSize = 12;
     /** Average size of the parts of a large failure domain, at most. */
     static constexpr std::size_t maxSize = 256;
     /** Number of members that relay frames for the others, at least. */
