A share below one retry is one retry in some windows

Callers saw: a request whose upstream failed was not sent again, though the limit was hardly used. Cause: the fixed part of the limit is divided by the instances: 0.6 of one at 986, rounded down to none. Change: such an instance has one retry in as many windows as its share says, others in others. Measured: RetryAllowance_test at 1,000 and 2,000 instances that all fail all the time.

--- a/modules/dataplane/retry/RetryAllowance.cpp
+++ b/modules/dataplane/retry/RetryAllowance.cpp
@@ -1,5 +1,7 @@
 #include "dataplane/retry/RetryAllowance.h"
 
+#include "core/hash/StableHash.h"
+
 namespace cuminrail {
 
 void RetryAllowance::expire(Window &window, Millis now) const
@@ -17,13 +19,24 @@
     window.firstAttempts.push_back(now);
 }
 
+std::size_t RetryAllowance::retriesOf(double share, const std::string &service, Millis now) const
+{
+    if (share >= 1)
+        return static_cast<std::size_t>(share);
+    const auto windowNumber = static_cast<std::uint64_t>(now.count() / bounds_.window.count());
+    const std::uint64_t hash = StableHash().add(spreadKey_).add(service).add(windowNumber).value();
+    constexpr double hashRange = 18446744073709551616.0;
+    return static_cast<double>(hash) / hashRange < share ? 1 : 0;
+}
+
 bool RetryAllowance::tryAcquireRetry(const std::string &service, Millis now)
 {
     Window &window = windows_[service];
     expire(window, now);
     const double ratioAllowance = bounds_.ratio * static_cast<double>(window.firstAttempts.size());
     const double extraShare = bounds_.extra / static_cast<double>(instances_);
-    if (static_cast<double>(window.retries.size()) + 1 > safety * (ratioAllowance + extraShare))
+    const double share = safety * (ratioAllowance + extraShare);
+    if (window.retries.size() >= retriesOf(share, service, now))
         return false;
     window.retries.push_back(now);
     return true;
--- a/modules/dataplane/retry/RetryAllowance_test.cpp
+++ b/modules/dataplane/retry/RetryAllowance_test.cpp
@@ -54,3 +54,41 @@
         ++acquired;
     CHECK(acquired == 1);
 }
+
+// Guards against a thousand instances that may not retry at all, since the share of each is less
+// than one retry, while the system's limit is hardly used.
+TEST_CASE("shares below one retry add up to the system's limit, in any window and not beyond")
+{
+    struct Row
+    {
+        std::size_t instances;
+        double extra;
+    };
+    constexpr Millis window(10000);
+    for (const Row &row : {Row{1000, 1040}, Row{2000, 1040}, Row{2000, 200}}) {
+        CAPTURE(row.instances);
+        std::vector<RetryAllowance> allowances;
+        for (std::size_t i = 0; i < row.instances; ++i) {
+            allowances.emplace_back(RetryBounds{0.2, window, row.extra}, i);
+            allowances.back().setInstances(row.instances);
+        }
+        std::vector<std::size_t> retries;
+        constexpr int steps = 40;
+        for (int step = 0; step < steps; ++step) {
+            // All requests fail at every instance, at all times.
+            std::size_t acquired = 0;
+            for (RetryAllowance &allowance : allowances)
+                acquired += allowance.tryAcquireRetry("s", window * step / 4) ? 1 : 0;
+            retries.push_back(acquired);
+        }
+        std::size_t all = 0;
+        for (std::size_t i = 3; i < retries.size(); ++i) {
+            const std::size_t inWindow =
+                retries[i] + retries[i - 1] + retries[i - 2] + retries[i - 3];
+            CHECK(static_cast<double>(inWindow) <= row.extra);
+            all += inWindow;
+        }
+        const double mean = static_cast<double>(all) / static_cast<double>(retries.size() - 3);
+        CHECK(mean >= RetryAllowance::safety * row.extra / 2);
+    }
+}
