Shares below one retry stay within the limit in any span

Callers saw: nothing. Cause: a span as long as a window touches two of them, so twice the share may be used in it. Change: four fifths of a share are used, which with the safety factor is below the limit. Measured: RetryAllowance_test, 2,000 instances.

--- a/modules/dataplane/retry/RetryAllowance.cpp
+++ b/modules/dataplane/retry/RetryAllowance.cpp
@@ -4,6 +4,13 @@
 
 namespace cuminrail {
 
+namespace {
+
+/** Part of a share below one retry that is used: twice the safety factor times this is below 1. */
+constexpr double fractionUsed = 0.8;
+
+} // namespace
+
 void RetryAllowance::expire(Window &window, Millis now) const
 {
     for (std::deque<Millis> *times : {&window.firstAttempts, &window.retries}) {
@@ -26,7 +33,8 @@
     const auto windowNumber = static_cast<std::uint64_t>(now.count() / bounds_.window.count());
     const std::uint64_t hash = StableHash().add(spreadKey_).add(service).add(windowNumber).value();
     constexpr double hashRange = 18446744073709551616.0;
-    return static_cast<double>(hash) / hashRange < share ? 1 : 0;
+    // Any span as long as a window touches two of them, in both of which the instances differ.
+    return static_cast<double>(hash) / hashRange < fractionUsed * share ? 1 : 0;
 }
 
 bool RetryAllowance::tryAcquireRetry(const std::string &service, Millis now)
