An idle instance wakes up when something is due

Cause: each woke up some 85 times a second without any work: deadlines each 20 ms, queries each 10 ms, links each 50 ms. Change: the list of deadlines wakes up for the earliest one, within 200 ms as a suspended machine stops timers; exchanges are ticked often only around requests and their frames; idle links each 250 ms.

--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -24,7 +24,7 @@
     /** Time since it last denied them; not set if it never did. */
     std::optional<Millis> timeSinceDenial;
     /** Number of upstreams in the domain beyond which the instances cannot use more; optional. */
-    std::optional<std::uint32_t> usable;
+    std::optional<std::uint32_t> usable = std::nullopt;
 };
 
 /** Target number of upstreams of each kind in one failure domain. */
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -22,8 +22,6 @@
 constexpr Millis firstRequestDelay = Millis(300);
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
-/** Runs in every sweep of the deadlines, as the queries' time-outs are no longer than a sweep. */
-constexpr Millis queryTickInterval = Millis(10);
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
@@ -101,15 +99,7 @@
       relay_(settings_.links.toString(),
              {fabric_.transport(),
               [this](const PeerAddress &peer) { return fabric_.isLinked(peer); }}),
-      queryTick_(environment_.deadlines,
-                 [this] {
-                     context_.prefillExchange->tick();
-                     context_.quotas->tick();
-                     context_.quarantine->tick();
-                     context_.limits->tick();
-                     context_.departures->tick();
-                     queryTick_.setAfter(queryTickInterval);
-                 }),
+      queryTick_(environment_.deadlines, [this] { tickExchanges(); }),
       feeds_(environment_.clock, transportFor(LinkPurpose::Feeds), sync_.configuration(), sync_.upstreams()),
       usage_(settings_.name + "." + std::to_string(environment_.wallMillis()),
              usageTiming(settings_), usageHooks()),
@@ -151,7 +141,6 @@
         context_.prefillExchange->wasUnusedAt = [this](EngineKey engine, Millis at) {
             return wasUnusedAt(engine, at);
         };
-        queryTick_.setAfter(queryTickInterval);
     }
 }
 
@@ -239,6 +228,7 @@
 
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
 {
+    noteExchangeActivity();
     std::make_shared<RequestRelay>(context_, exchange)->start();
 }
 
@@ -311,8 +301,12 @@
     if (!isDraining_)
         registry_.tick();
     tickPeers();
-    context_.quarantine->tick();
-    context_.limits->tick();
+    if (context_.prefillExchange) {
+        tickExchanges();
+    } else {
+        context_.quarantine->tick();
+        context_.limits->tick();
+    }
     sync_.tick();
     feeds_.tick();
     peers_.tick(sync_.configuration().isDown());
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -95,6 +95,10 @@
     void tick();
     void tickDrain();
     void tickPeers();
+    /** Expires queries to other instances, and sends announcements. */
+    void tickExchanges();
+    /** Ticks the exchanges often for a while: a request arrived, or a frame of an exchange. */
+    void noteExchangeActivity();
     /** Updates the share of instances that this one has links to. */
     void updateReachableShare();
     /** Returns the share of a set of instances, this one and the others, that have links. */
@@ -132,8 +136,8 @@
     PeerLinkManager fabric_;
     FrameRelay relay_;
     LinkTraffic linkTraffic_;
-    /** Expires queries to other instances. */
     Deadline queryTick_;
+    Millis exchangesBusyUntil_;
     std::uint64_t peersRevision_ = 0;
     Millis nextReachUpdateAt_;
     FeedGroup feeds_;
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -16,6 +16,10 @@
 constexpr int fallbackCollectors = 2;
 /** Interval at which the established links are counted. */
 constexpr Millis reachInterval = Millis::seconds(1);
+/** Runs in every sweep of the deadlines, as the queries' time-outs are no longer than a sweep. */
+constexpr Millis queryTickInterval = Millis(10);
+/** Without requests and frames for this long, the exchanges are ticked with all periodic work. */
+constexpr Millis exchangeIdleDelay = Millis(300);
 
 } // namespace
 
@@ -110,6 +114,29 @@
         feeds_.setStandalone();
 }
 
+void Gateway::noteExchangeActivity()
+{
+    const Millis now = environment_.clock.now();
+    const bool wasIdle = now >= exchangesBusyUntil_;
+    exchangesBusyUntil_ = now + exchangeIdleDelay;
+    if (wasIdle && context_.prefillExchange)
+        queryTick_.setAfter(queryTickInterval);
+}
+
+void Gateway::tickExchanges()
+{
+    context_.prefillExchange->tick();
+    context_.quotas->tick();
+    context_.quarantine->tick();
+    context_.limits->tick();
+    context_.departures->tick();
+    const Millis now = environment_.clock.now();
+    if (context_.counters.inProgress > 0)
+        exchangesBusyUntil_ = now + exchangeIdleDelay;
+    if (now < exchangesBusyUntil_)
+        queryTick_.setAfter(queryTickInterval);
+}
+
 void Gateway::onLinkFrame(const PeerAddress &from, const std::string &frame)
 {
     if (const auto arrival = relay_.receive(from, frame))
@@ -122,10 +149,11 @@
         linkTraffic_.recordReceived(purpose, frame.size());
     };
     if (feeds_.handleFrame(from, frame))
-        received(LinkPurpose::Feeds);
-    else if (usage_.handleFrame(from, frame))
-        received(LinkPurpose::Usage);
-    else if (context_.quotas->handleFrame(from, frame))
+        return received(LinkPurpose::Feeds);
+    if (usage_.handleFrame(from, frame))
+        return received(LinkPurpose::Usage);
+    noteExchangeActivity();
+    if (context_.quotas->handleFrame(from, frame))
         received(LinkPurpose::Quotas);
     else if (context_.quarantine->handleFrame(from, frame))
         received(LinkPurpose::Quarantine);
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -18,6 +18,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kTickPeriod{50};
+/** The same while nothing waits to be sent. */
+constexpr std::chrono::milliseconds kIdleTickPeriod{250};
 constexpr long kDialTimeoutMs = 2000;
 constexpr long kCloseTimeoutMs = 1000;
 
@@ -176,6 +178,13 @@
     }
     enqueue(to, std::move(frame));
     flush(to);
+    if (hasIdleTick_ && !isIdle())
+        scheduleTick();
+}
+
+bool PeerLinks::isIdle() const
+{
+    return queues_.empty();
 }
 
 // Bounds the memory used for a peer that does not read. Late frames are of little use, as probes
@@ -361,7 +370,8 @@
 
 void PeerLinks::scheduleTick()
 {
-    timer_.expires_after(kTickPeriod);
+    hasIdleTick_ = isIdle();
+    timer_.expires_after(hasIdleTick_ ? kIdleTickPeriod : kTickPeriod);
     timer_.async_wait(whileAlive([this](const boost::system::error_code &error) {
         if (error || isStopped_)
             return;
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -127,6 +127,8 @@
     void dial(const PeerAddress &to);
     void evictIfFull();
 
+    /** Nothing waits to be sent, so that ticks only watch over open links. */
+    bool isIdle() const;
     void scheduleTick();
     void tick();
     bool mustClose(PeerLink &link, Millis now);
@@ -150,6 +152,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool isStopped_ = false;
     bool isListening_ = false;
+    bool hasIdleTick_ = false;
 };
 
 } // namespace cuminrail
--- a/modules/runtime/time/DeadlineList.cpp
+++ b/modules/runtime/time/DeadlineList.cpp
@@ -18,7 +18,13 @@
 
 void Deadline::setAfter(Millis span)
 {
-    at_ = list_.now() + span;
+    setAt(list_.now() + span);
+}
+
+void Deadline::setAt(Millis instant)
+{
+    at_ = instant;
+    list_.noteSet(instant);
 }
 
 DeadlineList::DeadlineList(boost::asio::io_context &io, Clock clock, Millis tick)
@@ -37,9 +43,20 @@
     timer_.cancel();
 }
 
+void DeadlineList::noteSet(Millis instant)
+{
+    if (running_ && std::max(instant, now() + tick_) < wakesAt_)
+        armTimer();
+}
+
 void DeadlineList::armTimer()
 {
-    timer_.expires_after(std::chrono::milliseconds(tick_.count()));
+    Millis earliest = Millis::never();
+    for (const Deadline *deadline : deadlines_)
+        earliest = std::min(earliest, deadline->at_);
+    const Millis now = clock_.now();
+    wakesAt_ = std::clamp(earliest, now + tick_, now + std::max(tick_, maxWait));
+    timer_.expires_after(std::chrono::milliseconds((wakesAt_ - now).count()));
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (error || !running_)
             return;
