--- a/modules/feeds/messages/FeedPieces_test.cpp
+++ b/modules/feeds/messages/FeedPieces_test.cpp
@@ -13,12 +13,11 @@
     FeedUpdate update{FeedKind::Upstreams, 0, 9000, {}, true};
     const RandomHook random = seededRandom(1);
     for (int i = 0; i < upstreams; ++i) {
-        update.objects.push_back(
-            {"upstreams/i-" + std::to_string(random()),
-             R"({"service":"svc-3","address":"10.1.64.)" + std::to_string(i)
-                 + R"(:8207","zone":"a","state":"ready","slots":64,"born":)"
-                 + std::to_string(random() % 100000) + "}",
-             static_cast<ObjectVersion>(i + 1), false});
+        update.objects.push_back({"upstreams/i-" + std::to_string(random()),
+                                  R"({"service":"svc-3","address":"10.1.64.)" + std::to_string(i)
+                                      + R"(:8207","zone":"a","state":"ready","slots":64,"born":)"
+                                      + std::to_string(random() % 100000) + "}",
+                                  static_cast<ObjectVersion>(i + 1), false});
     }
     return update;
 }
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -100,7 +100,8 @@
              {fabric_.transport(),
               [this](const PeerAddress &peer) { return fabric_.isLinked(peer); }}),
       queryTick_(environment_.deadlines, [this] { tickExchanges(); }),
-      feeds_(environment_.clock, transportFor(LinkPurpose::Feeds), sync_.configuration(), sync_.upstreams()),
+      feeds_(environment_.clock, transportFor(LinkPurpose::Feeds), sync_.configuration(),
+             sync_.upstreams()),
       usage_(settings_.name + "." + std::to_string(environment_.wallMillis()),
              usageTiming(settings_), usageHooks()),
       stages_(context_, [this] { return lease_.authority(); }),
@@ -113,12 +114,11 @@
     sync_.onConfiguration = [this] { applyLimits(); };
     feeds_.isLinked = [this](const PeerAddress &peer) { return fabric_.isLinked(peer); };
     sync_.onWatchUpdate = [this](const FeedUpdate &update) { feeds_.distribute(update); };
-    context_.quotas =
-        std::make_unique<QuotaExchange>(
+    context_.quotas = std::make_unique<QuotaExchange>(
         settings_.quotas, transportFor(LinkPurpose::Quotas), environment_.clock);
-    context_.limits = std::make_unique<LimitExchange>(
-        settings_.upstreamLimits, transportFor(LinkPurpose::Limits), environment_.clock,
-        environment_.random);
+    context_.limits =
+        std::make_unique<LimitExchange>(settings_.upstreamLimits, transportFor(LinkPurpose::Limits),
+                                        environment_.clock, environment_.random);
     context_.limits->setLinkCheck(feeds_.isLinked);
     context_.departures = std::make_unique<DepartureExchange>(
         transportFor(LinkPurpose::Departures), environment_.clock, environment_.random);
@@ -131,9 +131,9 @@
         context_.quotas->setStandalone();
         context_.limits->setStandalone();
     }
-    context_.quarantine = std::make_unique<QuarantineExchange>(
-        QuarantineExchange::Environment{transportFor(LinkPurpose::Quarantine), environment_.store, environment_.clock,
-                                        environment_.random, environment_.events});
+    context_.quarantine = std::make_unique<QuarantineExchange>(QuarantineExchange::Environment{
+        transportFor(LinkPurpose::Quarantine), environment_.store, environment_.clock,
+        environment_.random, environment_.events});
     context_.quarantine->setLinkCheck(feeds_.isLinked);
     if (settings_.links.isSet()) {
         context_.prefillExchange = std::make_unique<PrefillExchange>(
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -37,8 +37,8 @@
     for (const RegisteredInstance &instance : registry_.instances()) {
         const bool isSelf = instance.instance.text() == settings_.name;
         if (isSelf || !instance.links.empty())
-            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links,
-                             instance.milliCores});
+            peers.push_back(
+                {instance.instance, isSelf ? PeerAddress() : instance.links, instance.milliCores});
     }
     if (registry_.isSettled()) {
         context_.quotas->setPeers(peers);
--- a/modules/gateway/control/FleetLease.cpp
+++ b/modules/gateway/control/FleetLease.cpp
@@ -51,8 +51,7 @@
     rank_.reset();
     if (larger >= candidates)
         return rank_;
-    if (const auto amongEqual =
-            DutyAssignment::rank(fleetDuty, self_, equal, candidates - larger))
+    if (const auto amongEqual = DutyAssignment::rank(fleetDuty, self_, equal, candidates - larger))
         rank_ = larger + *amongEqual;
     return rank_;
 }
--- a/modules/gateway/control/FleetLease.h
+++ b/modules/gateway/control/FleetLease.h
@@ -12,8 +12,9 @@
     This instance's participation in the single lease under which the fleet's duties are performed.
 
     Load: hundreds of instances, each of which may have to take over. The first few by rank poll the
-    lease often; the largest come first, as the holder's work grows with the number of all. The others poll it rarely, in case all of those are gone, as every poll is a billed
-    call of the store.
+    lease often; the largest come first, as the holder's work grows with the number of all. The
+   others poll it rarely, in case all of those are gone, as every poll is a billed call of the
+   store.
 */
 class FleetLease
 {
--- a/modules/gateway/control/InstanceRegistry.cpp
+++ b/modules/gateway/control/InstanceRegistry.cpp
@@ -38,16 +38,16 @@
 {
     constexpr std::uint64_t steps = 1U << 20U;
     const double uniform = static_cast<double>(randomNumber % steps) / steps;
-    return Millis(static_cast<std::int64_t>(std::sqrt(uniform)
-                                            * static_cast<double>(span.count())));
+    return Millis(
+        static_cast<std::int64_t>(std::sqrt(uniform) * static_cast<double>(span.count())));
 }
 
 } // namespace
 
 InstanceRegistry::InstanceRegistry(RegisteredInstance self, bool startsWithOthers, Hooks hooks)
-    : self_(std::move(self)), path_(prefix + self_.instance.text()), hooks_(std::move(hooks)),
-      instances_{self_}, startsWithOthers_(startsWithOthers), nextRefreshAt_(hooks_.clock.now()),
-      nextListAt_(hooks_.clock.now())
+    : self_(std::move(self)), path_(prefix + self_.instance.text()),
+      hooks_(std::move(hooks)), instances_{self_}, startsWithOthers_(startsWithOthers),
+      nextRefreshAt_(hooks_.clock.now()), nextListAt_(hooks_.clock.now())
 {
     if (startsWithOthers)
         nextListAt_ = nextListAt_ + settleDelay + risingDelay(hooks_.random(), firstReadSpread);
@@ -144,8 +144,7 @@
         return handleFailure();
     rosterVersion_ = isFound ? reply.objects.front().version : 0;
     Reason reason;
-    const auto roster =
-        isFound ? decodeRoster(reply.objects.front().value, &reason) : std::nullopt;
+    const auto roster = isFound ? decodeRoster(reply.objects.front().value, &reason) : std::nullopt;
     if (isFound && !roster && hooks_.onMalformed)
         hooks_.onMalformed(reason);
     if (!roster)
@@ -157,8 +156,8 @@
 void InstanceRegistry::adopt(const InstanceRoster &roster)
 {
     const Millis now = hooks_.clock.now();
-    const bool isListed =
-        std::find(roster.instances.begin(), roster.instances.end(), self_) != roster.instances.end();
+    const bool isListed = std::find(roster.instances.begin(), roster.instances.end(), self_)
+        != roster.instances.end();
     missingRosters_ = isListed ? 0 : missingRosters_ + 1;
     if (missingRosters_ > 1)
         return listEntries();
--- a/modules/gateway/control/LinkPlan.h
+++ b/modules/gateway/control/LinkPlan.h
@@ -11,8 +11,8 @@
     The links that an instance keeps open.
 
     Load: any number of instances, of which a part owns state for all. While they are few, each has
-    a link to each owner. In a larger system each has links to the relays of its group, and relays to
-    all owners: with n instances in groups of g, of which r in each are relays, and k owners, an
+    a link to each owner. In a larger system each has links to the relays of its group, and relays
+   to all owners: with n instances in groups of g, of which r in each are relays, and k owners, an
     instance has r links, a relay g + k and an owner n / g * r.
 */
 struct LinkPlan
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -7,14 +7,13 @@
 namespace cuminrail {
 
 StoreSync::StoreSync(RelayContext &context, const ObjectStore &store, const RandomHook &random)
-    : context_(context),
-      listingLog_(Clock([this] { return context_.now(); }),
-                  [this](const Event &event) { context_.events(event); }),
-      configuration_(FeedKind::Configuration,
-                                        context.wire.configurationPath.substr(
-                                            0, context.wire.configurationPath.find('/') + 1),
-                                        WatchTiming::forMaxDelay(context.settings.changeAllowance),
-                                        configurationHooks(store, random)),
+    : context_(context), listingLog_(Clock([this] { return context_.now(); }),
+                                     [this](const Event &event) { context_.events(event); }),
+      configuration_(
+          FeedKind::Configuration,
+          context.wire.configurationPath.substr(0, context.wire.configurationPath.find('/') + 1),
+          WatchTiming::forMaxDelay(context.settings.changeAllowance),
+          configurationHooks(store, random)),
       upstreams_(FeedKind::Upstreams, context.wire.upstreamsPath,
                  WatchTiming::forMaxDelay(context.settings.changeAllowance),
                  upstreamHooks(store, random))
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -29,7 +29,8 @@
                  UpstreamPool &upstreams, const InstanceSettings &instanceSettings)
         : wire(gatewayWire), deadlines(deadlineList), pool(upstreams), settings(instanceSettings),
           engines(instanceSettings.decisions.placement),
-          deferral(instanceSettings.decisions.deferral), retries(instanceSettings.retries, StableHash().add(instanceSettings.name).value())
+          deferral(instanceSettings.decisions.deferral),
+          retries(instanceSettings.retries, StableHash().add(instanceSettings.name).value())
     { }
 
     Millis now() const { return deadlines.now(); }
--- a/modules/keepers/ranking/OwnerRanking.cpp
+++ b/modules/keepers/ranking/OwnerRanking.cpp
@@ -40,8 +40,7 @@
     return !std::equal(before.begin(), before.end(), owners_.begin(), owners_.end(), isSame);
 }
 
-std::size_t OwnerRanking::countOwners(std::uint64_t allMilliCores,
-                                      std::size_t leastOwners) const
+std::size_t OwnerRanking::countOwners(std::uint64_t allMilliCores, std::size_t leastOwners) const
 {
     std::size_t count = 0;
     std::uint64_t milliCores = 0;
