A fleet that is being replaced is not divided into stages

Cause: while regular engines are replaced, fewer are listed for some seconds than there are instances. Change: a fleet that had enough engines of each stage is left alone for twelve seconds.

--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -66,6 +66,8 @@
         add(all, engine);
     }
     if (hasEngineForEveryInstance(all))
+        sufficientAt_ = now;
+    if (sufficientAt_ && now - *sufficientAt_ < settings_.replacementTime)
         return {};
     return isUnderLoad ? decideUnderLoad(all, now) : decideIdle(domains, all, now);
 }
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -4,6 +4,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace cuminrail {
@@ -50,6 +51,11 @@
         number. A change makes an engine and its cached parts unavailable just when both are scarce.
     */
     double grossShortage = 0.5;
+    /**
+        Time for which a fleet that had an engine of each stage for every instance is left alone
+        when it has not: while it is being replaced, the new engines boot before they are listed.
+    */
+    Millis replacementTime = Millis::seconds(12);
 };
 
 /**
@@ -107,6 +113,8 @@
     };
     std::map<std::string, Deviation> deviations_;
     std::map<std::string, Millis> changedAt_;
+    /** When each stage last had an engine for every instance. */
+    std::optional<Millis> sufficientAt_;
 };
 
 } // namespace cuminrail
--- a/modules/dataplane/roles/StagePlan_test.cpp
+++ b/modules/dataplane/roles/StagePlan_test.cpp
@@ -141,3 +141,20 @@
         CHECK(plan.decide(engines, false, Millis(10000)).empty() != row.changes);
     }
 }
+
+// Guards against hundreds of orders while a fleet is replaced: for some seconds fewer engines are
+// listed than there are instances.
+TEST_CASE("a fleet that had enough engines of each stage is not divided while it is replaced")
+{
+    const StagePlanSettings settings;
+    const auto before = domain("a", std::string(40, 'd') + std::string(16, 'p'));
+    const auto between = domain("a", std::string(9, 'd') + std::string(3, 'p'));
+    StagePlan plan;
+    plan.setInstances(16);
+    CHECK(plan.decide(before, false, Millis(0)).empty());
+    for (Millis now(500); now < settings.replacementTime; now += Millis(500))
+        CHECK(plan.decide(between, false, now).empty());
+    const Millis later = settings.replacementTime + settings.minDeviationDuration;
+    plan.decide(between, false, settings.replacementTime);
+    CHECK_FALSE(plan.decide(between, false, later).empty());
+}
