A start waits longer for the state of others before it reads the store

Cause (suspected, not traced): the wait of 2 to 4 s began with the process, before the others were known, while a small instance takes most of a second for each level of the tree. Change: 4 to 8 s, from when the others are known. Measured: feeds tests; not yet on the whole fleet.

--- a/modules/feeds/follower/FeedFollower.cpp
+++ b/modules/feeds/follower/FeedFollower.cpp
@@ -33,6 +33,11 @@
 {
     if (!hasPeers)
         return listAll();
+    awaitPeerState();
+}
+
+void FeedFollower::awaitPeerState()
+{
     const auto half = static_cast<std::uint64_t>(maxPeerStateWait.count()) / 2;
     peerStateWaitUntil_ = hooks_.clock.now() + maxPeerStateWait / 2
         + Millis(static_cast<std::int64_t>(hooks_.random() % half));
@@ -86,6 +91,8 @@
 
 void FeedFollower::setPosition(const WatchPosition &position)
 {
+    if (!hasPosition_ && peerStateWaitUntil_)
+        awaitPeerState();
     hasPosition_ = true;
     coordinator_.setPosition(position, hooks_.clock.now());
 }
--- a/modules/feeds/follower/FeedFollower.h
+++ b/modules/feeds/follower/FeedFollower.h
@@ -50,10 +50,10 @@
     /** How long an instance that does not know its rank yet waits before it watches on its own. */
     static constexpr Millis maxPositionWait = Millis(2500);
     /**
-        How long an instance that others watch for waits for their state before it lists the store
-        itself; half of it is jitter.
+        How long an instance that others watch for waits for their state, from when it knows them,
+        before it lists the store itself; half of it is jitter.
     */
-    static constexpr Millis maxPeerStateWait = Millis(4000);
+    static constexpr Millis maxPeerStateWait = Millis(8000);
 
     struct Hooks
     {
@@ -148,6 +148,8 @@
     bool isStoreSuspect(Millis now) const { return now < suspectUntil_; }
     bool isFresh(Millis now) const;
     Millis watchWait(Millis now) const;
+    /** Sets until when the state of another instance is awaited. */
+    void awaitPeerState();
     bool mayList(Millis now) const;
     void listAll();
     void adoptState(const FeedUpdate &update);
