--- a/modules/dataplane/placement/LeastLoaded_test.cpp
+++ b/modules/dataplane/placement/LeastLoaded_test.cpp
@@ -71,6 +71,7 @@
     constexpr int instances = 900;
     constexpr int upstreamCount = 18;
     std::vector<UpstreamPointer> upstreams;
+    upstreams.reserve(upstreamCount);
     for (int i = 0; i < upstreamCount; ++i)
         upstreams.push_back(upstream("u-" + std::to_string(i), "a"));
     const std::set<std::string> none;
--- a/modules/gateway/control/InstanceGroup.cpp
+++ b/modules/gateway/control/InstanceGroup.cpp
@@ -84,6 +84,7 @@
         return byName.at(one)->milliCores > byName.at(other)->milliCores;
     });
     std::vector<PeerAddress> addresses;
+    addresses.reserve(order.size());
     for (const InstanceId &instance : order)
         addresses.push_back(byName.at(instance)->address);
     return addresses;
--- a/modules/gateway/control/LinkPlan_test.cpp
+++ b/modules/gateway/control/LinkPlan_test.cpp
@@ -72,6 +72,7 @@
             }
         }
         std::vector<std::size_t> counts;
+        counts.reserve(all.size());
         for (const RegisteredInstance &each : all)
             counts.push_back(links[each.links].size());
         std::sort(counts.begin(), counts.end());
--- a/modules/gateway/peers/FrameRelay_test.cpp
+++ b/modules/gateway/peers/FrameRelay_test.cpp
@@ -113,7 +113,9 @@
     network.instances["a"]->setRelays({"b"});
     std::string frame;
     FrameRelay::Hooks hooks;
-    hooks.transport.send = [&](const PeerAddress &, std::string bytes) { frame = bytes; };
+    hooks.transport.send = [&](const PeerAddress &, std::string bytes) {
+        frame = std::move(bytes);
+    };
     hooks.isLinked = [](const PeerAddress &to) { return to == "b"; };
     FrameRelay sender("a", std::move(hooks));
     sender.setRelays({"b"});
