Small groups start from the store, large ones from the state of others

Cause (read, not traced): each level of the tree waits for a redial and a tick, while the store sends a short list to 30 instances at once. Change: the state comes from others in groups of 48 instances or more; it is passed on as soon as it is there, and asked for as soon as the others are known.

--- a/modules/feeds/follower/FeedFollower.cpp
+++ b/modules/feeds/follower/FeedFollower.cpp
@@ -47,7 +47,7 @@
 {
     const WatchPosition &position = coordinator_.position();
     return !isListed_ && !isBusy_ && peerStateWaitUntil_ && hasPosition_ && position.isShared
-        && !position.isWatcher();
+        && !position.isWatcher() && position.members >= minPeerStateMembers;
 }
 
 bool FeedFollower::mayList(Millis now) const
--- a/modules/feeds/follower/FeedFollower.h
+++ b/modules/feeds/follower/FeedFollower.h
@@ -54,6 +54,11 @@
         before it lists the store itself; half of it is jitter.
     */
     static constexpr Millis maxPeerStateWait = Millis(8000);
+    /**
+        Smallest group in which instances start with the state of others. In a smaller one the store
+        sends the state to each sooner than it passes from one to the next.
+    */
+    static constexpr std::size_t minPeerStateMembers = 48;
 
     struct Hooks
     {
--- a/modules/feeds/follower/FeedGroup.cpp
+++ b/modules/feeds/follower/FeedGroup.cpp
@@ -236,8 +236,10 @@
         sendQuery(to, query);
     };
     const auto whole = stateOf(piece.kind).fetch.handlePiece(from, piece, clock_.now(), send);
-    if (whole)
-        follower.handleUpdate(*whole);
+    if (!whole)
+        return;
+    follower.handleUpdate(*whole);
+    exchangeStates(clock_.now());
 }
 
 void FeedGroup::exchangeStates(Millis now)
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -172,6 +172,7 @@
         // An instance that just started has nothing to respond with until it follows the store.
         tickPeers();
         sync_.tick();
+        feeds_.tick();
     };
     hooks.onMalformed = [this](const Reason &reason) {
         environment_.events(Event{&events::rosterMalformed, {{"reason", reason.toString()}}});
