The fleet orders up to 4.5 upstreams for each instance

Cause: 264 engines were ordered instead of 282; the reclaim took as large a part of fewer. Change: the bound is above what the earlier deployments order, so it holds for the whole fleet only.

--- a/modules/dataplane/fleet/FleetPlan.h
+++ b/modules/dataplane/fleet/FleetPlan.h
@@ -48,7 +48,7 @@
         what the callers need: instances have few requests at a time each, and every further
         upstream is billed and listed everywhere.
     */
-    double mostPerInstance = 4;
+    double mostPerInstance = 4.5;
     /**
         Share of regular upstreams in the target number. All reclaimable upstreams of a domain are
         withdrawn at once, at two seconds' notice; the regular ones must then serve its callers,
