--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -81,6 +81,8 @@
     std::string stateText() const;
 
     const RelayContext &context() const { return context_; }
+    /** Returns the number of known instances, this one included. */
+    std::size_t instanceCount() const { return registry_.instances().size(); }
 
 private:
     static RegisteredInstance registrationOf(const InstanceSettings &settings);
--- a/modules/standin/proxy/FaultProxy.cpp
+++ b/modules/standin/proxy/FaultProxy.cpp
@@ -1,10 +1,10 @@
-#include "FaultProxy.h"
+#include "standin/proxy/FaultProxy.h"
 
 #include <boost/asio/write.hpp>
 
 #include <chrono>
 
-namespace cuminrail::soak {
+namespace cuminrail {
 
 namespace {
 
@@ -13,9 +13,19 @@
 } // namespace
 
 FaultProxy::FaultProxy(IoThread &thread, std::uint16_t targetPort)
-    : thread_(thread), targetPort_(targetPort),
-      acceptor_(thread.io(), {boost::asio::ip::address_v4::loopback(), 0})
+    : thread_(thread), targetPort_(targetPort), acceptor_(thread.io())
 {
+    openAcceptor();
+}
+
+void FaultProxy::openAcceptor()
+{
+    const Tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port_);
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(address);
+    acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
     accept();
 }
 
@@ -37,6 +47,35 @@
     });
 }
 
+void FaultProxy::setConnectFault(ConnectFault fault)
+{
+    if (fault == connectFault_)
+        return;
+    connectFault_ = fault;
+    boost::system::error_code ignored;
+    queueFillers_.clear();
+    acceptor_.close(ignored);
+    if (fault == ConnectFault::None)
+        openAcceptor();
+    else if (fault == ConnectFault::Hang)
+        fillQueue();
+}
+
+void FaultProxy::fillQueue()
+{
+    constexpr int fillers = 4;
+    const Tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port_);
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor_.bind(address);
+    acceptor_.listen(0);
+    for (int i = 0; i < fillers; ++i) {
+        queueFillers_.push_back(std::make_shared<Tcp::socket>(thread_.io()));
+        const auto filler = queueFillers_.back();
+        filler->async_connect(address, [filler](const boost::system::error_code &) {});
+    }
+}
+
 void FaultProxy::pump(const std::shared_ptr<Link> &link, bool isUp)
 {
     Tcp::socket &from = isUp ? link->caller : link->server;
@@ -93,8 +132,9 @@
 void FaultProxy::close()
 {
     boost::system::error_code ignored;
+    queueFillers_.clear();
     acceptor_.close(ignored);
     resetAll();
 }
 
-} // namespace cuminrail::soak
+} // namespace cuminrail
--- a/modules/standin/proxy/FaultProxy.h
+++ b/modules/standin/proxy/FaultProxy.h
@@ -6,34 +6,45 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <set>
+#include <vector>
 
-namespace cuminrail::soak {
+namespace cuminrail {
 
-/** What a proxy does to connections. */
+/** What a proxy does to the bytes of open connections. */
 enum class LinkFault : std::uint8_t {
     None,
-    /** Bytes wait before they go on. */
+    /** Bytes are delayed. */
     Delay,
-    /** Nothing goes on in either direction, and nobody is told. */
+    /** Bytes of both directions are lost. */
     Silence,
-    /** Nothing goes back to the one that connected. */
+    /** Bytes to the end that connected are lost. */
     OneWay,
 };
 
+/** What a proxy does to new connections. */
+enum class ConnectFault : std::uint8_t {
+    None,
+    Refuse,
+    /** The connection is never established, as if SYN or SYN-ACK were lost. */
+    Hang,
+};
+
 /**
-    A loopback proxy in front of one server, to harm connections from outside the processes.
+    A loopback proxy in front of one server, which harms connections from outside the processes.
 
-    Belongs to its event loop's thread.
+    Confined to its event loop's thread.
 */
 class FaultProxy
 {
 public:
     FaultProxy(IoThread &thread, std::uint16_t targetPort);
 
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::uint16_t port() const { return port_; }
     void setFault(LinkFault fault) { fault_ = fault; }
+    void setConnectFault(ConnectFault fault);
     /** Resets all open connections. */
     void resetAll();
     void close();
@@ -49,16 +60,22 @@
         std::array<char, 8192> down{};
     };
 
+    void openAcceptor();
     void accept();
+    /** Fills the queue of connections that wait for acceptance, so that the kernel drops SYNs. */
+    void fillQueue();
     void pump(const std::shared_ptr<Link> &link, bool isUp);
     void forward(const std::shared_ptr<Link> &link, bool isUp, std::size_t size);
     void end(const std::shared_ptr<Link> &link);
 
     IoThread &thread_;
     std::uint16_t targetPort_;
+    std::uint16_t port_ = 0;
     Tcp::acceptor acceptor_;
     std::set<std::shared_ptr<Link>> links_;
+    std::vector<std::shared_ptr<Tcp::socket>> queueFillers_;
     LinkFault fault_ = LinkFault::None;
+    ConnectFault connectFault_ = ConnectFault::None;
 };
 
-} // namespace cuminrail::soak
+} // namespace cuminrail
--- a/modules/standin/standin.h
+++ b/modules/standin/standin.h
@@ -13,6 +13,7 @@
 #include "standin/engine/StandinEngine.h"
 #include "standin/faults/FaultPlan.h"
 #include "standin/platform/StandinPlatform.h"
+#include "standin/proxy/FaultProxy.h"
 #include "standin/server/Exchange.h"
 #include "standin/server/Recorder.h"
 #include "standin/server/StandinHost.h"
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 
+#include "net/testing/FreePorts.h"
 #include "platform/testing/StandinDeclarations.h"
 #include "runtime/time/BootClock.h"
 
@@ -16,6 +17,8 @@
 
 namespace cuminrail::soak {
 
+using testing::freePorts;
+
 namespace {
 
 /** Longer than the gateways' grace: whoever has not ended by then never will. */
@@ -23,31 +26,10 @@
 /** From fork() until the gateway handles signals, with room for a busy machine. */
 constexpr Millis startUp = Millis(300);
 
-/**
-    Returns a port for a gateway, below those that the kernel gives to connections: a gateway that
-   is down for a moment would find its port taken by a caller's connection, or by another run.
-*/
-std::uint16_t gatewayPort()
-{
-    constexpr int lowest = 10000;
-    constexpr int portsOfRun = 100;
-    constexpr int runs = 200;
-    static int given = 0;
-    const int number = lowest + (getpid() % runs) * portsOfRun + given++ % portsOfRun;
-    boost::asio::io_context io;
-    boost::system::error_code error;
-    boost::asio::ip::tcp::acceptor acceptor(io);
-    const auto port = static_cast<std::uint16_t>(number);
-    acceptor.open(boost::asio::ip::tcp::v4(), error);
-    acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
-    return error ? gatewayPort() : port;
-}
-
 } // namespace
 
 GatewayProcess::GatewayProcess(std::string program, std::string directory, std::string name)
-    : callersPort(gatewayPort()), adminPort(gatewayPort()), program_(std::move(program)),
+    : callersPort(freePorts()), adminPort(freePorts()), program_(std::move(program)),
       directory_(std::move(directory)), name_(std::move(name))
 { }
 
@@ -186,8 +168,8 @@
     platform::StandinPorts ports;
     ports.callers = gateway.callersPort;
     ports.admin = gateway.adminPort;
-    ports.readiness = gatewayPort();
-    ports.links = gatewayPort();
+    ports.readiness = freePorts();
+    ports.links = freePorts(2);
     ports.store = storeProxy->port();
     gateway.start(platform::standinSettings("instance-" + std::to_string(index), ports),
                   options_.isLogUnread);
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "FaultProxy.h"
 #include "StatementJudge.h"
 #include "platform/testing/StandinServer.h"
 #include "platform/testing/StandinStore.h"
 #include "runtime/time/BootClock.h"
+#include "standin/proxy/FaultProxy.h"
 
 #include <map>
 #include <string>
