Requests of an instance that reaches no upstream are carried by others

Callers of an instance that had lost the path to all upstreams got 503 after 1.2 s for as long as the cut lasted (5 of 48 served at the first attempt).

Cause: an instance had no second way, and could not tell one dead upstream from its own path. Evidence: 282 of 294 attempts there ended as connect-timeout, four for each refused request, while the other instances served 185 of 192.

Now new connections are counted over distinct upstreams and failure domains (UpstreamPath): four failures in two domains without a success cut the path, any success ends the doubt, and upstreams are probed as soon as one connection fails. While the path is cut, requests go over links of their own to one of four instances that said that they can carry. The carrier runs them as its own; quota, key and the caller's deadline stay where the caller is, sends, limits and usage where the request runs. 'Not run' is said only on the carrier's word. A suspected request is reported only when another upstream was reached, and the lease of duties is released.

--- /dev/null
+++ b/modules/carriage/calls/CarriedCalls_test.cpp
@@ -0,0 +1,146 @@
+#include <doctest/doctest.h>
+
+#include "carriage/testing/CarriagePair.h"
+
+using namespace cuminrail;
+using namespace cuminrail::testing;
+
+namespace {
+
+CarriedEnd complete()
+{
+    CarriedEnd end;
+    end.result = CarriedResult::Complete;
+    end.sends = 1;
+    return end;
+}
+
+std::string bytes(std::size_t size)
+{
+    std::string text(size, ' ');
+    for (std::size_t i = 0; i < size; ++i)
+        text[i] = static_cast<char>('a' + i % 23);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("bodies of any size arrive whole, with no more than a window under way")
+{
+    for (const std::size_t size : {std::size_t(0), std::size_t(1), CarriageLimits::chunk,
+                                   CarriageLimits::window, std::size_t(1000003)}) {
+        CAPTURE(size);
+        CarriagePair pair;
+        pair.start(bytes(size));
+        pair.run();
+        REQUIRE(pair.arrived.size() == 1);
+        CHECK(pair.arrived[0]->body() == bytes(size));
+        pair.arrived[0]->sendHead(200, {}, false);
+        pair.arrived[0]->write(bytes(size));
+        pair.arrived[0]->finish(complete());
+        pair.run();
+        CHECK(pair.status == 200);
+        CHECK(pair.received == bytes(size));
+        REQUIRE(pair.ends.size() == 1);
+        CHECK(pair.ends[0].result == CarriedResult::Complete);
+        CHECK(pair.mostBytesUnderWay < CarriageLimits::window * 5 / 4);
+        CHECK(pair.outgoing.size() + pair.incoming.size() == 0);
+    }
+}
+
+// A caller who does not read must not make the carrier or the link hold the whole response.
+TEST_CASE("a response that is not taken stops at the carrier after a window")
+{
+    CarriagePair pair;
+    const CarriedCallId call = pair.start("x");
+    pair.run();
+    pair.outgoing.pause(call);
+    pair.arrived[0]->sendHead(200, {}, true);
+    pair.arrived[0]->write(bytes(CarriageLimits::window * 3));
+    bool isWritable = false;
+    pair.arrived[0]->onWritable([&] { isWritable = true; });
+    pair.run();
+    CHECK(pair.received.size() == CarriageLimits::window);
+    CHECK(pair.arrived[0]->isCongested());
+    CHECK_FALSE(isWritable);
+    pair.outgoing.resume(call);
+    pair.arrived[0]->finish(complete());
+    pair.run();
+    CHECK(pair.received.size() == CarriageLimits::window * 3);
+    CHECK(pair.ends.size() == 1);
+}
+
+// Only the carrier's word says that a request was not run.
+TEST_CASE("a message lost on the way ends a request as lost, never as whole or not run")
+{
+    const std::size_t size = CarriageLimits::window * 2;
+    for (std::size_t lost = 0; lost < 40; ++lost) {
+        CAPTURE(lost);
+        CarriagePair pair;
+        pair.start(bytes(size));
+        std::size_t passed = 0;
+        bool hasResponded = false;
+        while (!pair.frames.empty()) {
+            if (passed++ == lost)
+                pair.frames.pop_front();
+            else
+                pair.step();
+            if (!pair.arrived.empty() && !hasResponded) {
+                hasResponded = true;
+                pair.arrived[0]->sendHead(200, {}, false);
+                pair.arrived[0]->write(bytes(size));
+                pair.arrived[0]->finish(complete());
+            }
+        }
+        pair.outgoing.linkClosed("carrier");
+        pair.incoming.linkClosed("origin");
+        REQUIRE(pair.ends.size() == 1);
+        const CarriedResult result = pair.ends[0].result;
+        const bool isWhole = pair.received == bytes(size);
+        CHECK((result != CarriedResult::Complete || isWhole));
+        CHECK((result != CarriedResult::Declined || pair.arrived.empty()));
+        CHECK(result != CarriedResult::NotRun);
+        CHECK(pair.outgoing.size() + pair.incoming.size() == 0);
+    }
+}
+
+TEST_CASE("the carrier learns that a caller left or that the link ended, once")
+{
+    for (const bool isLinkClosed : {false, true}) {
+        CarriagePair pair;
+        const CarriedCallId call = pair.start("x");
+        pair.run();
+        int abandoned = 0;
+        pair.arrived[0]->onAbandoned([&] { ++abandoned; });
+        if (isLinkClosed)
+            pair.incoming.linkClosed("origin");
+        else
+            pair.outgoing.cancel(call);
+        pair.run();
+        pair.incoming.linkClosed("origin");
+        CHECK(abandoned == 1);
+        pair.arrived[0]->write("late");
+        pair.arrived[0]->finish(complete());
+        CHECK(pair.frames.empty());
+        CHECK(pair.incoming.size() == 0);
+    }
+}
+
+TEST_CASE("a carrier declines what it cannot run, and keeps its bounds")
+{
+    CarriagePair pair(IncomingCalls::Bounds{2, 1000});
+    pair.refusal = "not ready";
+    pair.start("x");
+    pair.run();
+    REQUIRE(pair.ends.size() == 1);
+    CHECK(pair.ends[0].result == CarriedResult::Declined);
+    pair.refusal.clear();
+    pair.start(bytes(600));
+    pair.start(bytes(600));
+    pair.start(bytes(100));
+    pair.start(bytes(100));
+    pair.run();
+    CHECK(pair.arrived.size() == 2);
+    CHECK(pair.ends.size() == 3);
+    CHECK_FALSE(pair.incoming.hasRoom());
+}
--- /dev/null
+++ b/modules/carriage/calls/IncomingCalls.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "carriage/messages/CarriageMessages.h"
+#include "ports/peers/PeerTransport.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cuminrail {
+
+class IncomingCalls;
+
+/**
+    A request of another instance that this one runs, and the means to respond to it.
+
+    After the end or abandonment of the request, all calls have no effect.
+*/
+class IncomingCall : public std::enable_shared_from_this<IncomingCall>
+{
+public:
+    IncomingCall(IncomingCalls &calls, PeerAddress from, CarriedOpen open)
+        : calls_(&calls), from_(std::move(from)), open_(std::move(open))
+    { }
+
+    const CarriedOpen &request() const { return open_; }
+    std::string &body() { return body_; }
+
+    void sendHead(int status, const std::vector<CarriedField> &fields, bool isStream);
+    /** Sends a part of the response's body, or keeps it until the other end takes more. */
+    void write(std::string_view data);
+    /** Ends the request; what was written before is sent first. */
+    void finish(CarriedEnd end);
+    /** Returns true while the other end takes the response too slowly. */
+    bool isCongested() const;
+    /** Sets the hook called once, when the response is no longer congested. */
+    void onWritable(std::function<void()> hook) { onWritable_ = std::move(hook); }
+    /** Sets the hook called when the other instance abandons the request, or its link ends. */
+    void onAbandoned(std::function<void()> hook) { onAbandoned_ = std::move(hook); }
+
+private:
+    friend class IncomingCalls;
+
+    void flush();
+    void abandon();
+    void detach();
+
+    /** Null once the request has ended. */
+    IncomingCalls *calls_;
+    PeerAddress from_;
+    CarriedOpen open_;
+    std::string body_;
+    bool isStarted_ = false;
+    /** Written, but not yet sent. */
+    std::string unsent_;
+    std::uint64_t sent_ = 0;
+    std::uint64_t taken_ = 0;
+    std::optional<CarriedEnd> end_;
+    std::function<void()> onWritable_;
+    std::function<void()> onAbandoned_;
+};
+
+/** The requests that this instance carries for others. */
+class IncomingCalls
+{
+public:
+    struct Bounds
+    {
+        std::size_t calls = 64;
+        /** Bytes of all requests' bodies together. */
+        std::uint64_t bodyBytes = 16U << 20U;
+    };
+
+    struct Hooks
+    {
+        PeerTransport transport;
+        /** Returns why no request can be carried now, or an empty text. */
+        std::function<std::string()> refusal;
+        /** A request has arrived completely. */
+        std::function<void(const std::shared_ptr<IncomingCall> &)> onRequest;
+    };
+
+    IncomingCalls(Bounds bounds, Hooks hooks) : bounds_(bounds), hooks_(std::move(hooks)) { }
+    ~IncomingCalls();
+    IncomingCalls(const IncomingCalls &) = delete;
+    IncomingCalls &operator=(const IncomingCalls &) = delete;
+
+    void handle(const PeerAddress &from, const CarriageMessage &message);
+    /** The link to an instance ended: nobody waits for its requests any more. */
+    void linkClosed(const PeerAddress &from);
+    std::size_t size() const { return calls_.size(); }
+    /** Returns whether one more request would be taken. */
+    bool hasRoom() const { return calls_.size() < bounds_.calls; }
+    /** Detaches all requests, without calling their hooks. */
+    void dropAll();
+
+private:
+    friend class IncomingCall;
+    using Key = std::pair<PeerAddress, CarriedCallId>;
+
+    void open(const PeerAddress &from, const CarriedOpen &open);
+    void receive(const PeerAddress &from, const CarriedChunk &chunk);
+    void startIfComplete(const std::shared_ptr<IncomingCall> &call);
+    void decline(const PeerAddress &from, CarriedCallId call, const std::string &reason);
+    std::shared_ptr<IncomingCall> find(const PeerAddress &from, CarriedCallId call) const;
+    void remove(const IncomingCall &call);
+
+    Bounds bounds_;
+    Hooks hooks_;
+    std::map<Key, std::shared_ptr<IncomingCall>> calls_;
+    std::uint64_t bodyBytes_ = 0;
+};
+
+} // namespace cuminrail
--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -29,6 +29,8 @@
         &suspicionCleared,
         &quarantineEntryRefused,
         &quarantineNotRemoved,
+        &requestCarried,
+        &carriedAttemptEnded,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
@@ -38,6 +40,7 @@
         &upstreamLeaving,
         &upstreamPauses,
         &upstreamsListed,
+        &pathChanged,
         &upstreamEntryRefused,
         // 4xx platform store
         &storeUnavailable,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -85,6 +85,13 @@
     "An entry of the store's quarantine that is over may still be there; instances that start read "
     "it."};
 
+inline constexpr EventKind requestCarried{
+    214, EventLevel::Info, "request-carried",
+    "This instance reaches no upstream, and handed a request to another instance."};
+inline constexpr EventKind carriedAttemptEnded{
+    215, EventLevel::Warning, "carried-attempt-ended",
+    "An instance to which a request was handed did not serve it."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
@@ -110,6 +117,10 @@
     307, EventLevel::Info, "upstream-pauses",
     "An upstream refused a request and asked this instance for a pause; it gets no requests until "
     "then, and one afterwards to try it."};
+inline constexpr EventKind pathChanged{
+    310, EventLevel::Warning, "upstream-path-changed",
+    "Whether new connections from this instance reach any upstream; while they do not, other "
+    "instances carry its requests."};
 inline constexpr EventKind upstreamsListed{
     308, EventLevel::Info, "upstreams-listed",
     "So many more upstreams were listed, changed or removed within a second, without a line each."};
--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -18,6 +18,7 @@
 #include "dataplane/model/Configuration.h"
 #include "dataplane/model/RouteIndex.h"
 #include "dataplane/model/UpstreamEntry.h"
+#include "dataplane/path/UpstreamPath.h"
 #include "dataplane/placement/EnginePlacement.h"
 #include "dataplane/policy/DecisionSettings.h"
 #include "dataplane/retry/RetryAllowance.h"
--- a/modules/dataplane/fleet/UpstreamHealth.cpp
+++ b/modules/dataplane/fleet/UpstreamHealth.cpp
@@ -45,6 +45,15 @@
     found->second.trialUntil = now + trialTimeout;
 }
 
+void UpstreamHealth::forgetEjections()
+{
+    for (auto &[upstream, state] : states_) {
+        const Millis progress = state.lastProgressAt;
+        state = {};
+        state.lastProgressAt = progress;
+    }
+}
+
 bool UpstreamHealth::hasProgressed(const std::string &upstream, Millis span, Millis now) const
 {
     const auto found = states_.find(upstream);
--- a/modules/dataplane/fleet/UpstreamHealth.h
+++ b/modules/dataplane/fleet/UpstreamHealth.h
@@ -57,6 +57,8 @@
     /** Returns the share of recent bad outcomes, 0 to 1. */
     double badShare(const std::string &upstream) const;
     void forget(const std::string &upstream) { states_.erase(upstream); }
+    /** Forgets all ejections; outcomes were those of this instance's path. */
+    void forgetEjections();
 
 private:
     struct State
--- a/modules/dataplane/model/InstanceSettings.h
+++ b/modules/dataplane/model/InstanceSettings.h
@@ -34,6 +34,12 @@
     HostPort admin;
     /** Listens for links of other instances; not set if links are not used. */
     HostPort links;
+    /** Returns the address on which links for carried requests are accepted: the next port. */
+    HostPort carriage() const
+    {
+        return links.isSet() ? HostPort{links.host, static_cast<std::uint16_t>(links.port + 1)}
+                             : HostPort();
+    }
     /** Address of the platform's store. */
     std::string store;
     /** Address of the platform's interface for duties; empty if there is none. */
--- a/modules/dataplane/model/RouteIndex.cpp
+++ b/modules/dataplane/model/RouteIndex.cpp
@@ -30,6 +30,7 @@
         });
     }
     for (const CustomerKeys &customer : configuration_.customers) {
+        customers_[customer.customer] = &customer;
         for (const std::string &key : customer.keys)
             byKey_[key] = Caller{customer.customer, customer.priority};
     }
@@ -55,6 +56,12 @@
     return found == byKey_.end() ? nullptr : &found->second;
 }
 
+const CustomerKeys *RouteIndex::customer(std::string_view name) const
+{
+    const auto found = customers_.find(std::string(name));
+    return found == customers_.end() ? nullptr : found->second;
+}
+
 const Service *RouteIndex::service(const std::string &name) const
 {
     const auto found = byName_.find(name);
--- a/modules/dataplane/model/RouteIndex.h
+++ b/modules/dataplane/model/RouteIndex.h
@@ -30,6 +30,8 @@
     const Route *find(std::string_view host, std::string_view path) const;
     /** Returns the customer to whom a key belongs, or null. */
     const Caller *caller(std::string_view key) const;
+    /** Returns a customer by name, or null. */
+    const CustomerKeys *customer(std::string_view name) const;
     const Service *service(const std::string &name) const;
     /**
         Returns the service for a request, by weighted hashing of the request's id: always the same
@@ -46,6 +48,7 @@
     Configuration configuration_;
     std::unordered_map<std::string, std::vector<const Route *>> byHost_;
     std::unordered_map<std::string, Caller> byKey_;
+    std::unordered_map<std::string, const CustomerKeys *> customers_;
     std::unordered_map<std::string, const Service *> byName_;
 };
 
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -135,7 +135,9 @@
         transportFor(LinkPurpose::Quarantine), environment_.store, environment_.clock,
         environment_.random, environment_.events});
     context_.quarantine->setLinkCheck(feeds_.isLinked);
+    context_.path.onChange = [this](PathState before) { onPathChange(before); };
     if (settings_.links.isSet()) {
+        setUpCarriage();
         context_.prefillExchange = std::make_unique<PrefillExchange>(
             settings_.links.toString(), transportFor(LinkPurpose::Estimates), environment_.clock);
         context_.prefillExchange->wasUnusedAt = [this](EngineKey engine, Millis at) {
@@ -325,6 +327,7 @@
     stages_.tick();
     if (settings_.ordersUpstreams)
         scale_.tick(settings_.isFirstStart && context_.counters.requests == 0);
+    tickPath();
     if (isDraining_)
         tickDrain();
 }
@@ -349,6 +352,9 @@
     fabric_.stop();
     // Pending queries hold requests, which refer to members that are destroyed before the
     // exchanges.
+    context_.path.stop();
+    if (context_.carriage)
+        context_.carriage->stop();
     if (context_.prefillExchange)
         context_.prefillExchange->dropPendingQueries();
     context_.quotas->dropPendingQueries();
@@ -378,7 +384,8 @@
     const bool isIdle = context_.counters.inProgress == 0 && callers_.openConnections() == 0;
     if (isIdle)
         usage_.flush();
-    const bool isDone = isIdle && usage_.isFlushed() && lease_.isQuiet();
+    const bool isSent = !context_.carriage || context_.carriage->isFlushed();
+    const bool isDone = isIdle && isSent && usage_.isFlushed() && lease_.isQuiet();
     if ((isDone || isLate) && onDrained_) {
         const auto drained = std::move(onDrained_);
         onDrained_ = nullptr;
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -90,6 +90,12 @@
     void onStoreEra(StoreEra era);
     void onDeparture(UpstreamIncarnation incarnation, DepartureSource source);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
+    /** Sets up carrying of requests between instances. */
+    void setUpCarriage();
+    /** Returns why requests of other instances are not carried here; empty if they are. */
+    std::string carriageRefusal() const;
+    void onPathChange(PathState before);
+    void tickPath();
     void onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse problemAnswer(int status, const Reason &reason) const;
     void applyLimits();
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -57,6 +57,7 @@
             reachablePeers_.push_back(each.address);
     }
     context_.prefillExchange->setPeers(std::move(peers));
+    context_.carriage->setInstances(registry_.instances());
 }
 
 PeerTransport Gateway::transportFor(LinkPurpose purpose)
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -61,9 +61,11 @@
     UpstreamLimit,
     /** Upstreams asked for a pause. */
     UpstreamPause,
+    /** The instance that carried the request refused it. */
+    Refused,
 };
 
-inline constexpr NameTable<GiveUpCause, 16> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 17> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -80,6 +82,7 @@
     {GiveUpCause::Quarantined, "quarantined"},
     {GiveUpCause::UpstreamLimit, "upstream-limit"},
     {GiveUpCause::UpstreamPause, "upstream-pause"},
+    {GiveUpCause::Refused, "refused-by-carrier"},
 }}};
 
 /** Current values, computed when the metrics or the state are requested. */
--- a/modules/gateway/control/FleetLease.cpp
+++ b/modules/gateway/control/FleetLease.cpp
@@ -79,7 +79,8 @@
     if (!ownRank && !isHeld() && !isLeaving_ && !isOutsiderCheckDue(now))
         return;
     Candidacy candidacy;
-    candidacy.isCandidate = !isLeaving_;
+    candidacy.isCandidate = !isLeaving_ && !isBlocked_;
+    candidacy.mayAcquire = !isBlocked_;
     candidacy.rank = ownRank.value_or(candidates);
     lease_.tick(candidacy);
 }
@@ -90,6 +91,15 @@
     lease_.release();
 }
 
+void FleetLease::setBlocked(bool isBlocked)
+{
+    if (isBlocked == isBlocked_)
+        return;
+    isBlocked_ = isBlocked;
+    if (isBlocked && isHeld())
+        lease_.release();
+}
+
 std::optional<DutyAuthority> FleetLease::authority() const
 {
     const Millis now = clock_.now();
--- a/modules/gateway/control/FleetLease.h
+++ b/modules/gateway/control/FleetLease.h
@@ -40,6 +40,8 @@
     void noteEra(StoreEra era) { lease_.noteEra(era); }
     /** Releases the lease and does not take it again. */
     void release();
+    /** Releases the lease, and takes no part until this is reset. */
+    void setBlocked(bool isBlocked);
     bool isHeld() const { return lease_.authority(clock_.now()).has_value(); }
     /** Returns the authority of the lease if enough of its term remains for a call. */
     std::optional<DutyAuthority> authority() const;
@@ -59,6 +61,7 @@
     Millis startedAt_;
     std::optional<Millis> nextOutsiderCheckAt_;
     bool isLeaving_ = false;
+    bool isBlocked_ = false;
     /** The rank, and the revision of the list of instances from which it was computed. */
     std::optional<std::size_t> rank_;
     std::uint64_t rankedRevision_ = 0;
--- a/modules/gateway/peers/PeerLinkManager.cpp
+++ b/modules/gateway/peers/PeerLinkManager.cpp
@@ -181,6 +181,8 @@
             links_ = std::move(links);
             secret_ = secret;
             environment_.events(Event{&events::peerLinksOpen, {{"address", listen_.toString()}}});
+            if (onOpen)
+                onOpen(secret);
             return;
         }
     }
--- a/modules/gateway/peers/PeerLinkManager.h
+++ b/modules/gateway/peers/PeerLinkManager.h
@@ -43,6 +43,9 @@
     /** @param listen  address on which this instance accepts links, also advertised to others */
     PeerLinkManager(Environment environment, HostPort listen, FrameHandler onFrame);
 
+    /** Called with the secret when the links were opened; optional. */
+    std::function<void(const std::string &)> onOpen;
+
     /** Reads the secret and connects to peers when due; to be called a few times a second. */
     void tick();
     /** Postpones reading the secret from the store, as another way may provide it before. */
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -22,6 +22,7 @@
     silenceTimer_.clear();
     const UpstreamPointer &upstream = target();
     context_.health.progressed(upstream->entry.id, context_.now());
+    context_.path.progressed();
     attempt_.status = head.status;
     attempt_.traits = context_.wire.decodeResponse(head);
     attempt_.isInvalid =
@@ -64,7 +65,10 @@
     if (attempt_.choice)
         context_.engines.runBegan(*attempt_.choice, context_.now());
     noteExecutionStarted();
-    context_.health.progressed(attempt_.upstream->entry.id, context_.now());
+    if (attempt_.upstream) {
+        context_.health.progressed(attempt_.upstream->entry.id, context_.now());
+        context_.path.progressed();
+    }
     // A resumed stream can begin before the last relayed event; duplicate events are dropped.
     if (event.number && lastEventId_ && *event.number <= *lastEventId_)
         return;
@@ -79,8 +83,8 @@
     exchange_->write(event.bytes);
     if (!exchange_->isCongested())
         return;
-    call_.pause();
-    exchange_->onWritable([self = shared_from_this()] { self->call_.resume(); });
+    pauseResponse();
+    exchange_->onWritable([self = shared_from_this()] { self->resumeResponse(); });
 }
 
 void RequestRelay::noteEvent()
@@ -158,7 +162,12 @@
     ++context_.counters.refused;
     context_.metrics.requestGivenUp(cause, RequestOutcome::Refused);
     logEnd(events::requestRefused, status, cause, why);
-    exchange_->respond(context_.wire.localResponse(status, inbound_.id, retryAfter, why));
+    if (!carried_)
+        exchange_->respond(context_.wire.localResponse(status, inbound_.id, retryAfter, why));
+    else if (status == 503 && cause != GiveUpCause::NoConfiguration && !context_.path.isCut())
+        carried_->refuse(retryAfter, why);
+    else
+        carried_->decline(why);
     endRequest(RequestOutcome::Refused);
 }
 
@@ -169,13 +178,18 @@
         return refuse(503, cause, callerRetryAfter(), why);
     ++context_.counters.failed;
     context_.metrics.requestGivenUp(cause, RequestOutcome::Failed);
+    if (carried_)
+        carried_->setSends(sends_);
     if (hasResponseStarted_) {
         logEnd(events::requestFailed, 0, cause, "stream truncated: " + why);
         exchange_->abort();
     } else {
         const int status = context_.now() >= deadlineAt_ ? 504 : 502;
         logEnd(events::requestFailed, status, cause, why);
-        exchange_->respond(context_.wire.localResponse(status, inbound_.id, std::nullopt, why));
+        if (carried_)
+            carried_->fail(why);
+        else
+            exchange_->respond(context_.wire.localResponse(status, inbound_.id, std::nullopt, why));
     }
     endRequest(RequestOutcome::Failed);
 }
--- /dev/null
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -0,0 +1,188 @@
+#include "core/events/EventCatalogue.h"
+#include "gateway/request/RequestRelay.h"
+
+#include <algorithm>
+
+namespace cuminrail {
+
+namespace {
+
+/** Instances to which a request is handed, one after the other, at most. */
+constexpr std::size_t maxCarriers = 3;
+/** Interval at which a request looks for a carrier while candidates are being asked. */
+constexpr Millis carrierRetryInterval = Millis(20);
+/** A request is refused if no candidate can carry it after this time. */
+constexpr Millis maxCarrierWait = Millis(700);
+/** A response must come back from the carrier before the deadline here. */
+constexpr Millis carriageTransit = Millis(10);
+
+/** Returns the headers of a request without any that contains the caller's key. */
+std::vector<HttpHeader> withoutKey(const std::vector<HttpHeader> &headers, const std::string &key)
+{
+    std::vector<HttpHeader> kept;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept), [&](const auto &each) {
+        return key.empty() || each.value.find(key) == std::string::npos;
+    });
+    return kept;
+}
+
+} // namespace
+
+int RequestRelay::attemptLimit() const
+{
+    const int allowed = carried_ ? static_cast<int>(carried_->request().attempts) : INT32_MAX;
+    return std::min(allowed, route_->maxAttempts);
+}
+
+bool RequestRelay::adoptCarriedCaller()
+{
+    customer_ = carried_->request().customer;
+    int priority = route_->priority;
+    if (!customer_.empty()) {
+        const CustomerKeys *customer = index_->customer(customer_);
+        if (customer == nullptr) {
+            refuse(401, GiveUpCause::UnknownKey, std::nullopt, "the customer is not known here");
+            return false;
+        }
+        priority = customer->priority.value_or(priority);
+    } else if (!route_->isOpen && !index_->configuration().customers.empty()) {
+        refuse(401, GiveUpCause::UnknownKey, std::nullopt, "the route needs a customer here");
+        return false;
+    }
+    setUrgency(priority);
+    return true;
+}
+
+void RequestRelay::carry()
+{
+    if (carried_)
+        return giveUp(GiveUpCause::Unreachable, "no upstream can be reached from here either");
+    if (triedCarriers_.size() >= maxCarriers)
+        return giveUpWithLastCause();
+    if (const auto carrier = context_.carriage->chooseCarrier(triedCarriers_))
+        return handTo(*carrier);
+    if (!carrierWaitEndsAt_)
+        carrierWaitEndsAt_ = context_.now() + maxCarrierWait;
+    if (context_.carriage->isSearching() && context_.now() < *carrierWaitEndsAt_) {
+        context_.carriage->tick();
+        return deferralTimer_.setAfter(carrierRetryInterval);
+    }
+    giveUp(GiveUpCause::Unreachable, "neither an upstream nor an instance that could carry it");
+}
+
+CarriedOpen RequestRelay::carriedOpen() const
+{
+    const HttpHead &head = exchange_->head();
+    CarriedOpen open;
+    open.customer = customer_;
+    open.method = head.method;
+    open.target = head.target;
+    open.fields = carriedFields(withoutKey(head.headers, inbound_.key));
+    open.timeLeft = deadlineAt_ - context_.now() - carriageTransit;
+    // One attempt of a repeatable request stays here, in case the link to the carrier ends.
+    const int left = route_->maxAttempts - sends_;
+    open.attempts = static_cast<std::uint32_t>(
+        std::max(1, route_->isRepeatable() && left > 1 ? left - 1 : left));
+    open.isFirstSendCounted = isFirstSendCounted_;
+    open.isRunCounted = hasStarted_;
+    open.resumeAfter = lastEventId_;
+    return open;
+}
+
+void RequestRelay::handTo(const PeerAddress &carrier)
+{
+    triedCarriers_.insert(carrier);
+    ++context_.counters.handedOver;
+    CarriedOpen open = carriedOpen();
+    handedAttempts_ = static_cast<int>(open.attempts);
+    isFirstSendCounted_ = true;
+    if (!wasSent_) {
+        wasSent_ = true;
+        context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
+    }
+    sseReader_.discardPartial();
+    context_.events(Event{&events::requestCarried,
+                          {{"request", inbound_.id},
+                           {"carrier", carrier},
+                           {"elapsed_ms", std::to_string((context_.now() - arrivedAt_).count())}}});
+    handedCall_ = context_.carriage->outgoing().start(carrier, std::move(open), exchange_->body(),
+                                                      carriedHooks());
+}
+
+CarriedCallHooks RequestRelay::carriedHooks()
+{
+    const auto self = shared_from_this();
+    CarriedCallHooks hooks;
+    hooks.onHead = [self](const CarriedHead &head) {
+        self->attempt_.status = head.status;
+        self->attempt_.headers = headersOf(head.fields);
+        self->attempt_.isStreaming = head.isStream;
+        // The carrier counts the run for usage.
+        self->hasStarted_ = true;
+    };
+    hooks.onBody = [self](std::string_view data) { self->onBody(data); };
+    hooks.onEnd = [self](const CarriedEnd &end) { self->onCarriedEnd(end); };
+    return hooks;
+}
+
+void RequestRelay::onCarriedEnd(const CarriedEnd &end)
+{
+    handedCall_.reset();
+    if (hasEnded_)
+        return;
+    const bool isPartial = attempt_.isStreaming && sseReader_.hasPartial();
+    if (end.result == CarriedResult::Complete && !attempt_.isInvalid && !isPartial) {
+        sends_ += static_cast<int>(end.sends);
+        return deliverResponse();
+    }
+    ++context_.counters.handedOverFailed;
+    context_.events(Event{&events::carriedAttemptEnded,
+                          {{"request", inbound_.id},
+                           {"result", std::string(carriedResultNames.name(end.result))},
+                           {"reason", end.reason}}});
+    lastProblem_ = end.reason;
+    lastCause_ = GiveUpCause::Unreachable;
+    if (end.result == CarriedResult::Declined)
+        return dispatch();
+    const bool isUnrun = end.result == CarriedResult::NotRun;
+    if (isUnrun && !hasResponseStarted_ && !mayHaveRun_)
+        return refuse(503, GiveUpCause::Refused, end.retryAfter, end.reason);
+    if (isUnrun)
+        return giveUp(GiveUpCause::Refused, end.reason);
+    mayHaveRun_ = true;
+    lastCause_ = GiveUpCause::Broken;
+    sends_ += end.result == CarriedResult::Lost ? handedAttempts_ : static_cast<int>(end.sends);
+    // Only of a lost carrier it is not known how it ended; the others made all attempts they could.
+    if (end.result == CarriedResult::Lost && route_->isRepeatable())
+        return dispatch();
+    giveUpWithLastCause();
+}
+
+void RequestRelay::pauseResponse()
+{
+    if (handedCall_)
+        context_.carriage->outgoing().pause(*handedCall_);
+    call_.pause();
+}
+
+void RequestRelay::resumeResponse()
+{
+    if (handedCall_)
+        context_.carriage->outgoing().resume(*handedCall_);
+    call_.resume();
+}
+
+bool RequestRelay::cancelAttempt()
+{
+    if (handedCall_) {
+        context_.carriage->outgoing().cancel(*handedCall_);
+        handedCall_.reset();
+        return true;
+    }
+    const bool mayRun =
+        call_.isActive() && call_.verdictSoFar() != Verdict::NotRun && !attempt_.isPrefill;
+    call_.cancel();
+    return mayRun;
+}
+
+} // namespace cuminrail
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -10,6 +10,8 @@
 #include "departures/departures.h"
 #include "gateway/GatewayProtocol.h"
 #include "gateway/admin/GatewayMetrics.h"
+#include "gateway/carriage/RequestCarriage.h"
+#include "gateway/path/PathProber.h"
 #include "gateway/request/RelayCounters.h"
 #include "net/upstream/UpstreamPool.h"
 #include "quarantine/quarantine.h"
@@ -30,7 +32,9 @@
         : wire(gatewayWire), deadlines(deadlineList), pool(upstreams), settings(instanceSettings),
           engines(instanceSettings.decisions.placement),
           deferral(instanceSettings.decisions.deferral),
-          retries(instanceSettings.retries, StableHash().add(instanceSettings.name).value())
+          retries(instanceSettings.retries, StableHash().add(instanceSettings.name).value()),
+          path(upstreams, deadlineList, directory,
+               seededRandom(StableHash().add(instanceSettings.name).value()))
     { }
 
     Millis now() const { return deadlines.now(); }
@@ -60,10 +64,14 @@
     std::unique_ptr<LimitExchange> limits;
     /** Never null while requests are accepted. */
     std::unique_ptr<DepartureExchange> departures;
+    /** Requests carried for and by other instances; null where instances have no links. */
+    std::unique_ptr<RequestCarriage> carriage;
     LeastLoaded services;
     /** Differs between instances, see LeastLoaded. */
     std::uint64_t spreadKey = StableHash().add(settings.name).value();
     RetryAllowance retries;
+    /** Whether new connections reach the upstreams. */
+    PathProber path;
     RelayCounters counters;
     GatewayMetrics metrics;
     /** Called when a request of a customer has begun to run at an upstream; counts usage. */
--- a/modules/gateway/request/RelayCounters.h
+++ b/modules/gateway/request/RelayCounters.h
@@ -20,6 +20,11 @@
     std::uint64_t handOversFailed = 0;
     /** Prompts deferred at this instance until an engine had room. */
     std::uint64_t deferred = 0;
+    /** Requests handed to other instances, and how many of them were not served there. */
+    std::uint64_t handedOver = 0;
+    std::uint64_t handedOverFailed = 0;
+    /** Requests of other instances that this one ran. */
+    std::uint64_t carried = 0;
     std::uint32_t inProgress = 0;
 };
 
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -6,6 +6,12 @@
 void RequestRelay::onEnd(const UpstreamEnd &end)
 {
     silenceTimer_.clear();
+    // A request whose time ran out while it connected says nothing about the upstream.
+    const bool isUnconnected = end.kind == UpstreamEndKind::ConnectFailed
+        || (end.kind == UpstreamEndKind::ConnectTimeout
+            && context_.now() - attempt_.sentAt >= connectTimeout);
+    if (isUnconnected)
+        context_.path.connectFailed(target()->entry);
     if (hasEnded_)
         return;
     const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
@@ -104,8 +110,8 @@
     cacheHandle_.clear();
     ++sends_;
     mayHaveRun_ = true;
-    const bool canRetry = isFailure && route_->kind == RouteKind::Safe
-        && sends_ < route_->maxAttempts && deadlineAt_ - context_.now() > route_->goal / 2;
+    const bool canRetry = isFailure && route_->kind == RouteKind::Safe && sends_ < attemptLimit()
+        && deadlineAt_ - context_.now() > route_->goal / 2;
     if (canRetry && context_.directory.usable(service_).size() > 1
         && context_.retries.tryAcquireRetry(service_, context_.now())) {
         tried_.insert(attempt_.upstream->entry.id);
@@ -124,6 +130,13 @@
         attempt_ = std::move(failed);
     }
     closeAttempt();
+    deliverResponse();
+}
+
+void RequestRelay::deliverResponse()
+{
+    if (carried_)
+        carried_->setSends(sends_);
     if (attempt_.isStreaming) {
         if (!hasResponseStarted_)
             exchange_->beginStream(attempt_.status, attempt_.headers);
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -43,13 +43,20 @@
     request.isProbe = true;
     request.timeouts.connect = connectTimeout;
     UpstreamHooks hooks;
-    hooks.onEnd = [self = shared_from_this(), content = fingerprint(),
+    hooks.onEnd = [self = shared_from_this(), content = fingerprint(), upstream,
                    incarnation = upstream->incarnation(), dispatchesAfter](const UpstreamEnd &end) {
-        // A refused connection means that the process ended; otherwise only the link broke.
-        if (end.kind == UpstreamEndKind::ConnectFailed)
-            self->context_.quarantine->upstreamEnded(content, incarnation);
-        if (dispatchesAfter)
-            self->dispatch();
+        const auto finish = [self, content, incarnation, dispatchesAfter](bool hasEnded) {
+            if (hasEnded)
+                self->context_.quarantine->upstreamEnded(content, incarnation);
+            if (dispatchesAfter)
+                self->dispatch();
+        };
+        if (end.kind != UpstreamEndKind::ConnectFailed)
+            return finish(false);
+        // A refused connection means that the process ended, unless all upstreams refuse: then the
+        // path of this instance is cut.
+        self->context_.path.connectFailed(upstream->entry);
+        self->context_.path.whenJudged(finish);
     };
     context_.pool.start(std::move(request), std::move(hooks));
 }
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -51,7 +51,7 @@
 {
     const Millis remaining = deadlineAt_ - context_.now();
     // Silence ends an attempt early only if another upstream may be tried.
-    const bool mayTryAnother = route_->isRepeatable() && sends_ + 1 < route_->maxAttempts;
+    const bool mayTryAnother = route_->isRepeatable() && sends_ + 1 < attemptLimit();
     if (!mayTryAnother)
         return remaining + Millis(1000);
     return std::max(route_->goal, remaining * 2 / 5);
@@ -109,6 +109,7 @@
         context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
     }
     ++context_.counters.sends;
+    context_.path.requestSent();
     logPlaced(upstream->entry);
     call_ = context_.pool.start(std::move(request), hooks());
 }
@@ -117,6 +118,7 @@
 {
     const auto self = shared_from_this();
     UpstreamHooks hooks;
+    hooks.onConnected = [self] { self->context_.path.connected(self->target()->entry); };
     hooks.onHead = [self](HttpHead &head) { self->onHead(head); };
     hooks.onBody = [self](std::string_view data) { self->onBody(data); };
     hooks.onEnd = [self](const UpstreamEnd &end) { self->onEnd(end); };
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -46,6 +46,15 @@
     ++context_.counters.inProgress;
 }
 
+RequestRelay::RequestRelay(RelayContext &context, std::shared_ptr<CarriedExchange> carried)
+    : RequestRelay(context, std::shared_ptr<HttpExchange>(carried))
+{
+    carried_ = std::move(carried);
+    isFirstSendCounted_ = carried_->request().isFirstSendCounted;
+    hasStarted_ = carried_->request().isRunCounted;
+    ++context_.counters.carried;
+}
+
 RequestRelay::~RequestRelay()
 {
     --context_.counters.inProgress;
@@ -60,6 +69,9 @@
     if (endIfQuarantined())
         return;
     exchange_->onCallerDisconnected([self = shared_from_this()] { self->onCallerDisconnected(); });
+    // The customer's quota was taken by the instance to which the caller is connected.
+    if (carried_)
+        return dispatch();
     requestQuota();
 }
 
@@ -85,10 +97,14 @@
         refuse(404, GiveUpCause::NoRoute, std::nullopt, "no route has this host and path");
         return false;
     }
-    if (!authenticateCaller())
+    if (!(carried_ ? adoptCarriedCaller() : authenticateCaller()))
         return false;
     service_ = RouteIndex::target(*route_, inbound_.id);
     lastEventId_ = inbound_.resumeAfter;
+    if (carried_) {
+        inbound_.timeout = carried_->request().timeLeft;
+        lastEventId_ = carried_->request().resumeAfter;
+    }
     const Millis timeout = inbound_.timeout ? *inbound_.timeout - responseTransit : route_->timeout;
     deadlineAt_ = arrivedAt_ + std::min(timeout, route_->timeout);
     deadlineTimer_.setAt(deadlineAt_);
@@ -107,10 +123,15 @@
         customer_ = caller->customer;
         priority = caller->priority.value_or(priority);
     }
-    urgency_ = std::clamp(defaultUrgency + priority, 0, 9);
+    setUrgency(priority);
     return true;
 }
 
+void RequestRelay::setUrgency(int priority)
+{
+    urgency_ = std::clamp(defaultUrgency + priority, 0, 9);
+}
+
 void RequestRelay::dispatch()
 {
     if (hasEnded_)
@@ -122,12 +143,15 @@
     const Millis minTime = isRetry && route_->hasPrompts ? minUsefulRetryTime : minUsefulTime;
     if (deadlineAt_ - context_.now() < minTime)
         return giveUp(GiveUpCause::DeadlineExceeded, "no time is left");
-    if (connectFailures_ >= maxConnectFailures)
+    const bool mustCarry = context_.path.isCut() && context_.carriage;
+    if (connectFailures_ >= maxConnectFailures && !mustCarry)
         return giveUp(GiveUpCause::Unreachable, "upstreams cannot be reached");
     if (refusals_ > maxRefusals)
         return giveUpWithLastCause();
     if (isRetry && !mayRetry())
         return giveUpWithLastCause();
+    if (mustCarry)
+        return carry();
     if (choose())
         deferOrSend();
     else if (!requestCredit())
@@ -157,7 +181,7 @@
 
 bool RequestRelay::mayRetry()
 {
-    return sends_ < route_->maxAttempts && takeRetry();
+    return sends_ < attemptLimit() && takeRetry();
 }
 
 bool RequestRelay::takeRetry()
@@ -181,11 +205,8 @@
         return;
     const auto self = shared_from_this();
     ++context_.counters.timeouts;
-    if (call_.isActive()) {
-        const bool mayRun = call_.verdictSoFar() != Verdict::NotRun && !attempt_.isPrefill;
-        mayHaveRun_ = mayHaveRun_ || mayRun;
-        call_.cancel();
-    }
+    if (cancelAttempt())
+        mayHaveRun_ = true;
     releaseCacheHandle();
     closeAttempt();
     giveUp(GiveUpCause::DeadlineExceeded, "the time for it is over");
@@ -218,7 +239,7 @@
     ++context_.counters.callersLeft;
     logEnd(events::callerLeft, 0);
     // The caller is gone: closing the connection makes the upstream abort the request.
-    call_.cancel();
+    cancelAttempt();
     releaseCacheHandle();
     closeAttempt();
     endRequest(RequestOutcome::CallerLeft);
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -25,9 +25,11 @@
         drops the SYN, which TCP retransmits after a second; by then another upstream is the better
         choice.
     */
-    static constexpr Millis connectTimeout = Millis(400);
+    static constexpr Millis connectTimeout = PathProber::connectTimeout;
 
     RequestRelay(RelayContext &context, std::shared_ptr<HttpExchange> exchange);
+    /** Runs a request of a caller of another instance. */
+    RequestRelay(RelayContext &context, std::shared_ptr<CarriedExchange> carried);
     ~RequestRelay();
     RequestRelay(const RequestRelay &) = delete;
     RequestRelay &operator=(const RequestRelay &) = delete;
@@ -77,6 +79,11 @@
     /** Decodes the request, finds its route and its caller; returns false after refusing it. */
     bool validateRequest();
     bool authenticateCaller();
+    void setUrgency(int priority);
+    /** Finds the customer that another instance stated; returns false after declining. */
+    bool adoptCarriedCaller();
+    /** Returns how many attempts may be made here. */
+    int attemptLimit() const;
     /** Returns what the request costs of its customer's quota, in the quota's unit. */
     double quotaCost(const CustomerQuota &quota) const;
     void requestQuota();
@@ -93,6 +100,19 @@
         @param dispatchesAfter  the request is sent elsewhere only after the probe has ended
     */
     void probeUpstream(const UpstreamPointer &upstream, bool dispatchesAfter);
+    /** Hands the request to another instance, as no upstream can be reached from here. */
+    void carry();
+    void handTo(const PeerAddress &carrier);
+    CarriedOpen carriedOpen() const;
+    CarriedCallHooks carriedHooks();
+    void onCarriedEnd(const CarriedEnd &end);
+    /** Stops the upstream or carrier that responds faster than the caller reads. */
+    void pauseResponse();
+    void resumeResponse();
+    /** Abandons the attempt in progress; returns whether it may run the request. */
+    bool cancelAttempt();
+    /** Sends the caller the response of an attempt that is complete. */
+    void deliverResponse();
     /** Chooses an upstream and starts the next attempt, or gives up. */
     void dispatch();
     /** Sends to the chosen upstream, or defers the prompt. */
@@ -201,6 +221,15 @@
     /** Runs while the prompt is deferred; on expiry placement is tried again. */
     Deadline deferralTimer_;
 
+    /** Set if the caller is connected to another instance. */
+    std::shared_ptr<CarriedExchange> carried_;
+    /** The request at the instance that carries it. */
+    std::optional<CarriedCallId> handedCall_;
+    /** Attempts that the instance which carries the request may make. */
+    int handedAttempts_ = 0;
+    std::set<PeerAddress> triedCarriers_;
+    /** Until then the request waits for an instance that can carry it. */
+    std::optional<Millis> carrierWaitEndsAt_;
     UpstreamCall call_;
     Attempt attempt_;
     SseReader sseReader_;
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -92,6 +92,8 @@
 /** Callbacks of an attempt, on its pool's thread; onEnd is called last and exactly once. */
 struct UpstreamHooks
 {
+    /** A new connection was established; not called for one that is used again. */
+    std::function<void()> onConnected;
     std::function<void(HttpHead &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(const UpstreamEnd &)> onEnd;
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -100,6 +100,8 @@
     if (error)
         return end(UpstreamEndKind::ConnectFailed, {address_, error.message()});
     applySocketOptions();
+    if (hooks_.onConnected)
+        hooks_.onConnected();
     if (request_.isProbe)
         return keepIdle(pool_.limits_.idleTimeout);
     state_ = State::Sending;
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -4,6 +4,7 @@
 #include "core/guards/Guards.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -172,7 +173,8 @@
 
 void PeerLinks::send(const PeerAddress &to, std::string frame)
 {
-    if (isStopped_ || frame.size() > FrameLimits::bytes) {
+    const bool isUnlinked = !config_.waitsForLinks && !readyLink(to);
+    if (isStopped_ || isUnlinked || frame.size() > FrameLimits::bytes) {
         ++stats_.dropped;
         return;
     }
@@ -182,6 +184,16 @@
         scheduleTick();
 }
 
+std::size_t PeerLinks::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[peer, queue] : queues_)
+        bytes += queue.bytes;
+    for (const auto &[handle, link] : links_)
+        bytes += link->bufferedBytes();
+    return bytes;
+}
+
 bool PeerLinks::isIdle() const
 {
     return queues_.empty();
@@ -245,6 +257,8 @@
 {
     LinkPtr link = entry->second;
     links_.erase(entry);
+    if (link->state() == PeerLink::State::Ready)
+        noteClosed(link->peer());
     const auto found = ready_.find(link->peer());
     if (found == ready_.end() || found->second != link)
         return link;
@@ -257,6 +271,18 @@
     return link;
 }
 
+void PeerLinks::noteClosed(const PeerAddress &peer)
+{
+    if (!config_.waitsForLinks)
+        queues_.erase(peer);
+    if (!closedHandler_ || isStopped_)
+        return;
+    boost::asio::post(context_, [alive = std::weak_ptr<bool>(alive_), this, peer] {
+        if (!alive.expired() && !isStopped_)
+            closedHandler_(peer);
+    });
+}
+
 bool PeerLinks::isDialling(const PeerAddress &to) const
 {
     return std::any_of(links_.begin(), links_.end(), [&](const auto &entry) {
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -65,6 +65,11 @@
     std::optional<PeerAddress> listen(const PeerAddress &address, PeerAddress advertised,
                                       Reason *lastReason = nullptr);
     void setFrameHandler(FrameHandler handler) { handler_ = std::move(handler); }
+    /** Sets a hook that is called, later, each time that an established link has ended. */
+    void setClosedHandler(std::function<void(const PeerAddress &)> handler)
+    {
+        closedHandler_ = std::move(handler);
+    }
     /** Sets the secrets of connections made from now on; existing links are kept. */
     void setSecrets(SharedSecrets secrets) { secrets_ = std::move(secrets); }
 
@@ -80,6 +85,8 @@
      */
     bool isLinked(const PeerAddress &peer) const { return ready_.count(peer) > 0; }
     std::size_t linkCount() const { return links_.size(); }
+    /** Returns the number of bytes that wait to be sent, here or in a connection. */
+    std::size_t unsentBytes() const;
     const PeerLinksStats &stats() const { return stats_; }
 
 private:
@@ -123,6 +130,8 @@
     LinkPtr readyLink(const PeerAddress &to) const;
     /** Removes a link from all tables without closing it. */
     LinkPtr removeLink(Links::iterator entry);
+    /** An established link to a peer ended. */
+    void noteClosed(const PeerAddress &peer);
     bool isDialling(const PeerAddress &to) const;
     void dial(const PeerAddress &to);
     void evictIfFull();
@@ -140,6 +149,7 @@
     Clock clock_;
     EventSink events_;
     FrameHandler handler_;
+    std::function<void(const PeerAddress &)> closedHandler_;
     PeerAddress self_;
     detail::PeerServer server_;
     detail::PeerClient client_;
--- a/modules/peerlink/link/PeerLink.h
+++ b/modules/peerlink/link/PeerLink.h
@@ -31,6 +31,12 @@
     /** Limits of the frames waiting for one peer; beyond them the oldest is dropped. */
     std::size_t maxQueuedFrames = 256;
     std::size_t maxQueuedBytes = 512 * 1024;
+    /**
+        Frames wait for a link that is not established. If not, they are dropped, also those that
+        still wait when a link ends: a frame then never arrives after its sender gave up on the
+       link.
+    */
+    bool waitsForLinks = true;
     /** Maximum number of bytes buffered in the connection; the rest stays in the queue. */
     std::size_t maxSocketBytes = 128 * 1024;
 };
