An upstream may be silent for 2.5 s without losing its connections

Callers could lose a request under way, or an idle connection, when a sound upstream fell silent for a second or so.

Cause: with TCP_USER_TIMEOUT set, Linux gives up at the first keep-alive probe after that time, counted from the last byte received, whatever the number of probes. With 2 s (gateway) sent bytes, and with 5 s + 2 s against 6 s idle connections, a single lost probe ended a sound connection: no silence at all was tolerated.

Probes start after 1 s and come each second, and the limit is 5 s: silence of 3 s is tolerated on idle connections, 5 s with bytes under way. toleratedSilence() states the rule, and a test holds the limits to 2.5 s. The platform client keeps 2 s, as a watch that is closed early is only begun again. By calculation from the kernel's rule; not run against a kernel, as no stand-in on loopback can make one silent.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -42,7 +42,6 @@
     UpstreamPoolLimits limits;
     limits.idlePerAddress = 12;
     limits.idleTimeout = Millis::seconds(4);
-    limits.unacknowledged = Millis::seconds(2);
     return limits;
 }
 
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -122,7 +122,6 @@
     const UpstreamPoolLimits &limits = pool_.limits_;
     setTcpOption(socket_, TCP_KEEPIDLE, static_cast<int>(limits.probeAfter.count() / 1000));
     setTcpOption(socket_, TCP_KEEPINTVL, static_cast<int>(limits.probeEvery.count() / 1000));
-    setTcpOption(socket_, TCP_KEEPCNT, limits.probes);
     setTcpOption(socket_, TCP_USER_TIMEOUT, static_cast<int>(limits.unacknowledged.count()));
 }
 
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -39,6 +39,16 @@
     return isActive() ? connection_->verdictSoFar() : Verdict::MayHaveRun;
 }
 
+Millis UpstreamPoolLimits::toleratedSilence() const
+{
+    // The connection is closed at the first probe that is due after the time-out, if the one before
+    // was not answered. Silence can begin just before the first probe.
+    Millis closedAt = probeAfter + probeEvery;
+    while (closedAt < unacknowledged)
+        closedAt += probeEvery;
+    return std::min(closedAt - probeEvery - probeAfter, unacknowledged);
+}
+
 UpstreamPool::UpstreamPool(boost::asio::io_context &io, DeadlineList &deadlines,
                            UpstreamPoolLimits limits)
     : io_(io), deadlines_(deadlines), limits_(limits)
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -45,12 +45,20 @@
     /** Short, as a middlebox may drop the state of a connection that is idle for long. */
     Millis idleTimeout = Millis::seconds(20);
     std::uint32_t responseHeadBytes = 16 * 1024;
-    /** TCP keep-alive: time without traffic before the first probe, then interval and number. */
-    Millis probeAfter = Millis::seconds(5);
-    Millis probeEvery = Millis::seconds(2);
-    int probes = 3;
-    /** How long sent bytes may stay unacknowledged before the kernel closes the connection. */
-    Millis unacknowledged = Millis::seconds(6);
+    /** TCP keep-alive, in whole seconds: time without traffic before the first probe, then
+     * interval.
+     */
+    Millis probeAfter = Millis::seconds(1);
+    Millis probeEvery = Millis::seconds(1);
+    /**
+        How long sent bytes, or a keep-alive probe, may stay unacknowledged before the kernel closes
+        the connection. For probes the kernel counts from the last byte received, and it ignores the
+        number of probes.
+    */
+    Millis unacknowledged = Millis::seconds(5);
+
+    /** Returns how long the other end may be silent without the connection being closed. */
+    Millis toleratedSilence() const;
 };
 
 /**
--- a/modules/net/upstream/UpstreamPool_test.cpp
+++ b/modules/net/upstream/UpstreamPool_test.cpp
@@ -318,6 +318,31 @@
     }
 }
 
+// The kernel's time-out for unacknowledged bytes also decides when keep-alive gives up.
+TEST_CASE(
+    "an upstream may be silent for a second and a half, idle or not, and keep its connections")
+{
+    struct Row
+    {
+        Millis probeAfter;
+        Millis probeEvery;
+        Millis unacknowledged;
+        Millis tolerated;
+    };
+    for (const Row &row : {Row{Millis(1000), Millis(1000), Millis(2000), Millis(0)},
+                           Row{Millis(5000), Millis(2000), Millis(6000), Millis(0)},
+                           Row{Millis(1000), Millis(1000), Millis(4000), Millis(2000)},
+                           Row{Millis(1000), Millis(1000), Millis(5000), Millis(3000)}}) {
+        CAPTURE(row.unacknowledged.count());
+        UpstreamPoolLimits limits;
+        limits.probeAfter = row.probeAfter;
+        limits.probeEvery = row.probeEvery;
+        limits.unacknowledged = row.unacknowledged;
+        CHECK(limits.toleratedSilence() == row.tolerated);
+    }
+    CHECK(UpstreamPoolLimits().toleratedSilence() >= Millis(2500));
+}
+
 TEST_CASE("interim responses are skipped")
 {
     ScriptedUpstream upstream([](ScriptedUpstream::Connection &connection) {
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -21,7 +21,6 @@
     // A watch waits on a quiet connection; whether that still leads anywhere, only probes tell.
     limits.probeAfter = Millis::seconds(1);
     limits.probeEvery = Millis::seconds(1);
-    limits.probes = 1;
     limits.unacknowledged = Millis::seconds(2);
     return limits;
 }
