--- a/programs/cuminrail-soak/CutDriver.h
+++ b/programs/cuminrail-soak/CutDriver.h
@@ -12,7 +12,7 @@
 {
 public:
     CutDriver(Fleet &fleet, std::uint64_t seed)
-        : fleet_(fleet), random_(seededRandom(seed + 555)), nextAt_(bootTime() + calm)
+        : fleet_(fleet), random_(seededRandom(seed + 555)), nextAt_(bootTime() + untilKnown)
     { }
 
     void step()
@@ -23,6 +23,8 @@
     }
 
 private:
+    /** By then all gateways know one another. */
+    static constexpr Millis untilKnown = Millis(6000);
     static constexpr Millis calm = Millis(1500);
     static constexpr Millis shortestCut = Millis(5000);
 
--- a/programs/cuminrail-soak/FaultDriver.h
+++ b/programs/cuminrail-soak/FaultDriver.h
@@ -23,6 +23,19 @@
         : fleet_(fleet), random_(seededRandom(seed)), isCalm_(seed % calmEvery == 0)
     { }
 
+    /** Starts gateways that ended again, as the platform does. */
+    void reap()
+    {
+        for (std::size_t i = 0; i < fleet_.gateways.size(); ++i) {
+            GatewayProcess &gateway = *fleet_.gateways[i];
+            if (!gateway.hasEnded())
+                continue;
+            if (!gateway.complaint().empty())
+                complaints_.push_back(gateway.complaint());
+            fleet_.startGateway(i);
+        }
+    }
+
     /** Injects the next fault; what it began ends some steps later. */
     void step()
     {
@@ -96,19 +109,6 @@
     const std::vector<std::string> &complaints() const { return complaints_; }
 
 private:
-    /** Starts gateways that ended again, as the platform does. */
-    void reap()
-    {
-        for (std::size_t i = 0; i < fleet_.gateways.size(); ++i) {
-            GatewayProcess &gateway = *fleet_.gateways[i];
-            if (!gateway.hasEnded())
-                continue;
-            if (!gateway.complaint().empty())
-                complaints_.push_back(gateway.complaint());
-            fleet_.startGateway(i);
-        }
-    }
-
     void planStop(std::size_t index)
     {
         for (const auto &gateway : fleet_.gateways)
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -203,6 +203,7 @@
     });
     for (std::size_t i = 0; i < gateways.size(); ++i)
         startGateway(i);
+    hasStarted_ = true;
 }
 
 void Fleet::configure(bool hasSecondKey)
@@ -220,8 +221,10 @@
     ports.readiness = freePorts();
     ports.links = gateway.linksPort;
     ports.store = storeProxies[index]->port();
-    gateway.start(platform::standinSettings("instance-" + std::to_string(index), ports),
-                  options_.isLogUnread);
+    const std::string settings =
+        platform::standinSettings("instance-" + std::to_string(index), ports);
+    const bool isFirstStart = options_.hasCuts && !hasStarted_;
+    gateway.start(settings + (isFirstStart ? "bootstrap=true\n" : ""), options_.isLogUnread);
 }
 
 std::vector<std::string> Fleet::stop()
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -129,6 +129,8 @@
     IoThread thread_;
     platform::ServerRequestLog record_;
     std::uint64_t version_ = 0;
+    /** All gateways were started once. */
+    bool hasStarted_ = false;
     std::map<std::size_t, std::vector<LinkChange>> linkChanges_;
     /** To each server, for each gateway. */
     std::vector<std::vector<std::unique_ptr<FaultProxy>>> proxies_;
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -83,6 +83,7 @@
         // Stops so rare that some gateways are neither cut nor stopping show what cuts cost.
         if (!options.hasCuts || !driver.isCalm() || ++steps % stepsOfCalmStop == 0)
             driver.step();
+        driver.reap();
         if (options.hasCuts)
             cuts.step();
         sleepFor(Millis(static_cast<std::int64_t>(200 + random() % 900)));
