--- a/modules/carriage/carriers/CarrierSet_test.cpp
+++ b/modules/carriage/carriers/CarrierSet_test.cpp
@@ -22,6 +22,7 @@
                 {"10.0.0.1:" + std::to_string(10000 + i), "d-" + std::to_string(i % domains), 250});
         }
         isCut.assign(instances, false);
+        isOld.assign(instances, false);
         linksTo.assign(instances, 0);
     }
 
@@ -34,7 +35,7 @@
             ++connects;
             ++linksTo[indexOf(peer)];
         };
-        hooks.isLinked = [](const PeerAddress &) { return true; };
+        hooks.isLinked = [this](const PeerAddress &peer) { return !isOld[indexOf(peer)]; };
         hooks.query = [this, index](const PeerAddress &peer) {
             ++queries;
             pending.emplace_back(index, peer);
@@ -74,6 +75,8 @@
 
     std::vector<CarrierCandidate> candidates;
     std::vector<bool> isCut;
+    /** Instances of a build that does not accept links for carried requests. */
+    std::vector<bool> isOld;
     std::vector<std::size_t> linksTo;
     std::map<std::size_t, std::unique_ptr<CarrierSet>> sets;
     std::vector<std::pair<std::size_t, PeerAddress>> pending;
@@ -155,3 +158,13 @@
     set.noteClosed(*second, run.now);
     CHECK_FALSE(set.choose({}));
 }
+
+TEST_CASE("instances that accept no such links are passed over")
+{
+    CarrierRun run(20, 2);
+    for (std::size_t i = 1; i < 20; ++i)
+        run.isOld[i] = i % 5 != 0;
+    run.cut(0);
+    run.run(Millis(3500));
+    CHECK(run.withCarrier() == 1);
+}
