--- a/modules/carriage/calls/OutgoingCalls.cpp
+++ b/modules/carriage/calls/OutgoingCalls.cpp
@@ -125,7 +125,7 @@
         take(chunk.call, *call);
 }
 
-void OutgoingCalls::finish(const PeerAddress &from, CarriedEnd end)
+void OutgoingCalls::finish(const PeerAddress &from, const CarriedEnd &end)
 {
     Call *const call = find(from, end.call);
     if (call == nullptr)
--- a/modules/carriage/calls/OutgoingCalls.h
+++ b/modules/carriage/calls/OutgoingCalls.h
@@ -74,7 +74,7 @@
     void sendBody(CarriedCallId id, Call &call, std::uint64_t taken);
     void receive(const PeerAddress &from, const CarriedChunk &chunk);
     void take(CarriedCallId id, Call &call);
-    void finish(const PeerAddress &from, CarriedEnd end);
+    void finish(const PeerAddress &from, const CarriedEnd &end);
     /** Ends a request as lost and tells the carrier, which may still run it. */
     void lose(CarriedCallId id, const std::string &reason);
 
--- a/modules/carriage/testing/CarriagePair.h
+++ b/modules/carriage/testing/CarriagePair.h
@@ -18,10 +18,10 @@
 {
 public:
     explicit CarriagePair(IncomingCalls::Bounds bounds = {})
-        : outgoing({[this](const PeerAddress &, std::string frame) { post(true, frame); }},
+        : outgoing({[this](const PeerAddress &, const std::string &frame) { post(true, frame); }},
                    seededRandom(1)),
           incoming(bounds,
-                   {{[this](const PeerAddress &, std::string frame) { post(false, frame); }},
+                   {{[this](const PeerAddress &, const std::string &frame) { post(false, frame); }},
                     [this] { return refusal; },
                     [this](const auto &call) { arrived.push_back(call); }})
     { }
