--- a/programs/cuminrail-bench/CarriageCommand.cpp
+++ b/programs/cuminrail-bench/CarriageCommand.cpp
@@ -135,6 +135,7 @@
     std::mutex mutex;
     Shares shares;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int number = 0; number < callers; ++number) {
         threads.emplace_back([&, number] {
             const auto random = seededRandom(static_cast<std::uint64_t>(number));
