A carried request keeps all its attempts

A repeatable request at a cut instance ended with 502 when the upstream of its carrier broke off, although an attempt was left: one attempt is kept back for the loss of the link, and was used for nothing else. It goes to a carrier again now, the same one too, within attempts and allowance; the first send is counted where it was made, not where the request was declined. Found by reading the change.

--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -102,7 +102,7 @@
     if (!handedCall_)
         return giveUp(GiveUpCause::Unreachable, "its head is too large to be carried");
     ++context_.counters.handedOver;
-    isFirstSendCounted_ = true;
+    handedTo_ = carrier;
     if (!wasSent_) {
         wasSent_ = true;
         context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
@@ -148,6 +148,7 @@
     lastCause_ = GiveUpCause::Unreachable;
     if (end.result == CarriedResult::Declined)
         return dispatch();
+    isFirstSendCounted_ = true;
     const bool isUnrun = end.result == CarriedResult::NotRun;
     if (isUnrun && !hasResponseStarted_ && !mayHaveRun_)
         return refuse(503, GiveUpCause::Refused, end.retryAfter, end.reason);
@@ -155,9 +156,13 @@
         return giveUp(GiveUpCause::Refused, end.reason);
     mayHaveRun_ = true;
     lastCause_ = GiveUpCause::Broken;
-    sends_ += end.result == CarriedResult::Lost ? handedAttempts_ : static_cast<int>(end.sends);
-    // Only of a lost carrier it is not known how it ended; the others made all attempts they could.
-    if (end.result == CarriedResult::Lost && route_->isRepeatable())
+    // Of a lost carrier it is not known how many attempts it made.
+    const bool isLost = end.result == CarriedResult::Lost;
+    sends_ += isLost ? handedAttempts_ : std::max(1, static_cast<int>(end.sends));
+    // The fault was an upstream's, so the carrier may have the attempt that is left.
+    if (!isLost)
+        triedCarriers_.erase(handedTo_);
+    if (route_->isRepeatable())
         return dispatch();
     giveUpWithLastCause();
 }
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -227,6 +227,7 @@
     std::optional<CarriedCallId> handedCall_;
     /** Attempts that the instance which carries the request may make. */
     int handedAttempts_ = 0;
+    PeerAddress handedTo_;
     std::set<PeerAddress> triedCarriers_;
     /** Until then the request waits for an instance that can carry it. */
     std::optional<Millis> carrierWaitEndsAt_;
