Repeats of a carried request are taken from the carrier's allowance

The first sends, from which an allowance grows, were counted at the carrier. The carrier now takes the repeat too, so first send and repeat stand in one account.

The event of the path had the number of another one, found by core's test; it is 309.

--- a/modules/carriage/messages/CarriageMessages.cpp
+++ b/modules/carriage/messages/CarriageMessages.cpp
@@ -89,7 +89,7 @@
     return json::array({Tag::Open, open.call, binary(open.customer), binary(open.method),
                         binary(open.target), encodeFields(open.fields), open.bodyBytes,
                         number(open.timeLeft), open.attempts, open.isFirstSendCounted,
-                        open.isRunCounted, optionalNumber(open.resumeAfter)});
+                        open.isRepeat, open.isRunCounted, optionalNumber(open.resumeAfter)});
 }
 
 json encode(const CarriedChunk &chunk)
@@ -135,6 +135,7 @@
     open.timeLeft = Millis(static_cast<std::int64_t>(message.number(Limits::millis)));
     open.attempts = static_cast<std::uint32_t>(message.number(UINT32_MAX));
     open.isFirstSendCounted = message.boolean();
+    open.isRepeat = message.boolean();
     open.isRunCounted = message.boolean();
     open.resumeAfter = readOptional(message, UINT64_MAX);
     return open;
--- a/modules/carriage/messages/CarriageMessages.h
+++ b/modules/carriage/messages/CarriageMessages.h
@@ -46,6 +46,8 @@
     std::uint32_t attempts = 1;
     /** The request's first send was counted for the limit on repeats. */
     bool isFirstSendCounted = false;
+    /** An upstream may have run the request before, so that this send is a repeat. */
+    bool isRepeat = false;
     /** A run of the request was counted for usage. */
     bool isRunCounted = false;
     /** Number of the last event of a stream that the caller has. */
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -117,13 +117,13 @@
     307, EventLevel::Info, "upstream-pauses",
     "An upstream refused a request and asked this instance for a pause; it gets no requests until "
     "then, and one afterwards to try it."};
-inline constexpr EventKind pathChanged{
-    310, EventLevel::Warning, "upstream-path-changed",
-    "Whether new connections from this instance reach any upstream; while they do not, other "
-    "instances carry its requests."};
 inline constexpr EventKind upstreamsListed{
     308, EventLevel::Info, "upstreams-listed",
     "So many more upstreams were listed, changed or removed within a second, without a line each."};
+inline constexpr EventKind pathChanged{
+    309, EventLevel::Warning, "upstream-path-changed",
+    "Whether new connections from this instance reach any upstream; while they do not, other "
+    "instances carry its requests."};
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -86,6 +86,7 @@
     open.attempts = static_cast<std::uint32_t>(
         std::max(1, route_->isRepeatable() && left > 1 ? left - 1 : left));
     open.isFirstSendCounted = isFirstSendCounted_;
+    open.isRepeat = sends_ + refusals_ > 0;
     open.isRunCounted = hasStarted_;
     open.resumeAfter = lastEventId_;
     return open;
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -70,6 +70,8 @@
         return;
     exchange_->onCallerDisconnected([self = shared_from_this()] { self->onCallerDisconnected(); });
     // The customer's quota was taken by the instance to which the caller is connected.
+    if (carried_ && carried_->request().isRepeat && !takeRetry())
+        return giveUpWithLastCause();
     if (carried_)
         return dispatch();
     requestQuota();
@@ -148,7 +150,8 @@
         return giveUp(GiveUpCause::Unreachable, "upstreams cannot be reached");
     if (refusals_ > maxRefusals)
         return giveUpWithLastCause();
-    if (isRetry && !mayRetry())
+    // The carrier takes a repeat from its allowance, as it counted the first send.
+    if (isRetry && !(mustCarry ? sends_ < attemptLimit() : mayRetry()))
         return giveUpWithLastCause();
     if (mustCarry)
         return carry();
