A stream stays where it is while its upstream is silent for a second or so

A stream with a gap goal of 300 ms was resumed at another upstream, or ended if it cannot be resumed, after 1.5 s of silence: just the time for which a sound upstream may fall silent and go on.

The stall time-out of streams is at least 2.5 s now, as for connections. A stand-in proxy can drop packets (a socket filter of the kernel, without privilege), so that nothing is acknowledged and connections go on afterwards; until now a silent upstream was played only as one that establishes no new connection.

--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -13,8 +13,11 @@
 */
 constexpr Millis maxIdleUnrepeatable = Millis(300);
 constexpr Millis maxIdleRepeatable = Millis(4000);
-/** Shortest stall timeout of a stream, after which another upstream may resume it. */
-constexpr Millis minStreamTimeout = Millis(1500);
+/**
+    Shortest stall timeout of a stream, after which another upstream may resume it. A sound upstream
+    may be silent for a second or so.
+*/
+constexpr Millis minStreamTimeout = Millis(2500);
 
 bool isStreamRoute(const Route &route)
 {
--- a/modules/standin/proxy/FaultProxy.h
+++ b/modules/standin/proxy/FaultProxy.h
@@ -22,6 +22,8 @@
     Silence,
     /** Bytes to the end that connected are lost. */
     OneWay,
+    /** Packets of both directions are lost; what was not acknowledged is sent again afterwards. */
+    Drop,
 };
 
 /** What a proxy does to new connections. */
@@ -30,6 +32,8 @@
     Refuse,
     /** The connection is never established, as if SYN or SYN-ACK were lost. */
     Hang,
+    /** The same with packets that are really lost. */
+    Drop,
 };
 
 /**
@@ -43,7 +47,7 @@
     FaultProxy(IoThread &thread, std::uint16_t targetPort);
 
     std::uint16_t port() const { return port_; }
-    void setFault(LinkFault fault) { fault_ = fault; }
+    void setFault(LinkFault fault);
     void setConnectFault(ConnectFault fault);
     /** Resets all open connections. */
     void resetAll();
@@ -68,6 +72,8 @@
     void fillQueue();
     void pump(const std::shared_ptr<Link> &link, bool isUp);
     void forward(const std::shared_ptr<Link> &link, bool isUp, std::size_t size);
+    /** Keeps bytes while packets are lost, then forwards them. */
+    void hold(const std::shared_ptr<Link> &link, bool isUp, std::size_t size);
     void end(const std::shared_ptr<Link> &link);
 
     IoThread &thread_;
