An instance with few requests learns of a cut from its idle connections

The first request after a cut paid for the discovery: up to a second more, and a repeatable one with a tight deadline, sent over a kept connection, could fail. At an instance with a request in three seconds these are a large part.

Idle connections show a cut without a request: one that ends by a reset or by the kernel's time limit, and keep-alive probes, sent each second anyway, to which no other end replies. Both are hints, which make one upstream be probed; only new connections that fail cut the path, as before.

--- a/modules/dataplane/path/UpstreamPath.cpp
+++ b/modules/dataplane/path/UpstreamPath.cpp
@@ -51,6 +51,7 @@
     if (state_ == PathState::Doubted)
         nextDoubtAt_ = now + doubtInterval;
     state_ = PathState::Sound;
+    isSuspected_ = false;
     failures_.clear();
     trials_.clear();
 }
@@ -93,9 +94,10 @@
         std::count_if(probes_.begin(), probes_.end(),
                       [&](const auto &probe) { return now - probe.second < probeTimeout; }));
     switch (state_) {
-    case PathState::Sound:
-        return waitingSince_ && now - *waitingSince_ >= silence && now >= nextSilenceProbeAt_ ? 1
-                                                                                              : 0;
+    case PathState::Sound: {
+        const bool isSilent = waitingSince_ && now - *waitingSince_ >= silence;
+        return (isSilent || isSuspected_) && now >= nextSilenceProbeAt_ ? 1 : 0;
+    }
     case PathState::Doubted: {
         const std::size_t known = failures_.size() + active;
         return now >= nextDoubtAt_ && known < cutUpstreams ? cutUpstreams - known : 0;
@@ -151,8 +153,10 @@
     }
     for (const UpstreamPointer &upstream : due)
         probes_[upstream->entry.id] = now;
-    if (state_ == PathState::Sound)
+    if (state_ == PathState::Sound) {
         nextSilenceProbeAt_ = now + silenceProbeInterval;
+        isSuspected_ = false;
+    }
     // Only now is it known how many upstreams there are to fail.
     if (state_ == PathState::Doubted && due.empty())
         judge(now);
--- a/modules/dataplane/path/UpstreamPath.h
+++ b/modules/dataplane/path/UpstreamPath.h
@@ -33,8 +33,8 @@
 
     Only new connections count: one that was established ends every doubt, and the path is cut when
     connections to several upstreams of different failure domains failed since the last that was
-    established. Silence of requests is no proof, as a sound upstream may be silent for a while; it
-    only makes one upstream be probed.
+    established. Silence of requests and of idle connections is no proof, as a sound upstream may be
+    silent for a while; it only makes one upstream be probed.
 */
 class UpstreamPath
 {
@@ -45,7 +45,7 @@
     static constexpr std::size_t cutDomains = 2;
     /** Requests wait and no upstream sends anything for this long before one is probed. */
     static constexpr Millis silence = Millis(700);
-    /** Minimum time between probes for silence, and between two series of probes for doubt. */
+    /** Minimum time between probes for such hints, and between two series of probes for doubt. */
     static constexpr Millis silenceProbeInterval = Millis(2000);
     static constexpr Millis doubtInterval = Millis(1000);
     /** Interval of trials while the path is cut, and the random part that is added to it. */
@@ -76,6 +76,10 @@
     void requestSent(Millis now);
     /** An upstream sent something, or no request waits any more. */
     void progressed() { waitingSince_.reset(); }
+    /** The time in which a response should have begun is over. */
+    void requestSilent() { isSuspected_ = isSuspected_ || waitingSince_.has_value(); }
+    /** Idle connections were lost, or their other ends do not answer. */
+    void idleSilent() { isSuspected_ = true; }
 
     /** Somebody waits for the end of a doubt, so that the next probes are due at once. */
     void probeNow(Millis now) { nextDoubtAt_ = now; }
@@ -114,6 +118,8 @@
     Millis nextTrialAt_;
     Millis nextSilenceProbeAt_;
     Millis nextDoubtAt_;
+    /** Something other than a new connection hints at a cut. */
+    bool isSuspected_ = false;
     std::optional<Millis> waitingSince_;
     std::optional<Millis> cutSince_;
     std::optional<Millis> soundSince_;
--- a/modules/dataplane/path/UpstreamPath_test.cpp
+++ b/modules/dataplane/path/UpstreamPath_test.cpp
@@ -125,6 +125,22 @@
     CHECK(run.path.isCut());
 }
 
+// Hints of idle connections cost one connection at a time, and are no proof either.
+TEST_CASE("a hint at a cut makes one upstream be probed, and only failures cut the path")
+{
+    PathRun run(6, 2);
+    for (int i = 0; i < 120; ++i) {
+        run.path.idleSilent();
+        run.run(Millis(500), Millis(1), every);
+        CHECK(run.path.state() == PathState::Sound);
+    }
+    CHECK(run.probes <= 31);
+    run.run(Millis(2000), Millis(1), every);
+    run.path.idleSilent();
+    run.run(Millis(700), Millis(250), none);
+    CHECK(run.path.isCut());
+}
+
 // Upstreams that return one by one, or for a moment, must not swing the instance to and fro.
 TEST_CASE("a cut ends after trials in a row, more of them after a relapse, at a bounded rate")
 {
--- a/modules/gateway/path/PathProber.cpp
+++ b/modules/gateway/path/PathProber.cpp
@@ -39,6 +39,24 @@
     probe();
 }
 
+void PathProber::tick()
+{
+    const Millis now = deadlines_.now();
+    const bool isDue = path_.state() == PathState::Sound && now >= nextIdleCheckAt_;
+    if (isDue) {
+        nextIdleCheckAt_ = now + idleCheckInterval;
+        if (pool_.areIdleUnanswered())
+            path_.idleSilent();
+    }
+    probe();
+}
+
+void PathProber::suspectIdle()
+{
+    path_.idleSilent();
+    probe();
+}
+
 void PathProber::probe()
 {
     if (isStopped_)
@@ -66,6 +84,7 @@
 void PathProber::stop()
 {
     isStopped_ = true;
+    pool_.setIdleLostHandler(nullptr);
     onChange = nullptr;
     waiters_.clear();
 }
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -228,6 +228,7 @@
         return;
     }
     const auto self = shared_from_this();
+    context_.path.requestSilent();
     const Verdict verdict = call_.verdictSoFar();
     call_.cancel();
     onEnd(UpstreamEnd{
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -195,7 +195,10 @@
     if (state_ == State::Idle) {
         // No request is in progress: either the upstream closes, or these bytes belong to a
         // response that its request no longer waits for. The next request must not receive them.
-        return end(UpstreamEndKind::Broken, {address_, "closed or sent bytes while idle"});
+        end(UpstreamEndKind::Broken, {address_, "closed or sent bytes while idle"});
+        if (error && error != boost::asio::error::eof)
+            pool_.noteIdleLost();
+        return;
     }
     if (error == boost::asio::error::eof && state_ == State::Receiving) {
         parser_->handleEof();
@@ -346,6 +349,17 @@
     return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool UpstreamConnection::isUnanswered()
+{
+    constexpr Millis replyTime(200);
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return false;
+    const Millis sinceReply(static_cast<std::int64_t>(info.tcpi_last_ack_recv));
+    return info.tcpi_probes > 0 && sinceReply > pool_.limits_.probeAfter + replyTime;
+}
+
 void UpstreamConnection::resume()
 {
     if (!isPaused_)
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -30,6 +30,8 @@
     std::uint64_t attempt() const { return attempt_; }
     /** Returns true if an idle connection was closed or has received unexpected bytes. */
     bool isStale();
+    /** Returns true if the other end has not answered a keep-alive probe in time. */
+    bool isUnanswered();
     /** Returns when the connection became idle; valid only while it is idle. */
     Millis idleSince() const { return idleSince_; }
 
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -127,6 +127,28 @@
     return count;
 }
 
+bool UpstreamPool::areIdleUnanswered() const
+{
+    constexpr std::size_t mostAddresses = 4;
+    std::size_t seen = 0;
+    for (const auto &[address, connections] : idle_) {
+        if (connections.empty() || seen == mostAddresses)
+            continue;
+        ++seen;
+        if (!connections.back()->isUnanswered())
+            return false;
+    }
+    return seen > 0;
+}
+
+void UpstreamPool::noteIdleLost() const
+{
+    if (!idleLost_)
+        return;
+    const auto handler = idleLost_;
+    handler();
+}
+
 bool UpstreamPool::isCutAt(SendPoint point, const UpstreamRequest &request) const
 {
     return faultHook_ && faultHook_(point, request);
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -82,6 +82,14 @@
 
     void setFaultHook(SendFaultHook hook) { faultHook_ = std::move(hook); }
 
+    /** Sets a hook that is called when an idle connection ends by anything but an orderly close. */
+    void setIdleLostHandler(std::function<void()> handler) { idleLost_ = std::move(handler); }
+    /**
+        Returns true if the other ends of idle connections do not answer keep-alive probes: of all
+        that are looked at, one for each of a few addresses.
+    */
+    bool areIdleUnanswered() const;
+
     /** Ends all connections and attempts at once, without calling onEnd. */
     void closeAll();
 
@@ -96,12 +104,14 @@
     Connection takeIdle(const UpstreamRequest &request);
     void keepIdle(const Connection &connection);
     void removeConnection(const Connection &connection);
+    void noteIdleLost() const;
     bool isCutAt(SendPoint point, const UpstreamRequest &request) const;
 
     boost::asio::io_context &io_;
     DeadlineList &deadlines_;
     UpstreamPoolLimits limits_;
     SendFaultHook faultHook_;
+    std::function<void()> idleLost_;
     std::unordered_map<std::string, std::vector<Connection>> idle_;
     std::unordered_set<Connection> open_;
 };
