A carried request that passes its deadline ends with 504

It ended with 502, as its carrier's time is over a few ms before the caller's. The carrier states now that the time is over. A request that is given up for lack of time just before its deadline gets 504 as well, at any instance.

--- a/modules/carriage/messages/CarriageMessages.h
+++ b/modules/carriage/messages/CarriageMessages.h
@@ -92,17 +92,20 @@
     NotRun,
     /** No response; an upstream may have run the request. */
     MayHaveRun,
+    /** The same, and the time of the request is over. */
+    Overdue,
     /** A stream broke off after its head. */
     Truncated,
     /** Nothing more is heard of the carrier; never sent in a message. */
     Lost,
 };
 
-inline constexpr NameTable<CarriedResult, 6> carriedResultNames{{{
+inline constexpr NameTable<CarriedResult, 7> carriedResultNames{{{
     {CarriedResult::Complete, "complete"},
     {CarriedResult::Declined, "declined"},
     {CarriedResult::NotRun, "not-run"},
     {CarriedResult::MayHaveRun, "may-have-run"},
+    {CarriedResult::Overdue, "overdue"},
     {CarriedResult::Truncated, "truncated"},
     {CarriedResult::Lost, "lost"},
 }}};
--- a/modules/gateway/carriage/CarriedExchange.h
+++ b/modules/gateway/carriage/CarriedExchange.h
@@ -38,7 +38,10 @@
     /** No upstream has run the request. */
     void refuse(std::optional<Millis> retryAfter, const std::string &why);
     /** There is no response, and an upstream may have run the request. */
-    void fail(const std::string &why) { end(CarriedResult::MayHaveRun, why); }
+    void fail(bool isOverdue, const std::string &why)
+    {
+        end(isOverdue ? CarriedResult::Overdue : CarriedResult::MayHaveRun, why);
+    }
 
 private:
     void end(CarriedResult result, const std::string &why,
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -186,10 +186,12 @@
         logEnd(events::requestFailed, 0, cause, "stream truncated: " + why);
         exchange_->abort();
     } else {
-        const int status = context_.now() >= deadlineAt_ ? 504 : 502;
+        const bool isOverdue =
+            cause == GiveUpCause::DeadlineExceeded || context_.now() >= deadlineAt_;
+        const int status = isOverdue ? 504 : 502;
         logEnd(events::requestFailed, status, cause, why);
         if (carried_)
-            carried_->fail(why);
+            carried_->fail(isOverdue, why);
         else
             exchange_->respond(context_.wire.localResponse(status, inbound_.id, std::nullopt, why));
     }
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -156,6 +156,8 @@
     if (isUnrun)
         return giveUp(GiveUpCause::Refused, end.reason);
     mayHaveRun_ = true;
+    if (end.result == CarriedResult::Overdue)
+        return giveUp(GiveUpCause::DeadlineExceeded, end.reason);
     lastCause_ = GiveUpCause::Broken;
     // Of a lost carrier it is not known how many attempts it made.
     const bool isLost = end.result == CarriedResult::Lost;
