Bytes of carried requests are in the metrics of links by purpose

Operators could not see what carrying costs: frames of carried requests went over links that no metric counted. They have a purpose of their own now, `carriage`.

--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -130,6 +130,7 @@
     GatewayProtocol wire_;
     Environment environment_;
     UpstreamPool pool_;
+    LinkTraffic linkTraffic_;
     RelayContext context_;
     std::shared_ptr<ServerLoad> load_ = std::make_shared<ServerLoad>();
     HttpServer callers_;
@@ -143,7 +144,6 @@
     PeerConfigurationFetcher peers_;
     PeerLinkManager fabric_;
     FrameRelay relay_;
-    LinkTraffic linkTraffic_;
     Deadline queryTick_;
     Millis exchangesBusyUntil_;
     std::uint64_t peersRevision_ = 0;
--- a/modules/gateway/GatewayCarriage.cpp
+++ b/modules/gateway/GatewayCarriage.cpp
@@ -14,7 +14,7 @@
     };
     context_.carriage = std::make_unique<RequestCarriage>(
         RequestCarriage::Environment{environment_.io, environment_.clock, environment_.random,
-                                     environment_.events},
+                                     environment_.events, linkTraffic_},
         settings_, std::move(hooks));
     fabric_.onOpen = [this](const std::string &secret) { context_.carriage->open(secret); };
 }
--- a/modules/gateway/carriage/RequestCarriage.cpp
+++ b/modules/gateway/carriage/RequestCarriage.cpp
@@ -63,10 +63,11 @@
 
 PeerTransport RequestCarriage::transport()
 {
-    return {[this](const PeerAddress &to, std::string frame) {
+    const PeerTransport links{[this](const PeerAddress &to, std::string frame) {
         if (links_)
             links_->send(to, std::move(frame));
     }};
+    return environment_.traffic.counted(LinkPurpose::Carriage, links);
 }
 
 IncomingCalls::Hooks RequestCarriage::incomingHooks(Hooks hooks)
@@ -124,6 +125,7 @@
 
 void RequestCarriage::onFrame(const PeerAddress &from, const std::string &frame)
 {
+    environment_.traffic.recordReceived(LinkPurpose::Carriage, frame.size());
     const auto message = decodeCarriage(frame);
     if (!message) {
         environment_.events(Event{&events::peerLinkRefused, {{"peer", from}}});
--- a/modules/gateway/carriage/RequestCarriage.h
+++ b/modules/gateway/carriage/RequestCarriage.h
@@ -6,6 +6,7 @@
 #include "dataplane/model/InstanceSettings.h"
 #include "gateway/carriage/CarriedExchange.h"
 #include "gateway/control/InstanceRoster.h"
+#include "gateway/peers/LinkTraffic.h"
 #include "peerlink/PeerLinks.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +35,7 @@
         Clock clock;
         RandomHook random;
         EventSink events;
+        LinkTraffic &traffic;
     };
 
     struct Hooks
--- a/modules/gateway/peers/LinkTraffic.h
+++ b/modules/gateway/peers/LinkTraffic.h
@@ -17,9 +17,11 @@
     Limits,
     Departures,
     Estimates,
+    /** Requests carried for other instances. */
+    Carriage,
 };
 
-inline constexpr std::size_t linkPurposes = 7;
+inline constexpr std::size_t linkPurposes = 8;
 
 inline constexpr NameTable<LinkPurpose, linkPurposes> linkPurposeNames{{{
     {LinkPurpose::Feeds, "feeds"},
@@ -29,6 +31,7 @@
     {LinkPurpose::Limits, "limits"},
     {LinkPurpose::Departures, "departures"},
     {LinkPurpose::Estimates, "estimates"},
+    {LinkPurpose::Carriage, "carriage"},
 }}};
 
 /** Frames and their bytes since the start, without the overhead of links. */
