The soak can run two builds beside each other

Instances of different builds meet during every release, and an older one carries nothing. `--other-gateway` makes every second gateway run another program.

--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -111,9 +111,12 @@
         if (!servers.back()->listen(&reason))
             throw std::runtime_error(reason.toString());
     }
-    for (int i = 0; i < options.instances; ++i)
-        gateways.push_back(std::make_unique<GatewayProcess>(options.gateway, options.directory,
+    for (int i = 0; i < options.instances; ++i) {
+        const std::string &program =
+            isOther(static_cast<std::size_t>(i)) ? options.otherGateway : options.gateway;
+        gateways.push_back(std::make_unique<GatewayProcess>(program, options.directory,
                                                             "instance-" + std::to_string(i)));
+    }
     for (int i = 0; i < options.instances; ++i)
         makeProxies();
 }
@@ -145,8 +148,15 @@
     }
 }
 
+bool Fleet::isOther(std::size_t gateway) const
+{
+    return !options_.otherGateway.empty() && gateway % 2 == 1;
+}
+
 void Fleet::cutGateway(std::size_t gateway, PathCut cut)
 {
+    if (isOther(gateway))
+        return;
     cutGateways_.insert(gateway);
     cutSpans_[gateways[gateway]->callersPort].push_back({bootTime(), Millis::never()});
     for (const auto &proxy : proxies_[gateway])
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -18,6 +18,8 @@
 struct SoakOptions
 {
     std::string gateway;
+    /** Every second gateway runs this program instead, and is not cut; for two builds. */
+    std::string otherGateway;
     std::uint64_t seed = 1;
     int seconds = 20;
     int instances = 3;
@@ -121,6 +123,7 @@
     std::vector<std::unique_ptr<FaultProxy>> storeProxies;
 
 private:
+    bool isOther(std::size_t gateway) const;
     void list(std::size_t index);
     /** Makes the proxies through which a gateway reaches the servers and the store. */
     void makeProxies();
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -200,6 +200,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("cuminrail-soak", "Real gateways under random faults from outside.");
     options.add_options()("gateway", "the program to run", cxxopts::value<std::string>())(
+        "other-gateway", "another build, which every second gateway runs; it is not cut",
+        cxxopts::value<std::string>()->default_value(""))(
         "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seeds", "how many", cxxopts::value<int>()->default_value("1"))(
         "seconds", "of faults for each", cxxopts::value<int>()->default_value("15"))(
@@ -217,6 +219,7 @@
         }
         SoakOptions soak;
         soak.gateway = arguments["gateway"].as<std::string>();
+        soak.otherGateway = arguments["other-gateway"].as<std::string>();
         soak.seconds = arguments["seconds"].as<int>();
         soak.instances = arguments["instances"].as<int>();
         soak.callers = arguments["callers"].as<int>();
