`make -j check` installs packages before it configures

With several jobs, packages and CMake ran side by side, and the check failed at once on a fresh machine. The steps of `check` follow one another now, each with all jobs.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,14 @@
 	cd $(BUILD) && CUMINRAIL_KNOWN_RED=$(CURDIR)/KNOWN-RED.txt ctest --output-on-failure -j 4
 	extras/known-red.sh $(BUILD)
 
-check: packages check-format layers build test lint
+# In this order, also when make runs several jobs.
+check:
+	$(MAKE) packages
+	$(MAKE) check-format
+	$(MAKE) layers
+	$(MAKE) build
+	$(MAKE) test
+	$(MAKE) lint
 
 demo: packages build
 	extras/demo.sh $(BUILD)
