A bucket refills at the full rate as soon as all instances are in reach

A customer that sent nothing for some seconds after a system's start found half of its burst: 3 of 6 requests granted after 6.5 s.

Cause: the share of instances in reach was applied at a bucket's next request, so the reduced rate held for the whole idle time before it. It is applied when it changes now; a test of the ledger refilled at half the rate before.

--- a/modules/quotas/exchange/QuotaExchange.h
+++ b/modules/quotas/exchange/QuotaExchange.h
@@ -100,7 +100,7 @@
     */
     void setPeers(std::vector<OwnerCandidate> peers);
     /** Share of all instances, 0 to 1, to which this one has a link. */
-    void setReachableShare(double share) { ledger_.setReachableShare(share); }
+    void setReachableShare(double share) { ledger_.setReachableShare(share, clock_.now()); }
     /** Returns the customer's quota, or null. */
     const CustomerQuota *quota(const std::string &customer) const
     {
--- a/modules/quotas/ledger/QuotaLedger.cpp
+++ b/modules/quotas/ledger/QuotaLedger.cpp
@@ -16,7 +16,7 @@
             it = buckets_.erase(it);
             continue;
         }
-        it->second.tokens.configure(refillRate(*current), depth(*current), now);
+        configure(it->second, *current, now);
         ++it;
     }
 }
@@ -67,12 +67,34 @@
     }
     const bool isThrottled = isSubstitute && now - bucket.startedAt < substitutePeriod
         && guardEnabled(Guard::QuotaStandInHoldsBack);
+    bucket.rateShare = isThrottled ? substituteRateShare : 1;
+    configure(bucket, quota, now);
+    return bucket;
+}
+
+double QuotaLedger::reachRateShare() const
+{
     const bool reachesAll =
         reachableShare_ >= minReachableShare || !guardEnabled(Guard::QuotaReachShare);
-    const double reachable = reachesAll ? 1 : reachableShare_;
-    const double rateShare = std::min(isThrottled ? substituteRateShare : 1, reachable);
+    return reachesAll ? 1 : reachableShare_;
+}
+
+void QuotaLedger::configure(Bucket &bucket, const CustomerQuota &quota, Millis now) const
+{
+    const double rateShare = std::min(bucket.rateShare, reachRateShare());
     bucket.tokens.configure(refillRate(quota) * rateShare, depth(quota), now);
-    return bucket;
+}
+
+void QuotaLedger::setReachableShare(double share, Millis now)
+{
+    const double before = reachRateShare();
+    reachableShare_ = share;
+    if (reachRateShare() == before)
+        return;
+    for (auto &[customer, bucket] : buckets_) {
+        if (const CustomerQuota *current = quota(customer))
+            configure(bucket, *current, now);
+    }
 }
 
 QuotaDecision QuotaLedger::take(const std::string &customer, double cost, bool isSubstitute,
--- a/modules/quotas/ledger/QuotaLedger.h
+++ b/modules/quotas/ledger/QuotaLedger.h
@@ -62,8 +62,8 @@
 
     /** Takes effect at once. Removes buckets of customers without a quota. */
     void setQuotas(QuotaTable quotas, Millis now);
-    /** Share of all instances, 0 to 1, to which this one has a link. */
-    void setReachableShare(double share) { reachableShare_ = share; }
+    /** Share of all instances, 0 to 1, to which this one has a link; takes effect at once. */
+    void setReachableShare(double share, Millis now);
     /** When this instance became the owner of its present keys. */
     void setOwnershipStartedAt(Millis startedAt) { ownershipStartedAt_ = startedAt; }
 
@@ -89,11 +89,16 @@
     {
         TokenBucket tokens;
         Millis startedAt;
+        /** Share of the rate that is granted whatever this instance reaches. */
+        double rateShare = 1;
         /** Cost of refused requests that were given a retry time and are expected to return. */
         double retryBacklog = 0;
         Millis retryBacklogAt;
     };
 
+    /** Returns the share of the rate that is granted with the instances in reach. */
+    double reachRateShare() const;
+    void configure(Bucket &bucket, const CustomerQuota &quota, Millis now) const;
     Bucket &bucket(const std::string &customer, const CustomerQuota &quota, bool isSubstitute,
                    Millis now);
     Millis retryDelay(Bucket &bucket, const CustomerQuota &quota, double needed, Millis now) const;
--- a/modules/quotas/ledger/QuotaLedger_test.cpp
+++ b/modules/quotas/ledger/QuotaLedger_test.cpp
@@ -121,3 +121,20 @@
     const double fresh = QuotaLedger::initialShare * tolerance.of(quota);
     CHECK(granted(true) <= (granted(false) - fresh) / 2 + fresh + 5000);
 }
+
+// An idle customer must not refill at the rate that held when it last sent something.
+TEST_CASE("a bucket refills at the full rate from the moment on at which all are in reach")
+{
+    QuotaLedger ledger = ledgerOf();
+    const auto drain = [&](Millis now) {
+        while (ledger.take("north", 10000, false, now).isGranted) { }
+        return ledger.level("north", now).value();
+    };
+    const double full = drain(start);
+    const double refilled = ledger.level("north", start + Millis(200)).value() - full;
+    ledger.setReachableShare(0.5, start + Millis(200));
+    const double before = drain(start + Millis(200));
+    ledger.setReachableShare(1, start + Millis(200));
+    const double after = ledger.level("north", start + Millis(400)).value() - before;
+    CHECK(after == doctest::Approx(refilled));
+}
