--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -155,7 +155,8 @@
 
 void Fleet::cutGateway(std::size_t gateway, PathCut cut)
 {
-    if (isOther(gateway))
+    // Another build may carry nothing, so one gateway of this one must be left to carry.
+    if (!options_.otherGateway.empty() && gateway != 0)
         return;
     cutGateways_.insert(gateway);
     cutSpans_[gateways[gateway]->callersPort].push_back({bootTime(), Millis::never()});
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -18,7 +18,8 @@
 struct SoakOptions
 {
     std::string gateway;
-    /** Every second gateway runs this program instead, and is not cut; for two builds. */
+    /** Every second gateway runs this program instead, and only the first is cut; for two builds.
+     */
     std::string otherGateway;
     std::uint64_t seed = 1;
     int seconds = 20;
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -200,7 +200,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options("cuminrail-soak", "Real gateways under random faults from outside.");
     options.add_options()("gateway", "the program to run", cxxopts::value<std::string>())(
-        "other-gateway", "another build, which every second gateway runs; it is not cut",
+        "other-gateway",
+        "another build, which every second gateway runs; only the first one is cut then",
         cxxopts::value<std::string>()->default_value(""))(
         "seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seeds", "how many", cxxopts::value<int>()->default_value("1"))(
