--- a/modules/net/upstream/UpstreamSilence_test.cpp
+++ b/modules/net/upstream/UpstreamSilence_test.cpp
@@ -117,6 +117,7 @@
         {Phase::Receiving, Millis(2500), Millis(2000), false},
     };
     std::vector<std::future<bool>> outcomes;
+    outcomes.reserve(std::size(rows));
     for (const Row &row : rows)
         outcomes.push_back(std::async(std::launch::async, keepsConnection, row));
     for (std::size_t i = 0; i < std::size(rows); ++i) {
