Owners of a key can be spread over failure domains

A record kept by the first owners of its key may be lost with one failure domain. spreadOwnersOf() takes the first owner of each domain in the key's ranking, then the second ones; candidates state their domain.

--- a/modules/keepers/ranking/OwnerRanking.cpp
+++ b/modules/keepers/ranking/OwnerRanking.cpp
@@ -106,6 +106,32 @@
     return first;
 }
 
+std::vector<PeerAddress> OwnerRanking::spreadOwnersOf(OwnershipKey key, std::size_t maxCount) const
+{
+    struct Scored
+    {
+        const OwnerCandidate *peer;
+        std::uint64_t score;
+        std::size_t rankInDomain;
+    };
+    std::vector<Scored> scored;
+    scored.reserve(owners_.size());
+    for (const Ranked &owner : owners_)
+        scored.push_back({&owner.peer, StableHash().add(owner.hash).add(key).value(), 0});
+    std::sort(scored.begin(), scored.end(),
+              [](const Scored &one, const Scored &other) { return one.score > other.score; });
+    std::unordered_map<std::string, std::size_t> seen;
+    for (Scored &each : scored)
+        each.rankInDomain = seen[each.peer->failureDomain]++;
+    std::stable_sort(scored.begin(), scored.end(), [](const Scored &one, const Scored &other) {
+        return one.rankInDomain < other.rankInDomain;
+    });
+    std::vector<PeerAddress> spread;
+    for (std::size_t i = 0; i < std::min(maxCount, scored.size()); ++i)
+        spread.push_back(scored[i].peer->address);
+    return spread;
+}
+
 const PeerAddress &OwnerRanking::ownerOf(OwnershipKey key, Millis now) const
 {
     return firstAllowed(key, [&](const PeerAddress &peer) { return isExcluded(peer, now); });
--- a/modules/keepers/ranking/OwnerRanking.h
+++ b/modules/keepers/ranking/OwnerRanking.h
@@ -22,6 +22,8 @@
     PeerAddress address;
     /** Processor share in thousandths of a core; 0 if it is not known. */
     std::uint32_t milliCores = 0;
+    /** Empty if it is not known. */
+    std::string failureDomain = {};
 };
 
 /**
@@ -69,6 +71,14 @@
         this instance's.
     */
     std::vector<PeerAddress> ownersOf(OwnershipKey key, std::size_t maxCount) const;
+    /**
+        Returns owners of a key, whether excluded or not: the first one of each failure domain in
+        the order of the key's ranking, then the second ones, and so on. An empty address is this
+        instance's.
+    */
+    std::vector<PeerAddress> spreadOwnersOf(OwnershipKey key, std::size_t maxCount) const;
+    /** Whether an owner left queries without a reply and is passed over for a while. */
+    bool isExcluded(const PeerAddress &peer, Millis now) const;
     /** Returns the address of the first owner that is not excluded; empty for this instance. */
     const PeerAddress &ownerOf(OwnershipKey key, Millis now) const;
     /** Like ownerOf(), but also skips one owner that has just missed a reply. */
@@ -94,7 +104,6 @@
      */
     template<typename IsSkipped>
     const PeerAddress &firstAllowed(OwnershipKey key, IsSkipped isSkipped) const;
-    bool isExcluded(const PeerAddress &peer, Millis now) const;
     /** Returns how many of the candidates in owners_, the largest first, become owners. */
     std::size_t countOwners(std::uint64_t allMilliCores, std::size_t leastOwners) const;
 
--- a/modules/keepers/ranking/OwnerRanking_test.cpp
+++ b/modules/keepers/ranking/OwnerRanking_test.cpp
@@ -120,3 +120,41 @@
     CHECK(rankingOf(0, 2).ownersOf(7, 3).size() == 2);
     CHECK(rankingOf(0, 1).ownersOf(7, 3) == std::vector<PeerAddress>{PeerAddress()});
 }
+
+// Guards against copies of one record that are lost with one failure domain.
+TEST_CASE("owners of a key are spread over failure domains, and stay when another one leaves")
+{
+    struct Row
+    {
+        int instances;
+        int domains;
+    };
+    for (const Row &row : {Row{6, 3}, Row{9, 3}, Row{40, 5}, Row{7, 1}}) {
+        CAPTURE(row.instances);
+        const auto ranking = [&row](int without) {
+            std::vector<OwnerCandidate> peers;
+            for (int i = 0; i < row.instances; ++i) {
+                const std::string name = "i-" + std::to_string(i);
+                if (i != without)
+                    peers.push_back(
+                        {InstanceId(name), name, 0, "d" + std::to_string(i % row.domains)});
+            }
+            OwnerRanking owners;
+            owners.setPeers(std::move(peers));
+            return owners;
+        };
+        for (OwnershipKey key = 1; key < 200; ++key) {
+            const auto all = ranking(-1).spreadOwnersOf(key, 3);
+            REQUIRE(all.size() == 3);
+            std::set<int> domains;
+            for (const PeerAddress &owner : all)
+                domains.insert(std::stoi(owner.substr(2)) % row.domains);
+            CHECK(domains.size() == static_cast<std::size_t>(std::min(3, row.domains)));
+            const int gone = std::stoi(all[1].substr(2));
+            const auto left = ranking(gone).spreadOwnersOf(key, 3);
+            // With as many owners as here, each instance is one; the others keep their places.
+            if (row.instances <= 16)
+                CHECK(std::find(left.begin(), left.end(), all[0]) != left.end());
+        }
+    }
+}
