--- a/modules/dataplane/dataplane.h
+++ b/modules/dataplane/dataplane.h
@@ -15,6 +15,7 @@
 #include "dataplane/fleet/UpstreamBackoff.h"
 #include "dataplane/fleet/UpstreamDirectory.h"
 #include "dataplane/fleet/UpstreamHealth.h"
+#include "dataplane/fleet/VersionCensus.h"
 #include "dataplane/model/Configuration.h"
 #include "dataplane/model/RouteIndex.h"
 #include "dataplane/model/UpstreamEntry.h"
--- a/modules/dataplane/fleet/UpstreamDirectory.cpp
+++ b/modules/dataplane/fleet/UpstreamDirectory.cpp
@@ -13,6 +13,7 @@
 
 void UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries, Millis now)
 {
+    versions_.begin(now);
     std::unordered_set<std::string> listed;
     for (const UpstreamEntry &entry : entries) {
         listed.insert(entry.id);
@@ -33,13 +34,17 @@
     UpstreamPointer &record = records_[entry.id];
     // After a restart under the same id nothing that is known of the previous incarnation applies.
     const bool isNewIncarnation = record == nullptr || record->entry.startedAt != entry.startedAt
-        || record->entry.address != entry.address;
+        || record->entry.address != entry.address || record->entry.service != entry.service
+        || record->entry.softwareVersion != entry.softwareVersion;
     // A heartbeat of the previous incarnation can be written after the first one of the next.
     if (record != nullptr && entry.startedAt < record->entry.startedAt)
         return;
     if (isNewIncarnation) {
-        if (record != nullptr)
+        versions_.added(entry.service, entry.softwareVersion, now);
+        if (record != nullptr) {
             record->isLeaving = true;
+            versions_.removed(record->entry.service, record->entry.softwareVersion, now);
+        }
         record = std::make_shared<UpstreamRecord>();
     }
     record->entry = entry;
@@ -71,7 +76,7 @@
     if (isWithinGrace(now))
         markLapsed(id, now);
     else
-        erase(id);
+        erase(id, now);
     isStale_ = true;
 }
 
@@ -84,15 +89,17 @@
 {
     const UpstreamPointer &record = records_[id];
     if (record->isLeaving)
-        return erase(id);
+        return erase(id, now);
     if (!record->lapsedAt)
         record->lapsedAt = now;
 }
 
-void UpstreamDirectory::erase(const std::string &id)
+void UpstreamDirectory::erase(const std::string &id, Millis now)
 {
     // Requests that hold the record must see that they may no longer be sent there.
-    records_[id]->isLeaving = true;
+    const UpstreamPointer record = records_[id];
+    record->isLeaving = true;
+    versions_.removed(record->entry.service, record->entry.softwareVersion, now);
     records_.erase(id);
 }
 
@@ -104,7 +111,7 @@
             expired.push_back(id);
     }
     for (const std::string &id : expired)
-        erase(id);
+        erase(id, now);
     if (!expired.empty())
         isStale_ = true;
     expireLeaving(now);
--- a/modules/dataplane/fleet/UpstreamDirectory.h
+++ b/modules/dataplane/fleet/UpstreamDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/hash/StableHash.h"
+#include "dataplane/fleet/VersionCensus.h"
 #include "dataplane/model/UpstreamEntry.h"
 
 #include <memory>
@@ -89,6 +90,13 @@
     /** Call when another upstream responded at this one's address. */
     void markMisplaced(const std::string &id);
 
+    /** The software versions of all listed upstreams, leaving ones included. */
+    const VersionCensus &versions() const { return versions_; }
+    /** No upstream of any other version has ever served, as the whole system starts anew. */
+    void setNoVersionsBefore() { versions_.setNothingBefore(); }
+    /** Sets for how long a version counts after its last upstream was removed. */
+    void setVersionRetention(Millis retention) { versions_.setRetention(retention); }
+
     bool isEmpty() const { return records_.empty(); }
     std::size_t size() const { return records_.size(); }
     const std::unordered_map<std::string, UpstreamPointer> &all() const { return records_; }
@@ -96,7 +104,7 @@
 private:
     bool isWithinGrace(Millis now) const;
     void markLapsed(const std::string &id, Millis now);
-    void erase(const std::string &id);
+    void erase(const std::string &id, Millis now);
     /** Forgets leaving incarnations that have not been listed for long. */
     void expireLeaving(Millis now);
     void rebuild() const;
@@ -109,6 +117,7 @@
      */
     std::unordered_map<UpstreamIncarnation, Millis> leavingIncarnations_;
     Millis storeReturnedAt_ = Millis(-1000000);
+    VersionCensus versions_;
 };
 
 } // namespace cuminrail
