A stream goes on only at the software version that began it

Cause: nobody knew at which version a stream began.

Now the first event binds the stream to the version of its upstream. While a second version is listed, or was as long as streams last, the event is passed on after other instances keep the record; who takes the stream up, or carries it after another carrier, finds its origin before an upstream is chosen, and chooses among those of that version only. Streams that go on are admitted first, as few upstreams may have their version. What cannot go on is refused at once, and told to begin anew.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -126,6 +126,7 @@
                                               DepartureSource source) {
         onDeparture(upstream, source);
     };
+    setUpStreams();
     if (!settings_.links.isSet()) {
         context_.quotas->setStandalone();
         context_.limits->setStandalone();
@@ -199,6 +200,7 @@
             quotas[customer.customer] = *customer.quota;
     }
     context_.quotas->setQuotas(std::move(quotas));
+    configureStreams(configuration);
 }
 
 void Gateway::onStoreEra(StoreEra era)
@@ -247,34 +249,6 @@
     return wire_.localResponse(status, {}, retryAfter, reason.toString());
 }
 
-GatewayGauges Gateway::gauges() const
-{
-    const Millis now = environment_.clock.now();
-    GatewayGauges gauges;
-    gauges.isReady = isReady();
-    gauges.configurationVersion = context_.index == nullptr ? 0 : context_.index->version();
-    gauges.configurationAgeSeconds = (now - context_.configurationConfirmedAt).toSeconds();
-    gauges.upstreamsAgeSeconds = (now - context_.upstreamsConfirmedAt).toSeconds();
-    gauges.upstreams = context_.directory.size();
-    gauges.callerConnections = callers_.openConnections();
-    gauges.upstreamConnections = pool_.openConnections();
-    gauges.instances = registry_.instances().size();
-    gauges.pathState = context_.path.state();
-    gauges.isDutyHolder = lease_.isHeld();
-    gauges.storeEra = storeEra_;
-    gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
-    gauges.quotas = context_.quotas->stats();
-    gauges.quarantine = context_.quarantine->stats();
-    gauges.suspects = context_.quarantine->table().suspectCount();
-    gauges.limits = context_.limits->stats();
-    gauges.pausingUpstreams = context_.backoffs.size();
-    gauges.leavingUpstreams = context_.departures->size();
-    gauges.limitedUpstreams = context_.limits->table().limitedCount();
-    gauges.counters = context_.counters;
-    gauges.linkTraffic = linkTraffic_;
-    return gauges;
-}
-
 AdminPages Gateway::adminPages()
 {
     AdminPages pages;
@@ -309,6 +283,7 @@
     } else {
         context_.quarantine->tick();
         context_.limits->tick();
+        context_.origins->tick();
     }
     sync_.tick();
     feeds_.tick();
@@ -344,6 +319,7 @@
     callers_.closeAfterResponses();
     lease_.release();
     registry_.leave();
+    context_.origins->handOver();
 }
 
 void Gateway::shutDown()
@@ -360,6 +336,7 @@
         context_.prefillExchange->dropPendingQueries();
     context_.quotas->dropPendingQueries();
     context_.limits->dropPendingQueries();
+    context_.origins->dropPending();
     callers_.closeAll();
     readiness_.closeAll();
     admin_.closeAll();
@@ -378,6 +355,7 @@
     if (!hasStoppedListening_) {
         hasStoppedListening_ = true;
         callers_.stopListening();
+        context_.origins->handOver();
     }
     // Idle connections are closed a moment later, as one accepted just now still sends a request.
     if (elapsed >= balancerDelay + firstRequestDelay)
@@ -385,7 +363,8 @@
     const bool isIdle = context_.counters.inProgress == 0 && callers_.openConnections() == 0;
     if (isIdle)
         usage_.flush();
-    const bool isSent = !context_.carriage || context_.carriage->isFlushed();
+    const bool isSent =
+        (!context_.carriage || context_.carriage->isFlushed()) && !context_.origins->isSending();
     const bool isDone = isIdle && isSent && usage_.isFlushed() && lease_.isQuiet();
     if ((isDone || isLate) && onDrained_) {
         const auto drained = std::move(onDrained_);
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -92,6 +92,9 @@
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     /** Sets up carrying of requests between instances. */
     void setUpCarriage();
+    /** Sets up the knowledge of where streams began. */
+    void setUpStreams();
+    void configureStreams(const Configuration &configuration);
     /** Returns why requests of other instances are not carried here; empty if they are. */
     std::string carriageRefusal() const;
     void onPathChange(PathState before);
--- a/modules/gateway/GatewayPeers.cpp
+++ b/modules/gateway/GatewayPeers.cpp
@@ -37,14 +37,15 @@
     for (const RegisteredInstance &instance : registry_.instances()) {
         const bool isSelf = instance.instance.text() == settings_.name;
         if (isSelf || !instance.links.empty())
-            peers.push_back(
-                {instance.instance, isSelf ? PeerAddress() : instance.links, instance.milliCores});
+            peers.push_back({instance.instance, isSelf ? PeerAddress() : instance.links,
+                             instance.milliCores, instance.failureDomain});
     }
     if (registry_.isSettled()) {
         context_.quotas->setPeers(peers);
         context_.limits->setPeers(peers);
     }
     context_.quarantine->setPeers(peers);
+    context_.origins->setPeers(peers);
     // The store announces an upstream's leaving to all, so only the group is told earlier.
     const bool isPartitioned = group_.isPartOf(peers.size());
     context_.departures->setPeers(isPartitioned ? group_.members : peers);
@@ -131,6 +132,7 @@
     context_.quarantine->tick();
     context_.limits->tick();
     context_.departures->tick();
+    context_.origins->tick();
     const Millis now = environment_.clock.now();
     if (context_.counters.inProgress > 0)
         exchangesBusyUntil_ = now + exchangeIdleDelay;
@@ -162,6 +164,8 @@
         received(LinkPurpose::Limits);
     else if (context_.departures->handleFrame(frame))
         received(LinkPurpose::Departures);
+    else if (context_.origins->handleFrame(from, frame))
+        received(LinkPurpose::Streams);
     else if (context_.prefillExchange->handleFrame(from, frame))
         received(LinkPurpose::Estimates);
 }
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -151,6 +151,29 @@
              static_cast<double>(stats.refused));
 }
 
+void GatewayMetrics::setStreams(const GatewayGauges &gauges)
+{
+    const RecordStats &stats = gauges.streamRecords;
+    const auto set = [this](const char *name, const char *help, double value) {
+        setGauge(std::string("cuminrail_stream_") + name, help, value);
+    };
+    set("take_ups", "Requests that took up a stream whose software version had to be found",
+        static_cast<double>(gauges.counters.streamsTakenUp));
+    set("records", "Records of where streams began that are kept here",
+        static_cast<double>(gauges.streamRecordCount));
+    set("records_dropped", "Records dropped before their time, as there were too many",
+        static_cast<double>(gauges.streamRecordsDropped));
+    set("records_sent", "Records sent to other instances", static_cast<double>(stats.published));
+    set("records_kept", "Of these, confirmed by as many as wanted",
+        static_cast<double>(stats.kept));
+    set("look_ups", "Questions to other instances", static_cast<double>(stats.lookUps));
+    set("look_ups_found", "Of these, answered with a record", static_cast<double>(stats.found));
+    set("look_ups_missing", "Of these, no instance had a record",
+        static_cast<double>(stats.missing));
+    set("look_ups_unreachable", "Of these, no instance replied",
+        static_cast<double>(stats.unreachable));
+}
+
 void GatewayMetrics::setLinkTraffic(const LinkTraffic &traffic)
 {
     auto &frames = prometheus::BuildGauge()
@@ -229,6 +252,7 @@
     setQuotas(gauges.quotas);
     setQuarantine(gauges);
     setLimits(gauges);
+    setStreams(gauges);
     setLinkTraffic(gauges.linkTraffic);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include "dataplane/path/UpstreamPath.h"
 #include "gateway/peers/LinkTraffic.h"
 #include "gateway/request/RelayCounters.h"
+#include "keyedrecords/keyedrecords.h"
 #include "quarantine/exchange/QuarantineExchange.h"
 #include "quotas/exchange/QuotaExchange.h"
 #include "upstreamlimits/exchange/LimitExchange.h"
@@ -64,9 +65,15 @@
     UpstreamPause,
     /** The instance that carried the request refused it. */
     Refused,
+    /** No upstream of the software version that began the stream is left. */
+    StreamGone,
+    /** No instance knows at which software version the stream began. */
+    StreamUnknown,
+    /** No instance that may know it replied. */
+    StreamUnreachable,
 };
 
-inline constexpr NameTable<GiveUpCause, 17> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 20> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -84,6 +91,9 @@
     {GiveUpCause::UpstreamLimit, "upstream-limit"},
     {GiveUpCause::UpstreamPause, "upstream-pause"},
     {GiveUpCause::Refused, "refused-by-carrier"},
+    {GiveUpCause::StreamGone, "stream-version-gone"},
+    {GiveUpCause::StreamUnknown, "stream-unknown"},
+    {GiveUpCause::StreamUnreachable, "stream-unreachable"},
 }}};
 
 /** Current values, computed when the metrics or the state are requested. */
@@ -110,6 +120,9 @@
     std::size_t pausingUpstreams = 0;
     RelayCounters counters;
     LinkTraffic linkTraffic;
+    RecordStats streamRecords;
+    std::size_t streamRecordCount = 0;
+    std::uint64_t streamRecordsDropped = 0;
 };
 
 /**
@@ -143,6 +156,7 @@
     void setQuotas(const QuotaExchangeStats &quotas);
     void setQuarantine(const GatewayGauges &gauges);
     void setLimits(const GatewayGauges &gauges);
+    void setStreams(const GatewayGauges &gauges);
     void setLinkTraffic(const LinkTraffic &traffic);
     void setGauge(const std::string &name, const std::string &help, double value);
 
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -36,6 +36,37 @@
 
 } // namespace
 
+GatewayGauges Gateway::gauges() const
+{
+    const Millis now = environment_.clock.now();
+    GatewayGauges gauges;
+    gauges.isReady = isReady();
+    gauges.configurationVersion = context_.index == nullptr ? 0 : context_.index->version();
+    gauges.configurationAgeSeconds = (now - context_.configurationConfirmedAt).toSeconds();
+    gauges.upstreamsAgeSeconds = (now - context_.upstreamsConfirmedAt).toSeconds();
+    gauges.upstreams = context_.directory.size();
+    gauges.callerConnections = callers_.openConnections();
+    gauges.upstreamConnections = pool_.openConnections();
+    gauges.instances = registry_.instances().size();
+    gauges.pathState = context_.path.state();
+    gauges.isDutyHolder = lease_.isHeld();
+    gauges.storeEra = storeEra_;
+    gauges.logLinesDropped = environment_.logLinesDropped ? environment_.logLinesDropped() : 0;
+    gauges.quotas = context_.quotas->stats();
+    gauges.quarantine = context_.quarantine->stats();
+    gauges.suspects = context_.quarantine->table().suspectCount();
+    gauges.limits = context_.limits->stats();
+    gauges.pausingUpstreams = context_.backoffs.size();
+    gauges.leavingUpstreams = context_.departures->size();
+    gauges.limitedUpstreams = context_.limits->table().limitedCount();
+    gauges.counters = context_.counters;
+    gauges.linkTraffic = linkTraffic_;
+    gauges.streamRecords = context_.origins->records().stats();
+    gauges.streamRecordCount = context_.origins->records().table().size();
+    gauges.streamRecordsDropped = context_.origins->records().table().dropped();
+    return gauges;
+}
+
 std::string Gateway::stateText() const
 {
     const GatewayGauges now = gauges();
--- a/modules/gateway/peers/LinkTraffic.h
+++ b/modules/gateway/peers/LinkTraffic.h
@@ -17,11 +17,13 @@
     Limits,
     Departures,
     Estimates,
+    /** Where streams began. */
+    Streams,
     /** Requests carried for other instances. */
     Carriage,
 };
 
-inline constexpr std::size_t linkPurposes = 8;
+inline constexpr std::size_t linkPurposes = 9;
 
 inline constexpr NameTable<LinkPurpose, linkPurposes> linkPurposeNames{{{
     {LinkPurpose::Feeds, "feeds"},
@@ -31,6 +33,7 @@
     {LinkPurpose::Limits, "limits"},
     {LinkPurpose::Departures, "departures"},
     {LinkPurpose::Estimates, "estimates"},
+    {LinkPurpose::Streams, "streams"},
     {LinkPurpose::Carriage, "carriage"},
 }}};
 
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -69,6 +69,13 @@
         context_.health.progressed(attempt_.upstream->entry.id, context_.now());
         context_.path.progressed();
     }
+    if (holdsFirstEvent())
+        return holdEvent(event);
+    passEvent(event);
+}
+
+void RequestRelay::passEvent(const SseEvent &event)
+{
     // A resumed stream can begin before the last relayed event; duplicate events are dropped.
     if (event.number && lastEventId_ && *event.number <= *lastEventId_)
         return;
@@ -176,8 +183,11 @@
 void RequestRelay::giveUp(GiveUpCause cause, const std::string &why)
 {
     const auto self = shared_from_this();
+    // What cannot go on later either names no time to come back.
+    const bool isFinal = cause == GiveUpCause::StreamGone || cause == GiveUpCause::StreamUnknown;
+    const auto retryAfter = isFinal ? std::nullopt : std::optional<Millis>(callerRetryAfter());
     if (!hasResponseStarted_ && !mayHaveRun_)
-        return refuse(503, cause, callerRetryAfter(), why);
+        return refuse(503, cause, retryAfter, why);
     ++context_.counters.failed;
     context_.metrics.requestGivenUp(cause, RequestOutcome::Failed);
     if (carried_)
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -18,6 +18,7 @@
 #include "quotas/quotas.h"
 #include "readingbooks/readingbooks.h"
 #include "runtime/time/DeadlineList.h"
+#include "streams/streams.h"
 #include "upstreamlimits/upstreamlimits.h"
 
 #include <memory>
@@ -64,6 +65,8 @@
     std::unique_ptr<LimitExchange> limits;
     /** Never null while requests are accepted. */
     std::unique_ptr<DepartureExchange> departures;
+    /** Never null while requests are accepted. */
+    std::unique_ptr<StreamOrigins> origins;
     /** Requests carried for and by other instances; null where instances have no links. */
     std::unique_ptr<RequestCarriage> carriage;
     LeastLoaded services;
--- a/modules/gateway/request/RelayCounters.h
+++ b/modules/gateway/request/RelayCounters.h
@@ -25,6 +25,8 @@
     std::uint64_t handedOverFailed = 0;
     /** Requests of other instances that this one ran. */
     std::uint64_t carried = 0;
+    /** Streams of other requests that were to go on here. */
+    std::uint64_t streamsTakenUp = 0;
     /** Runs that were counted for usage. */
     std::uint64_t runsCounted = 0;
     std::uint32_t inProgress = 0;
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -14,6 +14,10 @@
         context_.path.connectFailed(target()->entry);
     if (hasEnded_)
         return;
+    if (isHoldingEvents_) {
+        heldEnd_ = end;
+        return;
+    }
     const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
     if (!isPlainSuccess || attempt_.isInvalid)
         logAttempt(end);
--- a/modules/gateway/request/RelayLimits.cpp
+++ b/modules/gateway/request/RelayLimits.cpp
@@ -20,7 +20,7 @@
 
 const std::vector<UpstreamPointer> &RequestRelay::candidates()
 {
-    const auto &usable = context_.directory.usable(service_);
+    const auto &usable = usableUpstreams();
     LimitExchange &limits = *context_.limits;
     if (!limits.hasLimits() && !context_.backoffs.isActive())
         return usable;
@@ -43,7 +43,7 @@
     LimitExchange &limits = *context_.limits;
     std::vector<UpstreamPointer> available;
     Millis firstPauseEnd = Millis::never();
-    for (const UpstreamPointer &upstream : context_.directory.usable(service_)) {
+    for (const UpstreamPointer &upstream : usableUpstreams()) {
         if (const auto pause = pauseOf(*upstream))
             firstPauseEnd = std::min(firstPauseEnd, *pause);
         else if (const auto wait = limits.retryDelay(upstream->incarnation()))
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -47,7 +47,7 @@
     const Millis firstEventAfter = context_.now() - arrivedAt_ + Millis(estimate);
     const bool missesGoal = attempt_.isPrefill && firstEventAfter > route_->goal;
     const int lateUrgency = static_cast<int>(context_.settings.decisions.lateUrgency);
-    return missesGoal ? lateUrgency : urgency_;
+    return missesGoal ? lateUrgency : streamUrgency().value_or(urgency_);
 }
 
 Millis RequestRelay::silenceTimeout() const
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -146,6 +146,8 @@
     if (deadlineAt_ - context_.now() < minTime)
         return giveUp(GiveUpCause::DeadlineExceeded, "no time is left");
     const bool mustCarry = context_.path.isCut() && context_.carriage;
+    if (!mustCarry && resolveOrigin())
+        return;
     if (connectFailures_ >= maxConnectFailures && !mustCarry)
         return giveUp(GiveUpCause::Unreachable, "upstreams cannot be reached");
     if (refusals_ > maxRefusals)
@@ -156,8 +158,9 @@
     if (mustCarry)
         return carry();
     if (choose())
-        deferOrSend();
-    else if (!requestCredit())
+        return deferOrSend();
+    noteVersionGone();
+    if (!requestCredit())
         giveUpWithLastCause();
 }
 
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -71,6 +71,13 @@
         Millis longestPause;
     };
 
+    /** An event that waits. */
+    struct HeldEvent
+    {
+        std::string bytes;
+        std::optional<std::uint64_t> number;
+    };
+
     /** Returns the upstream to which the current attempt is sent. */
     const UpstreamPointer &target() const
     {
@@ -113,6 +120,23 @@
     bool cancelAttempt();
     /** Sends the caller the response of an attempt that is complete. */
     void deliverResponse();
+    /** Whether streams of the route may be resumed, and so must stay at one software version. */
+    bool isResumable() const;
+    /** Identity of the request that began the stream; empty if the caller does not state it. */
+    std::string streamId() const;
+    RecordKey streamKey() const;
+    /** Returns true if it must first be found out where the stream began; onOrigin() continues. */
+    bool resolveOrigin();
+    void onOrigin(const StreamOrigin &origin);
+    /** Returns the upstreams that may have the request: those of its stream's version, if set. */
+    const std::vector<UpstreamPointer> &usableUpstreams();
+    void noteVersionGone();
+    /** Returns the urgency of a stream that few upstreams can serve; nothing for other requests. */
+    std::optional<int> streamUrgency() const;
+    /** Returns true if events wait until other instances know where the stream began. */
+    bool holdsFirstEvent();
+    void holdEvent(const SseEvent &event);
+    void releaseEvents();
     /** Chooses an upstream and starts the next attempt, or gives up. */
     void dispatch();
     /** Sends to the chosen upstream, or defers the prompt. */
@@ -165,6 +189,8 @@
     void onHead(HttpHead &head);
     void onBody(std::string_view data);
     void onEvent(const SseEvent &event);
+    /** Passes an event on to the caller, unless it has it. */
+    void passEvent(const SseEvent &event);
     void onEnd(const UpstreamEnd &end);
     void prefillEnded(const UpstreamEnd &end);
     void runEnded(const UpstreamEnd &end);
@@ -268,6 +294,15 @@
     bool hasEnded_ = false;
     std::string cacheHandle_;
     std::optional<std::uint64_t> lastEventId_;
+    /** Where the stream began, once it has. */
+    std::optional<StreamOrigin> origin_;
+    std::vector<UpstreamPointer> sameVersion_;
+    /** An event arrived here. */
+    bool hasBegun_ = false;
+    bool isHoldingEvents_ = false;
+    std::vector<HeldEvent> heldEvents_;
+    /** The end of an upstream's response, while events wait. */
+    std::optional<UpstreamEnd> heldEnd_;
     StreamProgress stream_;
     GiveUpCause lastCause_ = GiveUpCause::NoUpstream;
     std::string lastProblem_ = "no upstream of the service is available";
