Bench and soak of streams while software versions change

The soak replaces servers by others with another version (--releases), its callers take broken streams up at other gateways, and its judge rejects events of two versions, missing and repeated events.

--- a/extras/bench.sh
+++ b/extras/bench.sh
@@ -45,6 +45,7 @@
 both decide decide
 if has control; then both control control; fi
 once carriage carriage
+both streams streams
 both policy policy --seeds "$seeds"
 echo
 echo "JSON is in $out/"
--- a/programs/cuminrail-bench/BenchCommand.h
+++ b/programs/cuminrail-bench/BenchCommand.h
@@ -24,6 +24,7 @@
 int runControlCommand(int argc, char **argv);
 int runPathCommand(int argc, char **argv);
 int runCarriageCommand(int argc, char **argv);
+int runStreamsCommand(int argc, char **argv);
 int runAtMostOnceCommand(int argc, char **argv);
 int runAuthorityHolderCommand(int argc, char **argv);
 int runAuthorityJudgeCommand(int argc, char **argv);
--- a/programs/cuminrail-bench/main.cpp
+++ b/programs/cuminrail-bench/main.cpp
@@ -27,6 +27,8 @@
          cuminrail::runAtMostOnceCommand},
         {"carriage", "requests of instances that reach no upstream: both ways, and the delay",
          cuminrail::runCarriageCommand},
+        {"streams", "streams taken up elsewhere while versions change: shares, sizes, look-ups",
+         cuminrail::runStreamsCommand},
         {"authority-holder", "a process that holds duties, for extras/authority-runs.sh",
          cuminrail::runAuthorityHolderCommand},
         {"authority-judge", "judges a trial of holders by the stand-ins' records",
--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -1,9 +1,9 @@
 #include "Callers.h"
 
-#include "net/testing/TestSocket.h"
 #include "runtime/time/BootClock.h"
 
 #include <chrono>
+#include <map>
 
 namespace cuminrail::soak {
 
@@ -19,14 +19,44 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-std::string eventsOf(const std::string &id)
+/** Requests that a caller sends for one stream, the first included. */
+constexpr int maxStreamCalls = 3;
+
+/** Returns the events of a stream after one of them, from a server with this software version. */
+std::string eventsOf(const std::string &id, int after, const std::string &version)
 {
     std::string all;
-    for (int i = 1; i <= platform::standinEvents; ++i)
-        all += platform::standinEvent(id, i);
+    for (int i = after + 1; i <= platform::standinEvents; ++i)
+        all += platform::standinEvent(id, i, version);
     return all;
 }
 
+/** An event as a caller received it. */
+struct ReceivedEvent
+{
+    int number = 0;
+    std::string version;
+};
+
+/** Returns the whole events of a body without chunk framing. */
+std::vector<ReceivedEvent> receivedEvents(const std::string &body)
+{
+    std::vector<ReceivedEvent> events;
+    std::size_t at = 0;
+    for (auto end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", at)) {
+        const std::string text = body.substr(at, end - at);
+        const auto id = text.find("id: ");
+        const auto data = text.find("data: ");
+        if (id != std::string::npos && data != std::string::npos) {
+            const auto blank = text.find(' ', data + 6);
+            events.push_back({std::atoi(text.c_str() + id + 4),
+                              blank == std::string::npos ? "" : text.substr(blank + 1)});
+        }
+        at = end + 2;
+    }
+    return events;
+}
+
 /** Takes the chunk framing out of a body. */
 std::string unchunked(const std::string &text)
 {
@@ -43,15 +73,24 @@
     return body;
 }
 
+std::string bodyOf(const CallResult &result)
+{
+    const auto headEnd = result.text.find("\r\n\r\n");
+    const std::string rest = headEnd == std::string::npos ? "" : result.text.substr(headEnd + 4);
+    const bool isChunked = result.text.substr(0, headEnd).find("chunked") != std::string::npos;
+    return isChunked ? unchunked(rest) : rest;
+}
+
 void checkSuccess(const CallResult &result, std::vector<std::string> &broken)
 {
     const auto headEnd = result.text.find("\r\n\r\n");
     const std::string head = result.text.substr(0, headEnd);
-    const std::string rest = headEnd == std::string::npos ? "" : result.text.substr(headEnd + 4);
-    const bool isChunked = head.find("chunked") != std::string::npos;
-    const std::string body = isChunked ? unchunked(rest) : rest;
+    const std::string body = bodyOf(result);
     const bool isStream = result.kind == CallKind::Stream || result.kind == CallKind::Once;
-    const std::string expected = isStream ? eventsOf(result.id) : platform::standinBody(result.id);
+    const auto events = receivedEvents(body);
+    const std::string version = events.empty() ? "" : events.front().version;
+    const std::string expected = isStream ? eventsOf(result.id, result.resumeAfter, version)
+                                          : platform::standinBody(result.id);
     if (body != expected)
         broken.push_back(result.id + ": a success with another body than the server's");
     if (platform::stampIn(head) != "stamp-" + result.id)
@@ -84,9 +123,9 @@
     const auto random = seededRandom(seed_ * 1000 + static_cast<std::uint64_t>(number));
     testing::TestSocket socket;
     std::uint16_t gateway = 0;
-    for (int call = 0; !isStopping_; ++call) {
+    for (int count = 0; !isStopping_; ++count) {
         CallResult result;
-        result.id = "r" + std::to_string(number) + "-" + std::to_string(call);
+        result.id = "r" + std::to_string(number) + "-" + std::to_string(count);
         result.kind = static_cast<CallKind>(random() % callKindNames.entries.size());
         result.customer = random() % 3 == 0 ? "south" : "north";
         if (!socket.isOpen() || random() % 8 == 0) {
@@ -96,39 +135,115 @@
                 socket.setTimeout(socketPatienceSeconds);
         }
         result.gateway = gateway;
-        result.sentAt = bootTime();
-        const auto began = std::chrono::steady_clock::now();
-        const std::string path = "/" + std::string(callKindNames.name(result.kind)) + "/x";
-        result.wasSent = socket.isOpen()
-            && socket.send(
-                platform::callerRequest(path, result.id, "key-" + result.customer, callPatience));
-        if (result.wasSent)
-            result.text = socket.readMessage();
-        result.tookMillis =
-            std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began)
-                .count();
-        result.status = result.text.size() < 12 ? 0 : std::atoi(result.text.c_str() + 9);
-        const bool isChunked = result.text.find("chunked") != std::string::npos;
-        const bool hasEnd =
-            !isChunked || result.text.compare(result.text.size() - 5, 5, "0\r\n\r\n") == 0;
-        result.isWhole = result.status != 0 && hasEnd;
-        const bool closes = result.text.find("Connection: close") != std::string::npos;
-        if (!result.isWhole || closes)
-            socket.close();
-        {
-            const std::lock_guard<std::mutex> lock(mutex_);
-            results_.push_back(std::move(result));
-        }
+        call(socket, result);
+        add(result);
+        if (result.kind == CallKind::Stream && result.status == 200 && !result.isWhole)
+            takeUp(result, random);
         std::this_thread::sleep_for(std::chrono::milliseconds(random() % 30));
     }
 }
 
+void Callers::call(testing::TestSocket &socket, CallResult &result) const
+{
+    result.sentAt = bootTime();
+    const auto began = std::chrono::steady_clock::now();
+    const std::string path = "/" + std::string(callKindNames.name(result.kind)) + "/x";
+    std::string request =
+        platform::callerRequest(path, result.id, "key-" + result.customer, callPatience);
+    if (!result.resumes.empty())
+        request.insert(request.find("Request-Id"),
+                       "Resumes: " + result.resumes
+                           + "\r\nLast-Event-Id: " + std::to_string(result.resumeAfter) + "\r\n");
+    result.wasSent = socket.isOpen() && socket.send(request);
+    if (result.wasSent)
+        result.text = socket.readMessage();
+    result.tookMillis =
+        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    result.status = result.text.size() < 12 ? 0 : std::atoi(result.text.c_str() + 9);
+    const bool isChunked = result.text.find("chunked") != std::string::npos;
+    const bool hasEnd =
+        !isChunked || result.text.compare(result.text.size() - 5, 5, "0\r\n\r\n") == 0;
+    result.isWhole = result.status != 0 && hasEnd;
+    const bool closes = result.text.find("Connection: close") != std::string::npos;
+    if (!result.isWhole || closes)
+        socket.close();
+}
+
+void Callers::takeUp(const CallResult &broken, const RandomHook &random)
+{
+    std::string streamId;
+    CallResult last = broken;
+    for (int i = 1; i < maxStreamCalls && !last.isWhole; ++i) {
+        const auto events = receivedEvents(bodyOf(last));
+        if (!events.empty()) {
+            last.resumeAfter = events.back().number;
+            // The request that brought the first event names the stream from then on.
+            if (streamId.empty())
+                streamId = last.id;
+        }
+        if (streamId.empty())
+            return;
+        CallResult next;
+        next.id = broken.id + "." + std::to_string(i);
+        next.kind = CallKind::Stream;
+        next.customer = broken.customer;
+        next.resumes = streamId;
+        next.resumeAfter = last.resumeAfter;
+        next.gateway = ports_[random() % ports_.size()];
+        testing::TestSocket socket = testing::TestSocket::connectTo(next.gateway);
+        if (socket.isOpen())
+            socket.setTimeout(socketPatienceSeconds);
+        call(socket, next);
+        add(next);
+        last = std::move(next);
+    }
+}
+
+void Callers::add(CallResult result)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    results_.push_back(std::move(result));
+}
+
 std::vector<CallResult> Callers::results() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     return results_;
 }
 
+StreamFigures judgeStreams(const std::vector<CallResult> &results, std::vector<std::string> &broken)
+{
+    struct Seen
+    {
+        std::string version;
+        int last = 0;
+    };
+    StreamFigures figures;
+    std::map<std::string, Seen> streams;
+    for (const CallResult &result : results) {
+        if (result.kind != CallKind::Stream)
+            continue;
+        const auto events = receivedEvents(bodyOf(result));
+        const bool isTakeUp = !result.resumes.empty();
+        ++(isTakeUp ? figures.takenUp : figures.attempts);
+        // One that had all events but the end goes on without another event.
+        const bool wentOn = !events.empty() || (result.status == 200 && result.isWhole);
+        (isTakeUp ? figures.wentOn : figures.begun) += wentOn ? 1 : 0;
+        Seen &seen = streams[isTakeUp ? result.resumes : result.id];
+        for (const ReceivedEvent &event : events) {
+            if (seen.last > 0 && seen.version != event.version)
+                broken.push_back(result.id + ": event " + std::to_string(event.number) + " of "
+                                 + event.version + " in a stream of " + seen.version);
+            if (event.number != seen.last + 1)
+                broken.push_back(result.id + ": event " + std::to_string(event.number)
+                                 + " follows event " + std::to_string(seen.last));
+            seen.version = event.version;
+            seen.last = event.number;
+        }
+    }
+    return figures;
+}
+
 std::vector<std::string> judge(const std::vector<CallResult> &results,
                                const platform::ServerRequestLog &record, Millis southWithdrawnAt)
 {
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/names/NameTable.h"
+#include "core/random/Random.h"
 #include "core/time/Millis.h"
+#include "net/testing/TestSocket.h"
 #include "platform/testing/StandinServer.h"
 
 #include <atomic>
@@ -28,6 +30,10 @@
     std::string id;
     CallKind kind = CallKind::Safe;
     std::string customer;
+    /** Identity of the request that began the stream, if this one takes it up, and the last event
+        that its caller has. */
+    std::string resumes;
+    int resumeAfter = 0;
     /** The port of the gateway to which it was sent. */
     std::uint16_t gateway = 0;
     Millis sentAt;
@@ -57,6 +63,12 @@
 
 private:
     void run(int number);
+    /** Sends a request over the socket, on a new connection if it has none, and reads the response.
+     */
+    void call(testing::TestSocket &socket, CallResult &result) const;
+    /** Takes a broken stream up at other gateways, a few times. */
+    void takeUp(const CallResult &broken, const RandomHook &random);
+    void add(CallResult result);
 
     std::vector<std::uint16_t> ports_;
     int count_;
@@ -67,6 +79,19 @@
     std::vector<CallResult> results_;
 };
 
+/** What callers got of streams, over all requests of each. */
+struct StreamFigures
+{
+    int begun = 0;
+    int attempts = 0;
+    int takenUp = 0;
+    int wentOn = 0;
+};
+
+/** Adds what is wrong with streams that were taken up; returns how many went on. */
+StreamFigures judgeStreams(const std::vector<CallResult> &results,
+                           std::vector<std::string> &broken);
+
 /** Returns what of the promises to callers is broken, one line each. */
 std::vector<std::string> judge(const std::vector<CallResult> &results,
                                const platform::ServerRequestLog &record, Millis southWithdrawnAt);
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -111,6 +111,10 @@
         if (!servers.back()->listen(&reason))
             throw std::runtime_error(reason.toString());
     }
+    for (const auto &server : servers) {
+        if (options.hasReleases)
+            server->setSoftwareVersion("v1");
+    }
     for (int i = 0; i < options.instances; ++i) {
         const std::string &program =
             isOther(static_cast<std::size_t>(i)) ? options.otherGateway : options.gateway;
@@ -194,8 +198,10 @@
 
 void Fleet::list(std::size_t index)
 {
+    const std::string &version = servers[index]->softwareVersion();
     store->write("servers", servers[index]->id(),
-                 platform::standinEntry(servers[index]->port(), servers[index]->incarnation()));
+                 platform::standinEntry(servers[index]->port(), servers[index]->incarnation(),
+                                        version.empty() ? "v1" : version));
 }
 
 void Fleet::restartServer(std::size_t index)
@@ -204,6 +210,16 @@
     list(index);
 }
 
+void Fleet::releaseServer(std::size_t index, const std::string &softwareVersion)
+{
+    store->remove("servers", servers[index]->id());
+    servers[index]->restartAs("s-" + std::to_string(index) + "." + std::to_string(++releases_),
+                              softwareVersion);
+    list(index);
+    forEachProxy(index, [](FaultProxy &proxy) { proxy.resetAll(); });
+    noteLinkChange(index, isLinkHarmed(index));
+}
+
 void Fleet::start()
 {
     thread_.start();
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -29,6 +29,8 @@
     std::string directory;
     /** Gateways lose the path to all servers, besides the other faults. */
     bool hasCuts = false;
+    /** Servers are replaced by others with another version of their software. */
+    bool hasReleases = false;
     /** The gateways write their logs to a pipe that nobody reads. */
     bool isLogUnread = false;
 };
@@ -89,6 +91,9 @@
 
     /** A server that left starts again under its id and address. Call on the stand-ins' thread. */
     void restartServer(std::size_t index);
+    /** A server ends, and one with other software starts at its address, under another id. Call on
+        the stand-ins' thread. */
+    void releaseServer(std::size_t index, const std::string &softwareVersion);
     /** The link to a server was harmed, healed or reset. */
     void noteLinkChange(std::size_t server, bool isHarmed)
     {
@@ -133,6 +138,7 @@
     IoThread thread_;
     platform::ServerRequestLog record_;
     std::uint64_t version_ = 0;
+    std::uint64_t releases_ = 0;
     /** All gateways were started once. */
     bool hasStarted_ = false;
     std::map<std::size_t, std::vector<LinkChange>> linkChanges_;
--- a/programs/cuminrail-soak/StatementJudge.cpp
+++ b/programs/cuminrail-soak/StatementJudge.cpp
@@ -56,7 +56,7 @@
 /** Whether the link to the server was harmed at any time of a span. */
 bool wasHarmed(const Disturbances &disturbances, const std::string &server, Millis from, Millis to)
 {
-    const auto found = disturbances.links.find(server.substr(0, server.find('/')));
+    const auto found = disturbances.links.find(server.substr(0, server.find_first_of("./")));
     if (found == disturbances.links.end())
         return false;
     bool isHarmed = false;
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -3,6 +3,7 @@
 #include "CutJudge.h"
 #include "FaultDriver.h"
 #include "Fleet.h"
+#include "ReleaseDriver.h"
 #include "StatementJudge.h"
 
 #include "runtime/time/BootClock.h"
@@ -49,7 +50,7 @@
     for (const auto &gateway : fleet.gateways)
         all.signals[gateway->callersPort] = gateway->signalledAt();
     for (std::size_t i = 0; i < fleet.servers.size(); ++i)
-        all.links[fleet.servers[i]->id()] = fleet.linkChanges(i);
+        all.links["s-" + std::to_string(i)] = fleet.linkChanges(i);
     for (const auto &gateway : fleet.gateways)
         all.stops[gateway->callersPort] = gateway->stoppedAt();
     all.cuts = fleet.cutSpans();
@@ -75,6 +76,7 @@
     callers.start();
     FaultDriver driver(fleet, options.seed);
     CutDriver cuts(fleet, options.seed);
+    ReleaseDriver releases(fleet, options.seed);
     constexpr int stepsOfCalmStop = 5;
     int steps = 0;
     const auto random = seededRandom(options.seed + 77);
@@ -86,6 +88,8 @@
         driver.reap();
         if (options.hasCuts)
             cuts.step();
+        if (options.hasReleases)
+            releases.step();
         sleepFor(Millis(static_cast<std::int64_t>(200 + random() % 900)));
     }
     driver.heal();
@@ -97,6 +101,7 @@
     const auto results = callers.results();
     const auto rules = judge(results, fleet.record(), withdrawnAt);
     broken.insert(broken.end(), rules.begin(), rules.end());
+    const StreamFigures streams = judgeStreams(results, broken);
     const auto statements = judgeStatements(results, fleet.record(), disturbances(fleet));
     broken.insert(broken.end(), statements.begin(), statements.end());
     broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
@@ -117,7 +122,8 @@
         broken.emplace_back("less than a quarter of the requests were served");
     std::cout << "seed " << options.seed << (driver.isCalm() ? " (planned work only)" : "") << ": "
               << results.size() << " requests, " << served << " served, " << broken.size()
-              << " promises broken" << cutSummary << "\n";
+              << " promises broken; streams begun " << streams.begun << " of " << streams.attempts
+              << ", went on " << streams.wentOn << " of " << streams.takenUp << cutSummary << "\n";
     const std::size_t shown = std::min(broken.size(), mostShown);
     for (std::size_t i = 0; i < shown; ++i)
         std::cout << "  " << broken[i] << "\n";
@@ -209,6 +215,7 @@
         "instances", "gateways", cxxopts::value<int>()->default_value("3"))(
         "callers", "at the same time", cxxopts::value<int>()->default_value("12"))(
         "cuts", "gateways lose the path to all servers for some seconds, besides the other faults")(
+        "releases", "servers are replaced by others with another version of their software")(
         "flood", "no faults: the same load with logs read, and with logs that nobody reads")(
         "keep", "directory for settings and logs; default: one that goes when all is well",
         cxxopts::value<std::string>());
@@ -225,6 +232,10 @@
         soak.instances = arguments["instances"].as<int>();
         soak.callers = arguments["callers"].as<int>();
         soak.hasCuts = arguments.count("cuts") > 0 && soak.instances > 1;
+        soak.hasReleases = arguments.count("releases") > 0;
+        constexpr int serversInReleases = 6;
+        if (soak.hasReleases)
+            soak.servers = serversInReleases;
         const std::string base = arguments.count("keep") > 0
             ? arguments["keep"].as<std::string>()
             : (std::filesystem::temp_directory_path() / ("soak-" + std::to_string(getpid())))
