The soak counts streams that go on while two servers of their version serve

A take-up at a gateway that was just killed gets no answer, as a new stream there does; callers with kept connections hide that for new ones only. So unanswered requests count for neither, and a take-up counts while two servers of its version served all the time around it.

--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -211,8 +211,35 @@
     return results_;
 }
 
-StreamFigures judgeStreams(const std::vector<CallResult> &results, std::vector<std::string> &broken)
+void StreamFigures::add(const StreamFigures &other)
 {
+    begun += other.begun;
+    attempts += other.attempts;
+    takenUp += other.takenUp;
+    possible += other.possible;
+    wentOn += other.wentOn;
+}
+
+bool StreamFigures::isShareKept() const
+{
+    constexpr int fewest = 60;
+    constexpr double leastShare = 0.95;
+    return possible < fewest || double(wentOn) / possible >= leastShare * begun / attempts;
+}
+
+std::string StreamFigures::text() const
+{
+    return "streams begun " + std::to_string(begun) + " of " + std::to_string(attempts)
+        + ", went on " + std::to_string(wentOn) + " of " + std::to_string(possible) + " ("
+        + std::to_string(takenUp) + " taken up)";
+}
+
+StreamFigures judgeStreams(const std::vector<CallResult> &results, const ServingHook &serving,
+                           std::vector<std::string> &broken)
+{
+    /** The list of servers at the gateways lags by so much, and a response takes so long. */
+    constexpr Millis listDelay(1500);
+    constexpr Millis responseDelay(300);
     struct Seen
     {
         std::string version;
@@ -225,11 +252,18 @@
             continue;
         const auto events = receivedEvents(bodyOf(result));
         const bool isTakeUp = !result.resumes.empty();
-        ++(isTakeUp ? figures.takenUp : figures.attempts);
         // One that had all events but the end goes on without another event.
         const bool wentOn = !events.empty() || (result.status == 200 && result.isWhole);
-        (isTakeUp ? figures.wentOn : figures.begun) += wentOn ? 1 : 0;
         Seen &seen = streams[isTakeUp ? result.resumes : result.id];
+        // A gateway that was killed or stopped just then answers neither kind.
+        const bool isAnswered = result.status != 0;
+        const bool isPossible = isTakeUp && isAnswered
+            && serving(seen.version, result.sentAt - listDelay, result.sentAt + responseDelay) >= 2;
+        figures.takenUp += isTakeUp ? 1 : 0;
+        figures.possible += isPossible ? 1 : 0;
+        figures.wentOn += isPossible && wentOn ? 1 : 0;
+        figures.attempts += !isTakeUp && isAnswered ? 1 : 0;
+        figures.begun += !isTakeUp && wentOn ? 1 : 0;
         for (const ReceivedEvent &event : events) {
             if (seen.last > 0 && seen.version != event.version)
                 broken.push_back(result.id + ": event " + std::to_string(event.number) + " of "
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -83,13 +84,24 @@
 struct StreamFigures
 {
     int begun = 0;
+    /** New streams that a gateway answered. */
     int attempts = 0;
     int takenUp = 0;
+    /** Of these, answered by a gateway while two servers of the stream's version served. */
+    int possible = 0;
     int wentOn = 0;
+
+    void add(const StreamFigures &other);
+    /** Whether streams go on nearly as often as new ones begin; true with too few of them. */
+    bool isShareKept() const;
+    std::string text() const;
 };
 
+/** Returns how many servers had a version all the time between two moments. */
+using ServingHook = std::function<int(const std::string &version, Millis from, Millis to)>;
+
 /** Adds what is wrong with streams that were taken up; returns how many went on. */
-StreamFigures judgeStreams(const std::vector<CallResult> &results,
+StreamFigures judgeStreams(const std::vector<CallResult> &results, const ServingHook &serving,
                            std::vector<std::string> &broken);
 
 /** Returns what of the promises to callers is broken, one line each. */
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -23,6 +23,8 @@
 
 /** Longer than the gateways' grace: whoever has not ended by then never will. */
 constexpr std::chrono::seconds endPatience(9);
+/** Streams last so long that many are under way when a gateway is killed. */
+constexpr Millis releaseEventInterval = Millis(80);
 /** From fork() until the gateway handles signals, with room for a busy machine. */
 constexpr Millis startUp = Millis(300);
 
@@ -33,6 +35,22 @@
 
 } // namespace
 
+int VersionHistory::serving(const std::string &version, Millis from, Millis to) const
+{
+    std::map<std::size_t, std::string> at;
+    std::set<std::size_t> changed;
+    for (const Change &change : changes_) {
+        if (change.at <= from)
+            at[change.server] = change.version;
+        else if (change.at <= to)
+            changed.insert(change.server);
+    }
+    int count = 0;
+    for (const auto &[server, had] : at)
+        count += had == version && changed.count(server) == 0 ? 1 : 0;
+    return count;
+}
+
 GatewayProcess::GatewayProcess(std::string program, std::string directory, std::string name)
     : callersPort(freePorts()), adminPort(freePorts()), linksPort(freePorts(2)),
       program_(std::move(program)), directory_(std::move(directory)), name_(std::move(name))
@@ -111,9 +129,10 @@
         if (!servers.back()->listen(&reason))
             throw std::runtime_error(reason.toString());
     }
-    for (const auto &server : servers) {
-        if (options.hasReleases)
-            server->setSoftwareVersion("v1");
+    for (std::size_t i = 0; options.hasReleases && i < servers.size(); ++i) {
+        servers[i]->setSoftwareVersion("v1");
+        servers[i]->setEventInterval(releaseEventInterval);
+        versions_.add(i, "v1");
     }
     for (int i = 0; i < options.instances; ++i) {
         const std::string &program =
@@ -215,6 +234,7 @@
     store->remove("servers", servers[index]->id());
     servers[index]->restartAs("s-" + std::to_string(index) + "." + std::to_string(++releases_),
                               softwareVersion);
+    versions_.add(index, softwareVersion);
     list(index);
     forEachProxy(index, [](FaultProxy &proxy) { proxy.resetAll(); });
     noteLinkChange(index, isLinkHarmed(index));
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -35,6 +35,28 @@
     bool isLogUnread = false;
 };
 
+/** Versions of the servers' software, from each moment on. */
+class VersionHistory
+{
+public:
+    void add(std::size_t server, const std::string &version)
+    {
+        changes_.push_back({bootTime(), server, version});
+    }
+    /** Returns how many servers had a version all the time. */
+    int serving(const std::string &version, Millis from, Millis to) const;
+
+private:
+    struct Change
+    {
+        Millis at;
+        std::size_t server = 0;
+        std::string version;
+    };
+
+    std::vector<Change> changes_;
+};
+
 /** A gateway as a process of its own. Only processes started here are ever signalled. */
 class GatewayProcess
 {
@@ -121,6 +143,7 @@
     /** Runs a function on the stand-ins' thread. */
     void onThread(const std::function<void()> &function) { thread_.run(function); }
 
+    const VersionHistory &versions() const { return versions_; }
     platform::ServerRequestLog &record() { return record_; }
     std::vector<std::unique_ptr<GatewayProcess>> gateways;
     std::vector<std::unique_ptr<platform::StandinServer>> servers;
@@ -139,6 +162,7 @@
     platform::ServerRequestLog record_;
     std::uint64_t version_ = 0;
     std::uint64_t releases_ = 0;
+    VersionHistory versions_;
     /** All gateways were started once. */
     bool hasStarted_ = false;
     std::map<std::size_t, std::vector<LinkChange>> linkChanges_;
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -69,7 +69,7 @@
     return ports;
 }
 
-int runSeed(const SoakOptions &options)
+int runSeed(const SoakOptions &options, StreamFigures &allStreams)
 {
     Fleet fleet(options);
     Callers callers(startFleet(fleet), options.callers, options.seed);
@@ -101,11 +101,14 @@
     const auto results = callers.results();
     const auto rules = judge(results, fleet.record(), withdrawnAt);
     broken.insert(broken.end(), rules.begin(), rules.end());
-    const StreamFigures streams = judgeStreams(results, broken);
+    const StreamFigures streams = judgeStreams(
+        results, [&fleet](const auto &...span) { return fleet.versions().serving(span...); },
+        broken);
+    allStreams.add(streams);
     const auto statements = judgeStatements(results, fleet.record(), disturbances(fleet));
     broken.insert(broken.end(), statements.begin(), statements.end());
     broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
-    if (driver.isCalm() && !options.hasCuts) {
+    if (driver.isCalm() && !options.hasCuts && !options.hasReleases) {
         const auto cut = cutCalls(results);
         broken.insert(broken.end(), cut.begin(), cut.end());
     }
@@ -122,8 +125,8 @@
         broken.emplace_back("less than a quarter of the requests were served");
     std::cout << "seed " << options.seed << (driver.isCalm() ? " (planned work only)" : "") << ": "
               << results.size() << " requests, " << served << " served, " << broken.size()
-              << " promises broken; streams begun " << streams.begun << " of " << streams.attempts
-              << ", went on " << streams.wentOn << " of " << streams.takenUp << cutSummary << "\n";
+              << " promises broken" << (options.hasReleases ? "; " + streams.text() : "")
+              << cutSummary << "\n";
     const std::size_t shown = std::min(broken.size(), mostShown);
     for (std::size_t i = 0; i < shown; ++i)
         std::cout << "  " << broken[i] << "\n";
@@ -245,18 +248,25 @@
             return compareFlood(soak);
         }
         int failed = 0;
+        StreamFigures streams;
         const int seeds = arguments["seeds"].as<int>();
         for (int i = 0; i < seeds; ++i) {
             soak.seed = arguments["seed"].as<std::uint64_t>() + static_cast<std::uint64_t>(i);
             soak.directory = base + "/" + std::to_string(soak.seed);
             std::filesystem::create_directories(soak.directory);
-            const bool isBroken = runSeed(soak) != 0;
+            const bool isBroken = runSeed(soak, streams) != 0;
             failed += isBroken ? 1 : 0;
             if (isBroken)
                 std::cout << "  logs: " << soak.directory << std::endl;
             else if (arguments.count("keep") == 0)
                 std::filesystem::remove_all(soak.directory);
         }
+        if (soak.hasReleases)
+            std::cout << streams.text() << "\n";
+        if (!streams.isShareKept()) {
+            std::cout << "  streams went on less often than new ones began\n";
+            failed = std::max(failed, 1);
+        }
         std::cout << seeds - failed << " passed, " << failed << " failed" << std::endl;
         return failed == 0 ? 0 : exitBroken;
     } catch (const std::exception &error) {
