Versions without decode engines get one, and resumed events must show their place

A stream goes on only at its version. StagePlan_test.

A resumed stream whose events have no number could repeat what its caller has; such a response now counts as broken.

The soak starts release runs as a first start, since instances of any other start know one another only after seconds; it names streams that did not go on.

--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -60,11 +60,18 @@
                                            bool isUnderLoad, Millis now)
 {
     std::map<std::string, StageGroups> domains;
+    std::map<std::string, StageGroups> versions;
     StageGroups all;
     for (const StagedEngine &engine : engines) {
         add(domains[engine.failureDomain], engine);
+        add(versions[engine.softwareVersion], engine);
         add(all, engine);
     }
+    if (isUnderLoad && versions.size() > 1) {
+        const auto changes = decideVersions(versions, now);
+        if (!changes.empty())
+            return changes;
+    }
     if (hasEngineForEveryInstance(all))
         sufficientAt_ = now;
     if (sufficientAt_ && now - *sufficientAt_ < settings_.replacementTime)
@@ -72,6 +79,21 @@
     return isUnderLoad ? decideUnderLoad(all, now) : decideIdle(domains, all, now);
 }
 
+std::vector<StageChange>
+StagePlan::decideVersions(const std::map<std::string, StageGroups> &versions, Millis now)
+{
+    for (const auto &[version, groups] : versions) {
+        if (!groups.decode.empty() || groups.changing > 0 || groups.prefill.size() < 2)
+            continue;
+        const StagedEngine *engine = findChangeable(groups.prefill, now);
+        if (engine == nullptr)
+            continue;
+        changedAt_[engine->id] = now;
+        return {{engine->id, EngineStage::Decode}};
+    }
+    return {};
+}
+
 std::vector<StageChange> StagePlan::decideIdle(const std::map<std::string, StageGroups> &domains,
                                                const StageGroups &all, Millis now)
 {
--- a/modules/dataplane/roles/StagePlan.h
+++ b/modules/dataplane/roles/StagePlan.h
@@ -17,6 +17,7 @@
     EngineStage stage = EngineStage::Decode;
     /** A change was ordered and has not completed, or its result is unknown. */
     bool isChanging = false;
+    std::string softwareVersion = {};
 };
 
 struct StageChange
@@ -68,6 +69,9 @@
     While there are no requests, each failure domain is brought to the target shares once a
     deviation has persisted; under load only a severe shortage in the whole fleet is corrected. The
     last engine of a stage is never changed.
+
+    Streams go on only at the software version that began them. While several versions serve, one
+    of whose engines none executes decode gets such an engine.
 */
 class StagePlan
 {
@@ -99,6 +103,9 @@
     std::vector<StageChange> decideIdle(const std::map<std::string, StageGroups> &domains,
                                         const StageGroups &all, Millis now);
     std::vector<StageChange> decideUnderLoad(const StageGroups &all, Millis now);
+    /** Returns a change for a version without decode engines, while others have some. */
+    std::vector<StageChange> decideVersions(const std::map<std::string, StageGroups> &versions,
+                                            Millis now);
     std::size_t maxChanging(std::size_t engines) const;
     bool hasPersisted(const std::string &domain, int deviation, Millis now);
     const StagedEngine *findChangeable(const std::vector<const StagedEngine *> &engines,
--- a/modules/dataplane/roles/StagePlan_test.cpp
+++ b/modules/dataplane/roles/StagePlan_test.cpp
@@ -158,3 +158,31 @@
     plan.decide(between, false, settings.replacementTime);
     CHECK_FALSE(plan.decide(between, false, later).empty());
 }
+
+// Guards against streams that cannot go on, as all engines of their version only execute prefill.
+TEST_CASE("under load a version without decode engines gets one, and the others keep theirs")
+{
+    struct Row
+    {
+        std::string first;
+        std::string second;
+        std::size_t changes;
+    };
+    for (const Row &row : {Row{"ppdd", "pppd", 0}, Row{"ppppdddd", "ppp", 1}, Row{"ppddd", "p", 0},
+                           Row{"ppddd", "ppc", 0}, Row{"ppp", "ppddd", 1}}) {
+        CAPTURE(row.first);
+        CAPTURE(row.second);
+        auto engines = domain("a", row.first);
+        for (StagedEngine &engine : engines)
+            engine.softwareVersion = "v1";
+        auto others = domain("b", row.second);
+        for (StagedEngine &engine : others)
+            engine.softwareVersion = "v2";
+        const auto all = concatenate(std::move(engines), std::move(others));
+        StagePlan plan;
+        const auto changes = plan.decide(all, true, Millis(0));
+        REQUIRE(changes.size() == row.changes);
+        if (!changes.empty())
+            CHECK(changes[0].to == EngineStage::Decode);
+    }
+}
--- a/modules/gateway/control/StageDuty.cpp
+++ b/modules/gateway/control/StageDuty.cpp
@@ -57,8 +57,8 @@
             || context_.backoffs.remaining(engine->incarnation(), now);
         // Engines that do both prefill and decode are not changed.
         if (engine->entry.stage != EngineStage::Whole)
-            engines.push_back(
-                {engine->entry.id, engine->entry.failureDomain, engine->entry.stage, isChanging});
+            engines.push_back({engine->entry.id, engine->entry.failureDomain, engine->entry.stage,
+                               isChanging, engine->entry.softwareVersion});
     }
     const StagePlan fresh(context_.settings.decisions.stages);
     StagePlan &plan = plans_.try_emplace(service.name, fresh).first->second;
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -61,6 +61,11 @@
 {
     if (hasEnded_)
         return;
+    // Without a number nobody can tell whether the caller has this event.
+    attempt_.isInvalid = attempt_.isInvalid || (attempt_.mustShowPosition && !event.number);
+    if (attempt_.isInvalid)
+        return;
+    attempt_.mustShowPosition = false;
     notePrefillDone();
     if (attempt_.choice)
         context_.engines.runBegan(*attempt_.choice, context_.now());
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -71,6 +71,7 @@
     if (!cacheSource.empty())
         context_.engines.handedOver(*attempt_.choice, *inbound_.prompt, context_.now());
     fields.cacheSource = std::move(cacheSource);
+    attempt_.mustShowPosition = lastEventId_.has_value();
     sseReader_.discardPartial();
     send(attempt_.upstream, fields, silenceTimeout());
 }
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -58,6 +58,9 @@
         std::vector<HttpHeader> headers;
         std::string body;
         bool isStreaming = false;
+        /** The stream goes on after events that the caller has, and none of these responses' events
+            has shown yet where. */
+        bool mustShowPosition = false;
         /** The response is not the upstream's own, malformed or too large: it is not relayed. */
         bool isInvalid = false;
     };
--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -244,6 +244,7 @@
     {
         std::string version;
         int last = 0;
+        std::uint16_t gateway = 0;
     };
     StreamFigures figures;
     std::map<std::string, Seen> streams;
@@ -262,6 +263,11 @@
         figures.takenUp += isTakeUp ? 1 : 0;
         figures.possible += isPossible ? 1 : 0;
         figures.wentOn += isPossible && wentOn ? 1 : 0;
+        if (isPossible && !wentOn)
+            figures.lost.push_back(result.id + " of " + seen.version + " begun at port "
+                                   + std::to_string(seen.gateway) + ", status "
+                                   + std::to_string(result.status) + " at port "
+                                   + std::to_string(result.gateway));
         figures.attempts += !isTakeUp && isAnswered ? 1 : 0;
         figures.begun += !isTakeUp && wentOn ? 1 : 0;
         for (const ReceivedEvent &event : events) {
@@ -272,6 +278,7 @@
                 broken.push_back(result.id + ": event " + std::to_string(event.number)
                                  + " follows event " + std::to_string(seen.last));
             seen.version = event.version;
+            seen.gateway = seen.last == 0 ? result.gateway : seen.gateway;
             seen.last = event.number;
         }
     }
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -90,6 +90,8 @@
     /** Of these, answered by a gateway while two servers of the stream's version served. */
     int possible = 0;
     int wentOn = 0;
+    /** Those that did not, each with its gateways and responses, for tracing. */
+    std::vector<std::string> lost;
 
     void add(const StreamFigures &other);
     /** Whether streams go on nearly as often as new ones begin; true with too few of them. */
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -270,7 +270,7 @@
     ports.store = storeProxies[index]->port();
     const std::string settings =
         platform::standinSettings("instance-" + std::to_string(index), ports);
-    const bool isFirstStart = options_.hasCuts && !hasStarted_;
+    const bool isFirstStart = (options_.hasCuts || options_.hasReleases) && !hasStarted_;
     gateway.start(settings + (isFirstStart ? "bootstrap=true\n" : ""), options_.isLogUnread);
 }
 
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -127,6 +127,8 @@
               << results.size() << " requests, " << served << " served, " << broken.size()
               << " promises broken" << (options.hasReleases ? "; " + streams.text() : "")
               << cutSummary << "\n";
+    for (const std::string &each : options.hasReleases ? streams.lost : std::vector<std::string>())
+        std::cout << "  not taken up: " << each << "\n";
     const std::size_t shown = std::min(broken.size(), mostShown);
     for (std::size_t i = 0; i < shown; ++i)
         std::cout << "  " << broken[i] << "\n";
