--- a/modules/dataplane/roles/StagePlan.cpp
+++ b/modules/dataplane/roles/StagePlan.cpp
@@ -68,7 +68,7 @@
         add(all, engine);
     }
     if (isUnderLoad && versions.size() > 1) {
-        const auto changes = decideVersions(versions, now);
+        auto changes = decideVersions(versions, now);
         if (!changes.empty())
             return changes;
     }
--- a/modules/dataplane/roles/StagePlan_test.cpp
+++ b/modules/dataplane/roles/StagePlan_test.cpp
@@ -178,7 +178,7 @@
         auto others = domain("b", row.second);
         for (StagedEngine &engine : others)
             engine.softwareVersion = "v2";
-        const auto all = concatenate(std::move(engines), std::move(others));
+        const auto all = concatenate(engines, others);
         StagePlan plan;
         const auto changes = plan.decide(all, true, Millis(0));
         REQUIRE(changes.size() == row.changes);
