--- a/modules/gateway/request/RelayStream.cpp
+++ b/modules/gateway/request/RelayStream.cpp
@@ -129,8 +129,13 @@
     if (hasEnded_ || heldEvents_.empty())
         return;
     const auto self = shared_from_this();
-    for (const HeldEvent &held : std::exchange(heldEvents_, {}))
-        passEvent({held.bytes, held.number, {}});
+    for (const HeldEvent &held : std::exchange(heldEvents_, {})) {
+        // The caller may leave while it is written to.
+        if (!hasEnded_)
+            passEvent({held.bytes, held.number, {}});
+    }
+    if (hasEnded_)
+        return;
     if (!exchange_->isCongested())
         resumeResponse();
     if (const auto end = std::exchange(heldEnd_, std::nullopt))
