A stream of a version that is not listed here yet waits for the list

At the start of a release a stream can begin at the new version at one instance, which is killed, and be taken up at another one that lists the new version a second later. That one refused it as gone.

--- a/modules/dataplane/fleet/VersionCensus.cpp
+++ b/modules/dataplane/fleet/VersionCensus.cpp
@@ -1,5 +1,7 @@
 #include "dataplane/fleet/VersionCensus.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
 void VersionCensus::begin(Millis now)
@@ -39,6 +41,20 @@
     return versions;
 }
 
+bool VersionCensus::isKnown(const std::string &service,
+                            const std::function<bool(const std::string &version)> &matches,
+                            Millis now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return false;
+    const auto &versions = found->second.versions;
+    return std::any_of(versions.begin(), versions.end(), [&](const auto &each) {
+        const bool isOver = each.second.upstreams == 0 && now - each.second.removedAt >= retention_;
+        return !isOver && matches(each.first);
+    });
+}
+
 std::optional<std::string> VersionCensus::onlyListed(const std::string &service) const
 {
     const std::vector<std::string> versions = listed(service);
--- a/modules/dataplane/fleet/VersionCensus.h
+++ b/modules/dataplane/fleet/VersionCensus.h
@@ -2,6 +2,7 @@
 
 #include "core/time/Millis.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -30,6 +31,9 @@
 
     /** Returns the versions that are listed now. */
     std::vector<std::string> listed(const std::string &service) const;
+    /** Whether a version is listed, or was within the retention. */
+    bool isKnown(const std::string &service,
+                 const std::function<bool(const std::string &version)> &matches, Millis now) const;
     /** Returns the version that is listed now, if it is the only one. */
     std::optional<std::string> onlyListed(const std::string &service) const;
     /** Whether one version alone has been listed throughout the retention. */
--- a/modules/streams/origin/StreamOrigins.cpp
+++ b/modules/streams/origin/StreamOrigins.cpp
@@ -151,10 +151,20 @@
     return {OriginStatus::Gone, {}, {}};
 }
 
+bool StreamOrigins::isListBehind(const StreamQuery &query, RecordValue value) const
+{
+    const Millis now = environment_.clock.now();
+    const auto &targets = query.route.targets;
+    return std::none_of(targets.begin(), targets.end(), [&](const RouteTarget &target) {
+        return environment_.versions.isKnown(
+            target.service,
+            [&](const std::string &version) { return valueOf(target.service, version) == value; },
+            now);
+    });
+}
+
 void StreamOrigins::resolve(const StreamQuery &query, Completion done)
 {
-    if (const auto value = records_.find(query.key))
-        return done(originOf(query, *value));
     // Also where one version alone is listed here: another instance may list a second one already,
     // and has begun the stream there.
     lookUp({query, std::move(done), environment_.clock.now(), {}});
@@ -171,8 +181,12 @@
 
 void StreamOrigins::onOutcome(Pending pending, const RecordOutcome &outcome)
 {
-    if (outcome.result == RecordLookUp::Found)
+    const bool mayAskLater = environment_.clock.now() - pending.firstAskedAt < repeatPeriod;
+    if (outcome.result == RecordLookUp::Found) {
+        if (mayAskLater && isListBehind(pending.query, outcome.value))
+            return askLater(std::move(pending));
         return pending.done(originOf(pending.query, outcome.value));
+    }
     const std::uint64_t own =
         environment_.isListFresh() ? settlementOf(pending.query.route) : std::uint64_t{0};
     const auto &statements = outcome.statements;
@@ -181,11 +195,16 @@
             || std::find(statements.begin(), statements.end(), own) != statements.end());
     if (isConfirmed)
         return pending.done(soleOrigin(pending.query));
-    if (outcome.result == RecordLookUp::Ambiguous || !mayAppear(pending)) {
+    if (outcome.result == RecordLookUp::Ambiguous || !mayAskLater || !mayAppear(pending)) {
         const bool isUnreachable = outcome.result == RecordLookUp::Unreachable;
         const auto status = isUnreachable ? OriginStatus::Unreachable : OriginStatus::Unknown;
         return pending.done({status, {}, {}});
     }
+    askLater(std::move(pending));
+}
+
+void StreamOrigins::askLater(Pending pending)
+{
     pending.askAgainAt = environment_.clock.now() + repeatInterval;
     repeated_.push_back(std::move(pending));
 }
@@ -193,7 +212,7 @@
 bool StreamOrigins::mayAppear(const Pending &pending) const
 {
     const Millis now = environment_.clock.now();
-    if (pending.query.streamId.empty() || now - pending.firstAskedAt >= repeatPeriod)
+    if (pending.query.streamId.empty())
         return false;
     if (!records_.hasPeers() || now - startedAt_ < spreadTime)
         return true;
--- a/modules/streams/origin/StreamOrigins.h
+++ b/modules/streams/origin/StreamOrigins.h
@@ -155,6 +155,9 @@
     /** Returns the origin of a stream of a route whose services have one version each. */
     StreamOrigin soleOrigin(const StreamQuery &query) const;
     StreamOrigin originOf(const StreamQuery &query, RecordValue value) const;
+    /** Whether a version was never listed here that another instance lists already. */
+    bool isListBehind(const StreamQuery &query, RecordValue value) const;
+    void askLater(Pending pending);
     void lookUp(Pending pending);
     void onOutcome(Pending pending, const RecordOutcome &outcome);
     /** Whether a record may still be on its way to its owners. */
--- a/modules/streams/origin/StreamOrigins_test.cpp
+++ b/modules/streams/origin/StreamOrigins_test.cpp
@@ -156,6 +156,32 @@
     }
 }
 
+// Guards against a stream that is taken for lost where the list of upstreams is a moment behind.
+TEST_CASE(
+    "a stream of a version that is not listed here yet waits for the list, for a bounded time")
+{
+    StreamCluster cluster(6, 3, 3);
+    cluster.maxListDelay = Millis(200);
+    const auto resolve = [&](const std::string &id, const std::string &version,
+                             bool isListedLater) {
+        const RecordKey key = StreamOrigins::keyOf("c", "stream", id);
+        cluster.addUpstream("v1.1");
+        cluster.advance(Millis(250));
+        cluster.origins(0).began(key, StreamCluster::route(),
+                                 StreamOrigins::valueOf("svc", version), [] {});
+        cluster.advance(Millis(50));
+        std::optional<StreamOrigin> origin;
+        cluster.origins(1).resolve({key, id, StreamCluster::route()},
+                                   [&origin](const StreamOrigin &found) { origin = found; });
+        if (isListedLater)
+            cluster.addUpstream(version);
+        cluster.advance(StreamOrigins::repeatPeriod + Millis(200));
+        return origin ? origin->status : OriginStatus::Unknown;
+    };
+    CHECK(resolve("a", "v2", true) == OriginStatus::Known);
+    CHECK(resolve("b", "v3", false) == OriginStatus::Gone);
+}
+
 // Guards against frames for each stream, and refusals, where one version serves.
 TEST_CASE("while one version serves nothing is sent, and restarted instances take streams up")
 {
