Logs name the shared parts of a prompt whose upstream broke off

attempt-ended had the content of the whole request alone, which is another one for each request, so the logs of the record could not tell a fatal part from engines that end by themselves, nor whether a cleared request had the part. It now states the fingerprints of the parts that other prompts may share. They do not reveal the parts.

--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -1,5 +1,6 @@
 #include "core/events/EventCatalogue.h"
 #include "gateway/request/RequestRelay.h"
+#include "quarantine/fingerprint/ContentFingerprint.h"
 
 namespace cuminrail {
 
@@ -15,6 +16,17 @@
     return std::to_string(static_cast<std::int64_t>(number));
 }
 
+/** Returns the fingerprints of the parts that other prompts may share. */
+std::string sharedPartsText(const PromptShape &prompt)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        text += text.empty() ? "" : ",";
+        text += ContentFingerprint::ofPart(prompt.model, prompt.parts[i].id).text();
+    }
+    return text;
+}
+
 } // namespace
 
 void RequestRelay::logPlaced(const UpstreamEntry &upstream) const
@@ -70,8 +82,11 @@
         event.fields.emplace_back("retry_after", attempt_.traits.backoffText);
     // Distinguishes a request that crashes one upstream after another from upstreams that fail by
     // themselves.
-    if (end.kind == UpstreamEndKind::Broken)
+    if (end.kind == UpstreamEndKind::Broken) {
         event.fields.emplace_back("content", fingerprint().text());
+        if (inbound_.prompt)
+            event.fields.emplace_back("parts", sharedPartsText(*inbound_.prompt));
+    }
     context_.events(event);
 }
 
