--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -31,6 +31,9 @@
         &quarantineNotRemoved,
         &requestCarried,
         &carriedAttemptEnded,
+        &contentTried,
+        &quarantineLifted,
+        &requestCalledBack,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -70,13 +70,15 @@
 
 inline constexpr EventKind requestSuspected{
     209, EventLevel::Info, "request-suspected",
-    "Two upstreams ended under requests that ask the same; the system repeats them no more."};
+    "Two upstreams ended under requests with this content; it is not retried, or tried once at a "
+    "time."};
 inline constexpr EventKind requestQuarantined{
     210, EventLevel::Warning, "request-quarantined",
-    "Three upstreams ended under requests that ask the same; they are refused from now on."};
+    "Three upstreams or more ended under requests with this content; they are refused from now "
+    "on."};
 inline constexpr EventKind suspicionCleared{
     211, EventLevel::Info, "suspicion-cleared",
-    "A request that was suspected ran to its end; it is run and repeated as others are."};
+    "A request with a suspected content was answered; endings from before do not count for it."};
 inline constexpr EventKind quarantineEntryRefused{
     212, EventLevel::Warning, "quarantine-entry-refused",
     "An entry of the store's quarantine cannot be read; the others hold."};
@@ -92,6 +94,16 @@
     215, EventLevel::Warning, "carried-attempt-ended",
     "An instance to which a request was handed did not serve it."};
 
+inline constexpr EventKind contentTried{
+    216, EventLevel::Info, "content-tried",
+    "A request with a suspected content is sent, while all others with it wait for its outcome."};
+inline constexpr EventKind quarantineLifted{217, EventLevel::Warning, "quarantine-lifted",
+                                            "An operator ended a quarantine at all instances."};
+inline constexpr EventKind requestCalledBack{
+    218, EventLevel::Info, "request-called-back",
+    "A request that an upstream had not begun to answer was taken back, as its content is "
+    "suspected."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -5,7 +5,10 @@
 #include "gateway/control/StoreFailureHook.h"
 #include "gateway/request/RequestRelay.h"
 
+#include <boost/asio/post.hpp>
+
 #include <chrono>
+#include <utility>
 
 namespace cuminrail {
 
@@ -135,6 +138,7 @@
         transportFor(LinkPurpose::Quarantine), environment_.store, environment_.clock,
         environment_.random, environment_.events});
     context_.quarantine->setLinkCheck(feeds_.isLinked);
+    context_.quarantine->onRestricted = [this] { callBackHeld(); };
     context_.path.onChange = [this](PathState before) { onPathChange(before); };
     if (settings_.links.isSet()) {
         setUpCarriage();
@@ -230,6 +234,21 @@
                {"source", std::string(departureSourceNames.name(source))}}});
 }
 
+void Gateway::callBackHeld()
+{
+    if (std::exchange(isCallBackPending_, true))
+        return;
+    // Later, as the quarantine may be told of an ending by one of these requests.
+    boost::asio::post(environment_.io, [this] {
+        isCallBackPending_ = false;
+        std::vector<std::shared_ptr<RequestRelay>> relays;
+        for (RequestRelay *relay : context_.relays)
+            relays.push_back(relay->shared_from_this());
+        for (const auto &relay : relays)
+            relay->onContentsRestricted();
+    });
+}
+
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
 {
     noteExchangeActivity();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -88,6 +88,8 @@
     static RegisteredInstance registrationOf(const InstanceSettings &settings);
     /** A reply of the store stated its era. */
     void onStoreEra(StoreEra era);
+    /** Takes requests back that upstreams have not begun and whose content became held. */
+    void callBackHeld();
     void onDeparture(UpstreamIncarnation incarnation, DepartureSource source);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     /** Sets up carrying of requests between instances. */
@@ -162,6 +164,7 @@
     ScaleDuty scale_;
     boost::asio::steady_timer timer_;
     bool isDraining_ = false;
+    bool isCallBackPending_ = false;
     Millis drainStartedAt_;
     bool hasStoppedListening_ = false;
     std::function<void()> onDrained_;
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -125,14 +125,15 @@
 void GatewayMetrics::setQuarantine(const GatewayGauges &gauges)
 {
     const QuarantineStats &stats = gauges.quarantine;
-    setGauge("cuminrail_quarantine_suspects", "Requests that are suspected or quarantined now",
+    setGauge("cuminrail_quarantine_suspects", "Contents that are suspected now",
              static_cast<double>(gauges.suspects));
     setGauge("cuminrail_quarantine_ends",
              "Upstreams that ended, once for each request that they had",
              static_cast<double>(stats.ends));
-    setGauge("cuminrail_quarantine_quarantined", "Requests that came to be quarantined",
+    setGauge("cuminrail_quarantine_quarantined", "Verdicts that began",
              static_cast<double>(stats.quarantined));
-    setGauge("cuminrail_quarantine_cleared", "Suspected requests that ran to their end here",
+    setGauge("cuminrail_quarantine_cleared",
+             "Suspected contents for which an answer here voided endings",
              static_cast<double>(stats.cleared));
 }
 
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -59,6 +59,8 @@
     QuotaUnknown,
     /** Upstream processes ended while running requests with the same content. */
     Quarantined,
+    /** The same, and whether the content is the cause is being tried with another request. */
+    Held,
     /** Upstreams that state a limit accept no more requests at the moment. */
     UpstreamLimit,
     /** Upstreams asked for a pause. */
@@ -73,7 +75,7 @@
     StreamUnreachable,
 };
 
-inline constexpr NameTable<GiveUpCause, 20> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 21> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -88,6 +90,7 @@
     {GiveUpCause::OverQuota, "over-quota"},
     {GiveUpCause::QuotaUnknown, "quota-unknown"},
     {GiveUpCause::Quarantined, "quarantined"},
+    {GiveUpCause::Held, "held"},
     {GiveUpCause::UpstreamLimit, "upstream-limit"},
     {GiveUpCause::UpstreamPause, "upstream-pause"},
     {GiveUpCause::Refused, "refused-by-carrier"},
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -31,6 +31,7 @@
         recordStatements(context_, *upstream, attempt_.traits);
     if (attempt_.isPrefill)
         return;
+    attempt_.headAt = context_.now();
     const bool isSuccess = head.status >= 200 && head.status < 300;
     // A success that the upstream does not vouch for may come from another server at its address.
     // Relayed, the caller would take it for the upstream's response.
@@ -226,6 +227,7 @@
     silenceTimer_.clear();
     deferralTimer_.clear();
     leaveDeferredQueue();
+    trialEnded();
     // A refused request was not run, so its quota is returned. A request that was sent for a caller
     // that left may have run.
     if (!wasSent_ || outcome == RequestOutcome::Refused)
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -22,9 +22,12 @@
 #include "upstreamlimits/upstreamlimits.h"
 
 #include <memory>
+#include <unordered_set>
 
 namespace cuminrail {
 
+class RequestRelay;
+
 /** State shared by all requests of an instance. Used only on the event loop's thread. */
 struct RelayContext
 {
@@ -69,6 +72,8 @@
     std::unique_ptr<StreamOrigins> origins;
     /** Requests carried for and by other instances; null where instances have no links. */
     std::unique_ptr<RequestCarriage> carriage;
+    /** Requests in progress. */
+    std::unordered_set<RequestRelay *> relays;
     LeastLoaded services;
     /** Differs between instances, see LeastLoaded. */
     std::uint64_t spreadKey = StableHash().add(settings.name).value();
--- a/modules/gateway/request/RelayCounters.h
+++ b/modules/gateway/request/RelayCounters.h
@@ -16,6 +16,8 @@
     std::uint64_t sends = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
+    /** Requests that were taken back from upstreams as their content became held. */
+    std::uint64_t calledBack = 0;
     std::uint64_t handOvers = 0;
     std::uint64_t handOversFailed = 0;
     /** Prompts deferred at this instance until an engine had room. */
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -34,7 +34,7 @@
     if (isWhole && attempt_.traits.isRefusedUnrun)
         return onNotExecuted();
     if (isWhole)
-        return responseCompleted();
+        return responseCompleted(end);
     attemptFailed(end);
 }
 
@@ -90,11 +90,17 @@
         releaseCacheHandle();
     }
     closeAttempt();
-    // After a second broken attempt, the request may be what crashes upstreams: the next upstream
-    // is not tried until it is known whether these two processes ended.
-    const bool awaitsProbe = hasBroken && route_->isRepeatable() && ++brokenAttempts_ > 1;
+    // A part of the prompt, or after a second broken attempt the request, may be what crashes
+    // upstreams: the next one is not tried until it is known whether this process ended.
+    ++brokenAttempts_;
+    const bool awaitsProbe =
+        hasBroken && route_->isRepeatable() && (route_->hasPrompts || brokenAttempts_ > 1);
     if (hasBroken)
         probeUpstream(upstream, awaitsProbe);
+    // The probe tells the owner if the upstream has ended.
+    if (mayHaveRun && !hasBroken)
+        trialEnded();
+    isTrial_ = isTrial_ && !mayHaveRun;
     if (mayHaveRun && !route_->isRepeatable())
         return giveUpWithLastCause();
     if (hasResponseStarted_)
@@ -103,19 +109,22 @@
         dispatch();
 }
 
-void RequestRelay::responseCompleted()
+void RequestRelay::responseCompleted(const UpstreamEnd &end)
 {
     const bool isFailure = attempt_.status >= 500;
     recordOutcome(isFailure ? AttemptSign::Failure : AttemptSign::Good);
-    context_.quarantine->requestCompleted(fingerprint());
+    // The end of a connection is also what a crash looks like, and a failure may be.
+    if (attempt_.status < 400 && !end.isDelimitedByClose)
+        context_.quarantine->requestAnswered(contents(), attempt_.headAt);
+    trialEnded();
     if (attempt_.status < 400 || isFailure)
         noteExecutionStarted();
     notePrefillDone();
     cacheHandle_.clear();
     ++sends_;
     mayHaveRun_ = true;
-    const bool canRetry = isFailure && route_->kind == RouteKind::Safe && sends_ < attemptLimit()
-        && deadlineAt_ - context_.now() > route_->goal / 2;
+    const bool canRetry = isFailure && !isHeld() && route_->kind == RouteKind::Safe
+        && sends_ < attemptLimit() && deadlineAt_ - context_.now() > route_->goal / 2;
     if (canRetry && context_.directory.usable(service_).size() > 1
         && context_.retries.tryAcquireRetry(service_, context_.now())) {
         tried_.insert(attempt_.upstream->entry.id);
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -117,9 +117,11 @@
 {
     attempt_.status = 0;
     attempt_.traits = {};
-    if (endIfQuarantined()) {
+    // Upstreams may have ended under its content while the prompt was prefilled.
+    if (endIfQuarantined() || isHeld()) {
         releaseCacheHandle();
-        return closeAttempt();
+        closeAttempt();
+        return dispatch();
     }
     sendRun(attempt_.choice->prefill->entry.address + "/" + cacheHandle_);
 }
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -1,6 +1,5 @@
 #include "core/events/EventCatalogue.h"
 #include "gateway/request/RequestRelay.h"
-#include "quarantine/fingerprint/ContentFingerprint.h"
 
 namespace cuminrail {
 
@@ -17,12 +16,12 @@
 }
 
 /** Returns the fingerprints of the parts that other prompts may share. */
-std::string sharedPartsText(const PromptShape &prompt)
+std::string sharedPartsText(const RequestContents &contents)
 {
     std::string text;
-    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-        text += text.empty() ? "" : ",";
-        text += ContentFingerprint::ofPart(prompt.model, prompt.parts[i].id).text();
+    for (const ContentFingerprint &content : contents.all()) {
+        if (content.kind() == ContentKind::Part)
+            text += (text.empty() ? "" : ",") + content.text();
     }
     return text;
 }
@@ -83,9 +82,11 @@
     // Distinguishes a request that crashes one upstream after another from upstreams that fail by
     // themselves.
     if (end.kind == UpstreamEndKind::Broken) {
-        event.fields.emplace_back("content", fingerprint().text());
+        event.fields.emplace_back("content", contents().request().text());
         if (inbound_.prompt)
-            event.fields.emplace_back("parts", sharedPartsText(*inbound_.prompt));
+            event.fields.emplace_back("parts", sharedPartsText(contents()));
+        if (isTrial_)
+            event.fields.emplace_back("trial", "yes");
     }
     context_.events(event);
 }
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -1,32 +1,58 @@
+#include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
 #include "gateway/request/RequestRelay.h"
 
+#include <algorithm>
+
 namespace cuminrail {
 
 namespace {
 
 constexpr const char *quarantineReason = "upstreams ended under requests that ask the same";
+constexpr const char *heldReason =
+    "upstreams ended under requests with the same part, and another one is being tried";
+/** Interval at which a request that is held asks whether it may be sent. */
+constexpr Millis heldRetryInterval = Millis(20);
+/** Longer than a trial takes; a request that is held for longer is refused. */
+constexpr Millis maxHold = Millis(2000);
 
 } // namespace
 
-const RequestFingerprint &RequestRelay::fingerprint() const
+const RequestContents &RequestRelay::contents() const
 {
-    if (!fingerprint_)
-        fingerprint_ =
-            RequestFingerprint::of(customer_, exchange_->head().target, exchange_->body());
-    return *fingerprint_;
+    if (contents_)
+        return *contents_;
+    std::vector<ContentFingerprint> parts;
+    const std::size_t shared =
+        inbound_.prompt && !inbound_.prompt->parts.empty() ? inbound_.prompt->parts.size() - 1 : 0;
+    for (std::size_t i = 0; i < std::min(shared, RequestContents::maxParts); ++i) {
+        const std::string &part = inbound_.prompt->parts[i].id;
+        parts.push_back(ContentFingerprint::ofPart(inbound_.prompt->model, part));
+        parts.push_back(
+            ContentFingerprint::ofCustomerPart(customer_, inbound_.prompt->model, part));
+    }
+    contents_ = RequestContents(
+        ContentFingerprint::ofRequest(customer_, exchange_->head().target, exchange_->body()),
+        std::move(parts));
+    return *contents_;
 }
 
 bool RequestRelay::isSuspected() const
 {
-    return context_.quarantine->hasSuspects()
-        && context_.quarantine->level(fingerprint()) >= SuspicionLevel::Suspected;
+    return context_.quarantine->hasSuspects() && context_.quarantine->isSuspected(contents());
+}
+
+bool RequestRelay::isHeld() const
+{
+    return !isTrial_ && context_.quarantine->hasSuspects()
+        && context_.quarantine->isHeld(contents());
 }
 
 bool RequestRelay::endIfQuarantined()
 {
     if (!context_.quarantine->hasSuspects())
         return false;
-    const auto remaining = context_.quarantine->remainingQuarantine(fingerprint());
+    const auto remaining = context_.quarantine->remainingQuarantine(contents());
     if (!remaining)
         return false;
     if (hasResponseStarted_ || mayHaveRun_)
@@ -36,6 +62,68 @@
     return true;
 }
 
+bool RequestRelay::endOrHold()
+{
+    if (isTrial_ || !context_.quarantine->hasSuspects())
+        return endIfQuarantined();
+    switch (context_.quarantine->decide(contents())) {
+    case QuarantineDecision::Send:
+        return false;
+    case QuarantineDecision::SendAsTrial:
+        isTrial_ = true;
+        return false;
+    case QuarantineDecision::Refuse:
+        if (!endIfQuarantined())
+            giveUp(GiveUpCause::Held, heldReason);
+        return true;
+    case QuarantineDecision::Wait:
+        hold();
+        return true;
+    }
+    return false;
+}
+
+void RequestRelay::hold()
+{
+    const Millis now = context_.now();
+    attempt_ = Attempt();
+    if (!heldSince_)
+        heldSince_ = now;
+    if (now - *heldSince_ >= maxHold)
+        return giveUp(GiveUpCause::Held, heldReason);
+    deferralTimer_.setAfter(heldRetryInterval);
+}
+
+void RequestRelay::onContentsRestricted()
+{
+    const bool hasBegunHere =
+        hasBegun_ || hasResponseStarted_ || (attempt_.status != 0 && !attempt_.isPrefill);
+    const bool mayBeSentAgain = attempt_.isPrefill || route_->isRepeatable();
+    if (hasEnded_ || hasBegunHere || !call_.isActive() || !mayBeSentAgain || !isHeld()
+        || !guardEnabled(Guard::HeldCalledBack))
+        return;
+    context_.events(Event{&events::requestCalledBack,
+                          {{"request", inbound_.id}, {"upstream", target()->entry.id}}});
+    ++context_.counters.calledBack;
+    silenceTimer_.clear();
+    if (cancelAttempt()) {
+        ++sends_;
+        mayHaveRun_ = true;
+        lastCause_ = GiveUpCause::Held;
+        lastProblem_ = heldReason;
+    }
+    releaseCacheHandle();
+    closeAttempt();
+    dispatch();
+}
+
+void RequestRelay::trialEnded()
+{
+    if (isTrial_)
+        context_.quarantine->trialEnded(contents());
+    isTrial_ = false;
+}
+
 void RequestRelay::probeUpstream(const UpstreamPointer &upstream, bool dispatchesAfter)
 {
     UpstreamRequest request;
@@ -43,11 +131,13 @@
     request.isProbe = true;
     request.timeouts.connect = connectTimeout;
     UpstreamHooks hooks;
-    hooks.onEnd = [self = shared_from_this(), content = fingerprint(), upstream,
-                   incarnation = upstream->incarnation(), dispatchesAfter](const UpstreamEnd &end) {
-        const auto finish = [self, content, incarnation, dispatchesAfter](bool hasEnded) {
+    hooks.onEnd = [self = shared_from_this(), upstream, incarnation = upstream->incarnation(),
+                   isTrial = isTrial_, dispatchesAfter](const UpstreamEnd &end) {
+        const auto finish = [self, incarnation, isTrial, dispatchesAfter](bool hasEnded) {
             if (hasEnded)
-                self->context_.quarantine->upstreamEnded(content, incarnation);
+                self->context_.quarantine->upstreamEnded(self->contents(), incarnation, isTrial);
+            else if (isTrial)
+                self->context_.quarantine->trialEnded(self->contents());
             if (dispatchesAfter)
                 self->dispatch();
         };
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -44,6 +44,7 @@
       sseReader_([this](const SseEvent &event) { onEvent(event); })
 {
     ++context_.counters.inProgress;
+    context_.relays.insert(this);
 }
 
 RequestRelay::RequestRelay(RelayContext &context, std::shared_ptr<CarriedExchange> carried)
@@ -57,6 +58,7 @@
 
 RequestRelay::~RequestRelay()
 {
+    context_.relays.erase(this);
     --context_.counters.inProgress;
 }
 
@@ -177,6 +179,8 @@
 
 void RequestRelay::sendChosen()
 {
+    if (endOrHold())
+        return;
     leaveDeferredQueue();
     consumeCredits();
     if (attempt_.choice && attempt_.choice->prefill)
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -35,6 +35,8 @@
     RequestRelay &operator=(const RequestRelay &) = delete;
 
     void start();
+    /** Takes the request back if its upstream has not begun to respond and its content is held. */
+    void onContentsRestricted();
 
 private:
     /** Failed connection attempts before giving up; the request was not sent on any of them. */
@@ -53,6 +55,8 @@
         /** Counted in this instance's estimate of the upstream's load. */
         bool isCounted = false;
         Millis sentAt;
+        /** When the response's head arrived. */
+        Millis headAt;
         int status = 0;
         ResponseTraits traits;
         std::vector<HttpHeader> headers;
@@ -98,11 +102,18 @@
     double quotaCost(const CustomerQuota &quota) const;
     void requestQuota();
     void onQuotaOutcome(const QuotaOutcome &outcome, double cost);
-    /** Identifies the request's content; computed at the first call. */
-    const RequestFingerprint &fingerprint() const;
+    /** Identifies what the request consists of; computed at the first call. */
+    const RequestContents &contents() const;
     bool isSuspected() const;
+    /** Whether the request waits for a trial of another one. */
+    bool isHeld() const;
     /** Returns true if the request is quarantined, after ending it. */
     bool endIfQuarantined();
+    /** Returns true if the request may not be sent now: it was ended, or is held. */
+    bool endOrHold();
+    void hold();
+    /** The outcome of the trial that this request is, if it is one, is known. */
+    void trialEnded();
     /**
         Probes whether an upstream that broke off still accepts connections, and reports to the
         quarantine one that does not.
@@ -206,7 +217,7 @@
     void runOnOtherEngine();
     void runWithCache();
     void attemptFailed(const UpstreamEnd &end);
-    void responseCompleted();
+    void responseCompleted(const UpstreamEnd &end);
 
     void noteEvent();
     void recordOutcome(AttemptSign outcome);
@@ -264,7 +275,11 @@
     Attempt attempt_;
     SseReader sseReader_;
     std::set<std::string> tried_;
-    mutable std::optional<RequestFingerprint> fingerprint_;
+    mutable std::optional<RequestContents> contents_;
+    /** The request is sent while others with its content wait for its outcome. */
+    bool isTrial_ = false;
+    /** Since when the request has been held. */
+    std::optional<Millis> heldSince_;
     std::vector<UpstreamPointer> candidates_;
     int creditRequests_ = 0;
     /** How soon the first of the upstreams that pause or refused a credit takes a request again. */
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -87,6 +87,8 @@
     /** NotRun only if not a byte of the request was written to a socket. */
     Verdict verdict = Verdict::Ran;
     Reason lastReason;
+    /** Only the end of the connection showed that the response is complete. */
+    bool isDelimitedByClose = false;
 };
 
 /** Callbacks of an attempt, on its pool's thread; onEnd is called last and exactly once. */
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -202,7 +202,8 @@
     }
     if (error == boost::asio::error::eof && state_ == State::Receiving) {
         parser_->handleEof();
-        if (parser_->isDone() && isHeadAccepted_)
+        isDelimitedByClose_ = parser_->isDone() && isHeadAccepted_;
+        if (isDelimitedByClose_)
             return end(UpstreamEndKind::Complete, {});
     }
     if (error)
@@ -294,7 +295,7 @@
     pool_.keepIdle(shared_from_this());
     read();
     if (hooks.onEnd)
-        hooks.onEnd(UpstreamEnd{UpstreamEndKind::Complete, Verdict::Ran, {}});
+        hooks.onEnd(UpstreamEnd{});
 }
 
 Millis UpstreamConnection::idleTimeout() const
@@ -317,7 +318,8 @@
     if (state_ == State::Closed)
         return;
     const bool isComplete = kind == UpstreamEndKind::Complete;
-    const UpstreamEnd report{kind, isComplete ? Verdict::Ran : verdictSoFar(), std::move(reason)};
+    const UpstreamEnd report{kind, isComplete ? Verdict::Ran : verdictSoFar(), std::move(reason),
+                             isDelimitedByClose_};
     const UpstreamHooks hooks = std::move(hooks_);
     close();
     if (hooks.onEnd)
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -67,6 +67,7 @@
     std::size_t sent_ = 0;
     std::unique_ptr<HttpParser> parser_;
     bool isHeadAccepted_ = false;
+    bool isDelimitedByClose_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
     std::array<char, 16 * 1024> chunk_;
--- a/modules/quarantine/exchange/QuarantineExchange.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange.cpp
@@ -4,53 +4,47 @@
 #include "core/guards/Guards.h"
 #include "core/hash/StableHash.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace cuminrail {
 
 namespace {
 
-constexpr const char *storePrefix = "quarantine/";
-
-std::string storePath(const std::string &fingerprint)
-{
-    return storePrefix + fingerprint;
-}
-
-std::string storedValue(const Suspicion &suspicion)
+bool includesAll(const std::vector<UpstreamIncarnation> &all,
+                 const std::vector<UpstreamIncarnation> &wanted)
 {
-    return nlohmann::json{{"ended", suspicion.ended}}.dump();
+    return std::all_of(wanted.begin(), wanted.end(), [&](UpstreamIncarnation each) {
+        return std::find(all.begin(), all.end(), each) != all.end();
+    });
 }
 
-/** Returns nothing if the object was not written by this module. */
-std::optional<Suspicion> suspicionOf(const StoreObject &object)
+std::vector<UpstreamIncarnation> upstreamsOf(const Suspicion &suspicion)
 {
-    const std::string name = object.path.substr(std::string(storePrefix).size());
-    const auto fingerprint = RequestFingerprint::fromText(name);
-    const auto json = nlohmann::json::parse(object.value, nullptr, false);
-    const auto ended = json.is_object() ? json.find("ended") : json.end();
-    if (!fingerprint || ended == json.end() || !ended->is_array())
-        return std::nullopt;
-    Suspicion suspicion{*fingerprint, {}, SuspicionTable::retention};
-    for (const auto &incarnation : *ended) {
-        if (!incarnation.is_number_unsigned())
-            return std::nullopt;
-        suspicion.ended.push_back(incarnation.get<UpstreamIncarnation>());
-    }
-    return suspicion;
+    std::vector<UpstreamIncarnation> upstreams;
+    for (const UpstreamEnding &each : suspicion.endings)
+        upstreams.push_back(each.upstream);
+    return upstreams;
 }
 
 } // namespace
 
-QuarantineExchange::QuarantineExchange(Environment environment)
-    : environment_(std::move(environment))
+QuarantineExchange::QuarantineExchange(Environment environment, QuarantineOptions options)
+    : environment_(std::move(environment)), options_(options),
+      trials_(environment_.clock, owners_,
+              {[this](const PeerAddress &owner, const ContentFingerprint &content) {
+                   send(owner, TrialQuery{content});
+               },
+               [this](const PeerAddress &owner, const ContentFingerprint &content) {
+                   send(owner, TrialEnded{content});
+               }}),
+      store_(environment_.store, environment_.clock, environment_.random, environment_.events)
 {
-    const Millis now = environment_.clock.now();
-    const auto jitter = static_cast<std::uint64_t>(storeReadJitter.count());
-    storeReadAt_ = now + Millis(static_cast<std::int64_t>(environment_.random() % jitter));
+    store_.onRead = [this](const Quarantine &quarantine) { adopt(quarantine); };
+    store_.find = [this](const std::string &id) {
+        return quarantines_.find(id, environment_.clock.now());
+    };
 }
 
 void QuarantineExchange::setPeers(std::vector<OwnerCandidate> peers)
@@ -59,295 +53,299 @@
     owners_.setPeers(std::move(peers));
 }
 
-std::optional<Millis>
-QuarantineExchange::remainingQuarantine(const RequestFingerprint &fingerprint) const
+std::vector<PeerAddress> QuarantineExchange::ownersOf(const std::string &id) const
 {
-    if (level(fingerprint) != SuspicionLevel::Quarantined)
-        return std::nullopt;
-    return table_.find(fingerprint, environment_.clock.now())->remaining;
+    return owners_.ownersOf(StableHash().add(id).value(), ownersPerContent);
 }
 
-std::vector<PeerAddress> QuarantineExchange::ownersOf(const RequestFingerprint &fingerprint) const
+bool QuarantineExchange::isOwnerOf(const std::string &id) const
 {
-    return owners_.ownersOf(StableHash().add(fingerprint.text()).value(), ownersPerRequest);
+    const std::vector<PeerAddress> owners = ownersOf(id);
+    return owners.empty() || std::find(owners.begin(), owners.end(), "") != owners.end();
 }
 
-bool QuarantineExchange::isOwnerOf(const RequestFingerprint &fingerprint) const
+QuarantineDecision QuarantineExchange::decide(const RequestContents &contents)
 {
-    const std::vector<PeerAddress> owners = ownersOf(fingerprint);
-    return owners.empty() || std::find(owners.begin(), owners.end(), "") != owners.end();
+    if (!hasSuspects())
+        return QuarantineDecision::Send;
+    if (remainingQuarantine(contents))
+        return QuarantineDecision::Refuse;
+    const auto held = heldContent(contents);
+    if (!held)
+        return QuarantineDecision::Send;
+    // The caller's next attempt meets an instance that can ask for a trial.
+    if (isCutOff_)
+        return QuarantineDecision::Refuse;
+    if (!trials_.take(*held))
+        return QuarantineDecision::Wait;
+    ++stats_.trials;
+    log(events::contentTried, held->text());
+    return QuarantineDecision::SendAsTrial;
 }
 
-void QuarantineExchange::upstreamEnded(const RequestFingerprint &fingerprint,
-                                       UpstreamIncarnation incarnation)
+std::optional<ContentFingerprint>
+QuarantineExchange::heldContent(const RequestContents &contents) const
 {
-    ++stats_.ends;
+    if (!guardEnabled(Guard::PartHeld))
+        return std::nullopt;
     const Millis now = environment_.clock.now();
-    if (applySuspicion({fingerprint, {incarnation}, SuspicionTable::retention}))
-        pendingAnnouncements_.insert(fingerprint.text());
-    const auto suspicion = table_.find(fingerprint, now);
-    if (!suspicion || !guardEnabled(Guard::SuspicionReported))
-        return;
-    for (const PeerAddress &owner : ownersOf(fingerprint)) {
-        if (!owner.empty())
-            send(owner, SuspicionAnnouncement{true, {*suspicion}});
+    const std::size_t threshold = isCutOff_ ? 1 : options_.holdThreshold;
+    std::optional<ContentFingerprint> held;
+    std::size_t mostEndings = 0;
+    for (const ContentFingerprint &content : contents.all()) {
+        if (content.kind() == ContentKind::Request || !table_.isHeld(content, threshold, now))
+            continue;
+        const std::size_t endings = table_.endingCount(content, now);
+        if (endings > mostEndings || (endings == mostEndings && content < *held)) {
+            held = content;
+            mostEndings = endings;
+        }
     }
+    return held;
 }
 
-bool QuarantineExchange::applySuspicion(const Suspicion &suspicion)
+SuspicionLevel QuarantineExchange::level(const ContentFingerprint &content) const
 {
     const Millis now = environment_.clock.now();
-    const RequestFingerprint &fingerprint = suspicion.fingerprint;
-    if (!table_.add(suspicion, now))
-        return false;
-    const bool isQuarantined = level(fingerprint) == SuspicionLevel::Quarantined;
-    log(isQuarantined ? events::requestQuarantined : events::requestSuspected, fingerprint);
-    if (!isQuarantined)
-        return true;
-    ++stats_.quarantined;
-    if (isOwnerOf(fingerprint))
-        pendingWrites_.emplace(fingerprint.text(), PendingWrite());
-    return true;
+    return quarantines_.find(content.text(), now) ? SuspicionLevel::Quarantined
+                                                  : table_.level(content, now);
 }
 
-void QuarantineExchange::requestCompleted(const RequestFingerprint &fingerprint)
+bool QuarantineExchange::isSuspected(const RequestContents &contents) const
 {
-    if (!table_.recordCompletion(fingerprint, environment_.clock.now()))
-        return;
-    ++stats_.cleared;
-    clear(fingerprint);
-    for (const PeerAddress &peer : peers_.all())
-        send(peer, SuspicionCleared{fingerprint});
+    return hasSuspects() && level(contents.request()) >= SuspicionLevel::Suspected;
 }
 
-void QuarantineExchange::clear(const RequestFingerprint &fingerprint)
+std::optional<Millis> QuarantineExchange::remainingQuarantine(const RequestContents &contents) const
 {
-    log(events::suspicionCleared, fingerprint);
-    pendingAnnouncements_.erase(fingerprint.text());
-    pendingWrites_.erase(fingerprint.text());
-    if (isOwnerOf(fingerprint))
-        remove(fingerprint);
+    const auto quarantine = quarantines_.matching(contents, environment_.clock.now());
+    return quarantine ? std::optional<Millis>(quarantine->remaining) : std::nullopt;
 }
 
-void QuarantineExchange::storeRestored()
+void QuarantineExchange::upstreamEnded(const RequestContents &contents,
+                                       UpstreamIncarnation upstream, bool isTrial)
 {
+    ++stats_.ends;
     const Millis now = environment_.clock.now();
-    const auto jitter = static_cast<std::uint64_t>(storeReadJitter.count());
-    for (const RequestFingerprint &fingerprint : table_.quarantined(now)) {
-        if (!isOwnerOf(fingerprint))
-            continue;
-        PendingWrite write;
-        write.nextAt = now + Millis(static_cast<std::int64_t>(environment_.random() % jitter));
-        pendingWrites_.insert_or_assign(fingerprint.text(), write);
+    for (const ContentFingerprint &content : contents.all()) {
+        const Suspicion seen{
+            content, {{upstream, Millis(), isTrial}}, table_.wasAnswered(content, now)};
+        if (applySuspicion(seen))
+            pendingAnnouncements_.insert(content);
+        pendingReports_.insert(content);
     }
+    if (isTrial)
+        trials_.finish(contents);
+    if (isTrial || !guardEnabled(Guard::PartTried))
+        judge(contents);
+    flush(now);
 }
 
-bool QuarantineExchange::handleFrame(const PeerAddress &from, const std::string &frame)
-{
-    const auto message = decodeQuarantineMessage(frame);
-    if (!message)
-        return false;
-    std::visit([&](const auto &each) { handle(from, each); }, *message);
-    return true;
-}
-
-void QuarantineExchange::handle(const PeerAddress &from, const SuspicionAnnouncement &announcement)
+bool QuarantineExchange::applySuspicion(const Suspicion &suspicion)
 {
     const Millis now = environment_.clock.now();
-    if (announcement.isReport && announcement.suspicions.empty())
-        return sendQuarantined(from);
-    if (!announcement.isReport && !queriedReader_.empty() && from == queriedReader_
-        && announcement.suspicions.size() < suspicionsPerRound)
-        isStoreRead_ = true;
-    for (const Suspicion &suspicion : announcement.suspicions) {
-        if (table_.hasCompletedRecently(suspicion.fingerprint, now)) {
-            // The request completed here recently, and the sender does not know that yet.
-            if (suspicion.ended.size() >= SuspicionTable::suspectedThreshold)
-                send(from, SuspicionCleared{suspicion.fingerprint});
-        } else if (announcement.isReport) {
-            handleReport(from, suspicion);
-        } else {
-            applySuspicion(suspicion);
-        }
+    const ContentFingerprint &content = suspicion.content;
+    const bool wasSuspected = table_.level(content, now) == SuspicionLevel::Suspected;
+    if (!table_.add(suspicion, now)) {
+        // Here one ending is enough for a content to be held.
+        if (isCutOff_)
+            notifyRestricted();
+        return false;
     }
+    if (!wasSuspected)
+        log(events::requestSuspected, content.text());
+    const auto known = table_.find(content, now);
+    if (content.kind() == ContentKind::Request && known->endings.size() >= requestThreshold)
+        adopt({{content}, upstreamsOf(*known), {}, QuarantineTable::retention});
+    else
+        notifyRestricted();
+    return true;
 }
 
-void QuarantineExchange::handleReport(const PeerAddress &from, const Suspicion &suspicion)
+void QuarantineExchange::judge(const RequestContents &contents)
 {
-    if (applySuspicion(suspicion)) {
-        pendingAnnouncements_.insert(suspicion.fingerprint.text());
+    Quarantine quarantine{mostSuspected(contents), {}, {}, QuarantineTable::retention};
+    if (quarantine.contents.empty())
         return;
-    }
-    // The reporting instance may not know yet that the request is already suspected.
-    const auto known = table_.find(suspicion.fingerprint, environment_.clock.now());
-    if (known && known->ended.size() > suspicion.ended.size())
-        send(from, SuspicionAnnouncement{false, {*known}});
-}
-
-void QuarantineExchange::handle(const PeerAddress &, const SuspicionCleared &cleared)
-{
-    if (table_.recordCompletion(cleared.fingerprint, environment_.clock.now()))
-        clear(cleared.fingerprint);
+    const Millis now = environment_.clock.now();
+    quarantine.ended = upstreamsOf(*table_.find(quarantine.contents.front(), now));
+    adopt(quarantine);
+    sendAll(QuarantineAnnouncement{{quarantine}, false});
 }
 
-void QuarantineExchange::tick()
+std::vector<ContentFingerprint>
+QuarantineExchange::mostSuspected(const RequestContents &contents) const
 {
     const Millis now = environment_.clock.now();
-    announce(now);
-    if (now >= antiEntropyAt_) {
-        antiEntropyAt_ = now + antiEntropyInterval;
-        sendAntiEntropy();
-    }
-    if (!isStoreRead_ && !isStoreReadInFlight_ && now >= storeReadAt_)
-        readQuarantined(now);
-    writeStore(now);
-    if (now < expireAt_)
-        return;
-    expireAt_ = now + expireInterval;
-    for (const RequestFingerprint &fingerprint : table_.expire(now)) {
-        if (isOwnerOf(fingerprint))
-            remove(fingerprint);
+    std::vector<ContentFingerprint> most;
+    // An unanswered content goes before an answered one, then more endings before fewer.
+    std::pair<bool, std::size_t> mostRank{};
+    for (const ContentFingerprint &content : contents.all()) {
+        const auto suspicion = table_.find(content, now);
+        if (content.kind() == ContentKind::Request || !suspicion
+            || !isProvenByTrial(*suspicion, contents))
+            continue;
+        const std::pair<bool, std::size_t> rank{!suspicion->wasAnswered, suspicion->endings.size()};
+        if (rank > mostRank)
+            most.clear();
+        if (rank >= mostRank)
+            most.push_back(content);
+        mostRank = std::max(mostRank, rank);
     }
+    std::sort(most.begin(), most.end());
+    if (most.size() > Quarantine::maxContents)
+        most.resize(Quarantine::maxContents, most.front());
+    return most;
 }
 
-void QuarantineExchange::announce(Millis now)
+bool QuarantineExchange::isProvenByTrial(const Suspicion &suspicion,
+                                         const RequestContents &contents) const
 {
-    if (pendingAnnouncements_.empty() || now < announceAt_)
-        return;
-    announceAt_ = now + announceDelay;
-    SuspicionAnnouncement announcement;
-    while (!pendingAnnouncements_.empty() && announcement.suspicions.size() < suspicionsPerRound) {
-        const auto fingerprint = RequestFingerprint::fromText(*pendingAnnouncements_.begin());
-        pendingAnnouncements_.erase(pendingAnnouncements_.begin());
-        if (auto suspicion = table_.find(*fingerprint, now))
-            announcement.suspicions.push_back(std::move(*suspicion));
-    }
-    if (!guardEnabled(Guard::SuspicionAnnounced))
-        return;
-    for (const PeerAddress &peer : peers_.all())
-        send(peer, announcement);
+    if (suspicion.endings.size() < partThreshold)
+        return false;
+    if (!guardEnabled(Guard::PartTried))
+        return true;
+    const std::size_t rivalEndings = table_.mostEndings(contents.all());
+    if (rivalEndings > suspicion.endings.size())
+        return false;
+    const bool isDoubtful = suspicion.wasAnswered || countMoments(suspicion) < partThreshold
+        || rivalEndings == suspicion.endings.size()
+        || table_.hasOtherEnding(suspicion, Millis(0), doubtWindow, environment_.clock.now());
+    return countTrials(suspicion) >= (isDoubtful ? 2 : 1);
 }
 
-void QuarantineExchange::sendAntiEntropy()
+std::ptrdiff_t QuarantineExchange::countTrials(const Suspicion &suspicion) const
 {
-    if (!table_.hasSuspects() || !guardEnabled(Guard::SuspicionToldAgain))
-        return;
-    if (const auto peer = peers_.anyLinked(environment_.random))
-        send(*peer,
-             SuspicionAnnouncement{
-                 false, table_.nextSuspects(suspicionsPerRound, environment_.clock.now())});
+    const Millis now = environment_.clock.now();
+    return std::count_if(suspicion.endings.begin(), suspicion.endings.end(),
+                         [&](const UpstreamEnding &each) {
+                             return each.isTrial
+                                 && !table_.hasOtherEnding(suspicion, each.age - simultaneousSpan,
+                                                           each.age + simultaneousSpan, now);
+                         });
 }
 
-void QuarantineExchange::readQuarantined(Millis now)
+std::size_t QuarantineExchange::countMoments(const Suspicion &suspicion)
 {
-    if (readers_.empty() || peerQueries_ >= maxPeerQueries)
-        return readStore(now);
-    queriedReader_ = readers_[static_cast<std::size_t>(peerQueries_++) % readers_.size()];
-    storeReadAt_ = now + peerQueryInterval;
-    send(queriedReader_, SuspicionAnnouncement{true, {}});
+    std::vector<Millis> ages;
+    for (const UpstreamEnding &each : suspicion.endings)
+        ages.push_back(each.age);
+    std::sort(ages.begin(), ages.end());
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < ages.size(); ++i)
+        count += i == 0 || ages[i] - ages[i - 1] > simultaneousSpan ? 1 : 0;
+    return count;
 }
 
-void QuarantineExchange::sendQuarantined(const PeerAddress &to)
+bool QuarantineExchange::settleWithOthers(const Quarantine &quarantine, Millis now)
 {
-    if (!isStoreRead_)
-        return;
-    const Millis now = environment_.clock.now();
-    SuspicionAnnouncement announcement{false, {}};
-    for (const RequestFingerprint &fingerprint : table_.quarantined(now)) {
-        announcement.suspicions.push_back(*table_.find(fingerprint, now));
-        if (announcement.suspicions.size() < suspicionsPerRound)
+    const std::string id = quarantine.id();
+    bool isContradicted = false;
+    for (const Quarantine &other : quarantines_.all(now)) {
+        if (other.id() == id || !includesAll(quarantine.ended, other.ended))
             continue;
-        send(to, announcement);
-        announcement.suspicions.clear();
+        // Two trials that met at one upstream: one of them is innocent.
+        const bool isOfRequest = other.contents.front().kind() == ContentKind::Request;
+        isContradicted =
+            isContradicted || (!isOfRequest && other.ended.size() == quarantine.ended.size());
+        if (quarantines_.drop(other.id(), now) && isOwnerOf(other.id()))
+            store_.remove(other.id());
     }
-    // The last one is sent even if it is empty: it shows that there are no more.
-    send(to, announcement);
+    if (isContradicted)
+        quarantines_.drop(id, now);
+    return !isContradicted;
 }
 
-void QuarantineExchange::readStore(Millis now)
+bool QuarantineExchange::adopt(const Quarantine &quarantine)
 {
-    isStoreReadInFlight_ = true;
-    storeReadAt_ = now + storeReadRetryDelay_;
-    storeReadRetryDelay_ = std::min(storeReadRetryDelay_ * 2, maxRetryDelay);
-    environment_.store.list(storePrefix,
-                            [this](const StoreReply &reply) { handleStoreRead(reply); });
+    const Millis now = environment_.clock.now();
+    if (!quarantines_.add(quarantine, now))
+        return false;
+    ++stats_.quarantined;
+    const std::string id = quarantine.id();
+    log(events::requestQuarantined, id);
+    if (!settleWithOthers(quarantine, now))
+        return false;
+    table_.explain(quarantine.contents, quarantine.ended);
+    if (isOwnerOf(id))
+        store_.write(id);
+    notifyRestricted();
+    return true;
 }
 
-void QuarantineExchange::handleStoreRead(const StoreReply &reply)
+void QuarantineExchange::requestAnswered(const RequestContents &contents, Millis beganAt)
 {
-    isStoreReadInFlight_ = false;
-    if (reply.status != StoreStatus::Ok)
-        return;
-    isStoreRead_ = true;
-    if (!guardEnabled(Guard::QuarantineReadAtStart))
-        return;
-    for (const StoreObject &object : reply.objects) {
-        const auto suspicion = suspicionOf(object);
-        if (!suspicion) {
-            environment_.events(Event{&events::quarantineEntryRefused, {{"object", object.path}}});
+    const Millis now = environment_.clock.now();
+    for (const ContentFingerprint &content : contents.all()) {
+        const bool wasSuspected =
+            table_.level(content, now) >= SuspicionLevel::Suspected || quarantines_.names(content);
+        std::vector<UpstreamIncarnation> voided = table_.recordAnswer(content, beganAt, now);
+        for (const UpstreamIncarnation upstream : quarantines_.endedBefore(content, beganAt)) {
+            if (std::find(voided.begin(), voided.end(), upstream) == voided.end())
+                voided.push_back(upstream);
+        }
+        if (voided.empty())
             continue;
+        voided.resize(std::min(voided.size(), QuarantineMessageLimits::upstreams));
+        const SuspicionCleared cleared{content, voided};
+        if (wasSuspected) {
+            ++stats_.cleared;
+            clear(content, voided);
+            sendAll(cleared);
+            continue;
+        }
+        for (const PeerAddress &owner : ownersOf(content.text())) {
+            if (!owner.empty())
+                send(owner, cleared);
         }
-        applySuspicion(*suspicion);
-        pendingWrites_.erase(suspicion->fingerprint.text());
     }
 }
 
-void QuarantineExchange::writeStore(Millis now)
+void QuarantineExchange::clear(const ContentFingerprint &content,
+                               const std::vector<UpstreamIncarnation> &upstreams)
 {
-    std::vector<std::string> due;
-    for (const auto &[text, pending] : pendingWrites_) {
-        if (!pending.isInFlight && now >= pending.nextAt)
-            due.push_back(text);
-    }
-    for (const std::string &text : due) {
-        const auto suspicion = table_.find(*RequestFingerprint::fromText(text), now);
-        if (!suspicion) {
-            pendingWrites_.erase(text);
-            continue;
-        }
-        pendingWrites_[text].isInFlight = true;
-        environment_.store.put(
-            StorePut{storePath(text), storedValue(*suspicion), 0},
-            [this, text](const StoreReply &reply) { handleStoreWrite(text, reply.status); });
+    const Millis now = environment_.clock.now();
+    log(events::suspicionCleared, content.text());
+    for (const QuarantineTable::Change &change : quarantines_.clear(content, upstreams, now)) {
+        if (isOwnerOf(change.oldId))
+            store_.remove(change.oldId);
+        else
+            store_.cancelWrite(change.oldId);
+        if (!change.newId.empty() && isOwnerOf(change.newId))
+            store_.write(change.newId);
     }
 }
 
-void QuarantineExchange::handleStoreWrite(const std::string &fingerprint, StoreStatus status)
+bool QuarantineExchange::lift(const std::string &id)
 {
-    const auto entry = pendingWrites_.find(fingerprint);
-    if (entry == pendingWrites_.end())
-        return;
-    // On a conflict another owner wrote it, or this one did and missed the reply.
-    if (status == StoreStatus::Ok || status == StoreStatus::Conflict) {
-        pendingWrites_.erase(entry);
-        return;
-    }
-    PendingWrite &pending = entry->second;
-    pending.isInFlight = false;
-    pending.nextAt = environment_.clock.now() + pending.retryDelay;
-    pending.retryDelay = std::min(pending.retryDelay * 2, maxRetryDelay);
+    const auto quarantine = quarantines_.find(id, environment_.clock.now());
+    if (!quarantine)
+        return false;
+    const QuarantineLifted lifted{id, quarantine->contents, quarantine->ended};
+    handle({}, lifted);
+    store_.remove(id);
+    sendAll(lifted);
+    return true;
 }
 
-void QuarantineExchange::remove(const RequestFingerprint &fingerprint)
+void QuarantineExchange::storeRestored()
 {
-    environment_.store.remove(storePath(fingerprint.text()), std::nullopt,
-                              [this, fingerprint](const StoreReply &reply) {
-                                  const bool isRemoved = reply.status == StoreStatus::Ok
-                                      || reply.status == StoreStatus::NotFound;
-                                  if (!isRemoved)
-                                      log(events::quarantineNotRemoved, fingerprint);
-                              });
+    for (const Quarantine &quarantine : quarantines()) {
+        const std::string id = quarantine.id();
+        if (isOwnerOf(id))
+            store_.writeAgain(id);
+    }
 }
 
-void QuarantineExchange::send(const PeerAddress &to, const QuarantineMessage &message)
+void QuarantineExchange::notifyRestricted() const
 {
-    ++stats_.framesSent;
-    environment_.transport.send(to, encodeQuarantineMessage(message));
+    if (onRestricted)
+        onRestricted();
 }
 
-void QuarantineExchange::log(const EventKind &kind, const RequestFingerprint &fingerprint) const
+void QuarantineExchange::log(const EventKind &kind, const std::string &content) const
 {
-    environment_.events(Event{&kind, {{"content", fingerprint.text()}}});
+    environment_.events(Event{&kind, {{"content", content}}});
 }
 
 } // namespace cuminrail
--- a/modules/quarantine/exchange/QuarantineExchange.h
+++ b/modules/quarantine/exchange/QuarantineExchange.h
@@ -6,11 +6,12 @@
 #include "keepers/directory/PeerDirectory.h"
 #include "keepers/ranking/OwnerRanking.h"
 #include "ports/store/ObjectStore.h"
+#include "quarantine/exchange/QuarantineStore.h"
 #include "quarantine/messages/QuarantineMessages.h"
 #include "quarantine/table/SuspicionTable.h"
+#include "quarantine/trials/TrialLane.h"
 
 #include <functional>
-#include <map>
 #include <set>
 #include <vector>
 
@@ -21,47 +22,80 @@
 {
     /** Upstreams that ended under requests of this instance, counted once for each request. */
     std::uint64_t ends = 0;
-    /** Requests whose quarantine this instance saw begin. */
+    /** Quarantines that this instance saw begin. */
     std::uint64_t quarantined = 0;
-    /** Suspected requests that then completed at this instance. */
+    /** Suspected contents for which endings were voided by a response at this instance. */
     std::uint64_t cleared = 0;
+    /** Requests that this instance sent as trials. */
+    std::uint64_t trials = 0;
     std::uint64_t framesSent = 0;
 };
 
+/** Whether a request may be sent. */
+enum class QuarantineDecision : std::uint8_t {
+    Send,
+    /** It is the one that may be sent; its outcome decides over those that wait. */
+    SendAsTrial,
+    /** Another request with its content is being tried: ask again in a moment. */
+    Wait,
+    Refuse,
+};
+
+inline constexpr NameTable<QuarantineDecision, 4> quarantineDecisionNames{{{
+    {QuarantineDecision::Send, "send"},
+    {QuarantineDecision::SendAsTrial, "send-as-trial"},
+    {QuarantineDecision::Wait, "wait"},
+    {QuarantineDecision::Refuse, "refuse"},
+}}};
+
+struct QuarantineOptions
+{
+    /** Endings from which on a part is held that was not answered recently. */
+    std::size_t holdThreshold = SuspicionTable::suspectedThreshold;
+};
+
 /**
-    One instance's part in detecting requests that end the upstreams that run them.
+    One instance's part in detecting what ends the upstreams that run it: whole requests, and parts
+    that the prompts of many requests share.
 
-    Expected load: one request sent again under new identities to any of hundreds of instances, each
-    of which sees one end at most; and engines that fail for other reasons with dozens of requests
-    running.
+    Expected load: requests that are no two alike but for one part, several a second at any of
+    hundreds of instances, each of which sees one ending at most; and engines that fail for other
+    reasons with dozens of requests running.
 
-    A starting instance sends a report without suspicions to one that reads the store for its group,
-    and is sent those known there; without a reply it reads the store itself.
+    An instance that sees an upstream end under a request reports the request's contents to their
+    first three owners. An owner announces a content to all instances from the second ending on.
+    Requests with such a part are then held: one at a time is tried, with the owner's permission.
+    The instance whose trial ends its upstream announces a quarantine, which the quarantine's owners
+   write to the store. A complete response that began after an ending voids it. Each instance
+   repeats some of its suspicions and quarantines to one other instance every second (anti-entropy),
+   which repairs lost frames and updates instances that were unreachable.
 
-    An instance that sees an upstream end under a request reports it to the first three owners of
-    the request's fingerprint. An owner at which the request thereby becomes suspected announces it
-    to all instances. It also writes quarantined requests to the store, from which starting
-    instances read them. Each instance sends some of its suspicions to one other instance every
-    second (anti-entropy), which repairs lost frames and updates instances that were unreachable.
+    A starting instance asks another one at once for what is in force, and then one that reads the
+    store for its group; it reads the store itself without a reply.
 
     Not thread-safe: used from one thread. No call blocks.
 */
 class QuarantineExchange
 {
 public:
-    static constexpr std::size_t ownersPerRequest = 3;
+    static constexpr std::size_t ownersPerContent = 3;
+    /** Endings after which a whole request is refused. */
+    static constexpr std::size_t requestThreshold = 3;
+    /** Endings, the last one under a trial, after which a part is refused. */
+    static constexpr std::size_t partThreshold = 3;
     static constexpr Millis antiEntropyInterval = Millis(1000);
     static constexpr std::size_t suspicionsPerRound = 32;
-    /** Announcements are collected for this long and sent together. */
-    static constexpr Millis announceDelay = Millis(20);
-    /** Instances that start together spread their reads of the store over this time. */
-    static constexpr Millis storeReadJitter = Millis(1000);
-    static constexpr Millis initialRetryDelay = Millis(1000);
-    static constexpr Millis maxRetryDelay = Millis::seconds(16);
+    /** Announcements and reports are collected for this long and sent together. */
+    static constexpr Millis announceDelay = Millis(10);
     static constexpr Millis expireInterval = Millis::seconds(60);
+    /** An upstream that ends within this time of a trial makes the trial doubtful. */
+    static constexpr Millis doubtWindow = Millis::seconds(2);
     /** A starting instance asks others so often before it reads the store, with these pauses. */
     static constexpr int maxPeerQueries = 6;
     static constexpr Millis peerQueryInterval = Millis(500);
+    static constexpr Millis briefingInterval = Millis(100);
+    /** A failure domain that is lost takes its upstreams away within this time. */
+    static constexpr Millis simultaneousSpan = Millis(50);
 
     struct Environment
     {
@@ -72,7 +106,10 @@
         EventSink events;
     };
 
-    explicit QuarantineExchange(Environment environment);
+    explicit QuarantineExchange(Environment environment, QuarantineOptions options = {});
+
+    /** Called when contents became held or refused. Optional. */
+    std::function<void()> onRestricted;
 
     /** All instances, this one first, each other one with the address on which it accepts links. */
     void setPeers(std::vector<OwnerCandidate> peers);
@@ -85,21 +122,32 @@
         peers_.isLinked = std::move(isLinked);
     }
 
-    SuspicionLevel level(const RequestFingerprint &fingerprint) const
+    /** Returns whether a request may be sent now. */
+    QuarantineDecision decide(const RequestContents &contents);
+    /** Returns whether the request waits for a trial of another one. */
+    bool isHeld(const RequestContents &contents) const { return heldContent(contents).has_value(); }
+    SuspicionLevel level(const ContentFingerprint &content) const;
+    /** Whether upstreams ended under the request's contents, so that it is not to be retried. */
+    bool isSuspected(const RequestContents &contents) const;
+    /** Returns the remaining quarantine of a request; nothing if it may run. */
+    std::optional<Millis> remainingQuarantine(const RequestContents &contents) const;
+    /** Whether anything is suspected; if not, no fingerprint needs to be computed. */
+    bool hasSuspects() const
     {
-        return table_.level(fingerprint, environment_.clock.now());
+        return table_.hasSuspects() || !quarantines_.isEmpty() || (isCutOff_ && !table_.isEmpty());
     }
-    /** Returns the remaining quarantine of a request; nothing if it may run. */
-    std::optional<Millis> remainingQuarantine(const RequestFingerprint &fingerprint) const;
-    /** Whether any request is suspected; if none is, no fingerprint needs to be computed. */
-    bool hasSuspects() const { return table_.hasSuspects(); }
-
-    /** An upstream ended while it ran the request. */
-    void upstreamEnded(const RequestFingerprint &fingerprint, UpstreamIncarnation incarnation);
-    /** An upstream sent the complete response and is therefore still running. */
-    void requestCompleted(const RequestFingerprint &fingerprint);
 
-    /** The store came back from a copy: owners write quarantined requests again. */
+    /** An upstream ended while it had the request. */
+    void upstreamEnded(const RequestContents &contents, UpstreamIncarnation upstream,
+                       bool isTrial = false);
+    /** The request got a complete, successful response that began at this time. */
+    void requestAnswered(const RequestContents &contents, Millis beganAt);
+    /** A request that may be sent as a trial is over, or its outcome is known. */
+    void trialEnded(const RequestContents &contents) { trials_.finish(contents); }
+    /** Ends a quarantine at all instances; returns false if it is not known here. */
+    bool lift(const std::string &id);
+
+    /** The store came back from a copy: owners write quarantines again. */
     void storeRestored();
 
     /** Handles a frame from another instance. Returns false if it is not a quarantine message. */
@@ -109,54 +157,82 @@
 
     const QuarantineStats &stats() const { return stats_; }
     const SuspicionTable &table() const { return table_; }
-
-private:
-    /** A write to the store that is retried until it succeeds. */
-    struct PendingWrite
+    std::vector<Quarantine> quarantines() const
     {
-        Millis nextAt;
-        Millis retryDelay = initialRetryDelay;
-        bool isInFlight = false;
-    };
+        return quarantines_.all(environment_.clock.now());
+    }
 
+private:
     void handle(const PeerAddress &from, const SuspicionAnnouncement &announcement);
     void handle(const PeerAddress &from, const SuspicionCleared &cleared);
-    /** Merges a suspicion into the table. Returns true if the request's level rose. */
+    void handle(const PeerAddress &from, const QuarantineAnnouncement &announcement);
+    void handle(const PeerAddress &from, const QuarantineLifted &lifted);
+    void handle(const PeerAddress &from, const QuarantineQuery &query);
+    void handle(const PeerAddress &from, const TrialQuery &query);
+    void handle(const PeerAddress &from, const TrialReply &reply);
+    void handle(const PeerAddress &from, const TrialEnded &ended);
+    /** Merges a suspicion into the table. Returns true if others are to be told. */
     bool applySuspicion(const Suspicion &suspicion);
     void handleReport(const PeerAddress &from, const Suspicion &suspicion);
-    void clear(const RequestFingerprint &fingerprint);
-    bool isOwnerOf(const RequestFingerprint &fingerprint) const;
-    std::vector<PeerAddress> ownersOf(const RequestFingerprint &fingerprint) const;
-    void announce(Millis now);
+    /** Reaches a quarantine if the endings under a request that was tried suffice. */
+    void judge(const RequestContents &contents);
+    /** Returns the contents of a tried request that most endings speak against. */
+    std::vector<ContentFingerprint> mostSuspected(const RequestContents &contents) const;
+    bool isProvenByTrial(const Suspicion &suspicion, const RequestContents &contents) const;
+    /** Returns the number of trials in which no other upstream ended at the same moment. */
+    std::ptrdiff_t countTrials(const Suspicion &suspicion) const;
+    /** Returns the number of endings, where those at the same moment count as one. */
+    static std::size_t countMoments(const Suspicion &suspicion);
+    /**
+        Drops quarantines whose endings a new one explains. Returns false if it contradicts another
+       one, and drops both: their contents are tried again.
+    */
+    bool settleWithOthers(const Quarantine &quarantine, Millis now);
+    /** Puts a quarantine in force; returns false if it tells nothing new. */
+    bool adopt(const Quarantine &quarantine);
+    void clear(const ContentFingerprint &content,
+               const std::vector<UpstreamIncarnation> &upstreams);
+    /** Returns the part by which a request is held; the same one for all requests with it. */
+    std::optional<ContentFingerprint> heldContent(const RequestContents &contents) const;
+    std::vector<PeerAddress> ownersOf(const std::string &id) const;
+    bool isOwnerOf(const std::string &id) const;
+    void flush(Millis now);
+    void sendReports(Millis now);
+    void sendAnnouncements(Millis now);
+    void updateReach();
     void sendAntiEntropy();
-    /** Learns what was quarantined before the start, from a reader or from the store. */
-    void readQuarantined(Millis now);
-    void readStore(Millis now);
-    void sendQuarantined(const PeerAddress &to);
-    void handleStoreRead(const StoreReply &reply);
-    void writeStore(Millis now);
-    void handleStoreWrite(const std::string &fingerprint, StoreStatus status);
-    void remove(const RequestFingerprint &fingerprint);
+    /** Learns the quarantines from before the start, from a reader or from the store. */
+    void readQuarantines(Millis now);
+    void askForBriefing(Millis now);
+    void sendQuarantines(const PeerAddress &to);
+    void sendAll(const QuarantineMessage &message);
     void send(const PeerAddress &to, const QuarantineMessage &message);
-    void log(const EventKind &kind, const RequestFingerprint &fingerprint) const;
+    void log(const EventKind &kind, const std::string &content) const;
+    void notifyRestricted() const;
 
     Environment environment_;
+    QuarantineOptions options_;
     SuspicionTable table_;
+    QuarantineTable quarantines_;
     OwnerRanking owners_;
+    TrialLane trials_;
+    QuarantineStore store_;
     PeerDirectory peers_;
-    std::set<std::string> pendingAnnouncements_;
-    std::map<std::string, PendingWrite> pendingWrites_;
-    Millis announceAt_;
+    /** There are other instances, and no link to any of them is ready. */
+    bool isCutOff_ = false;
+    std::set<ContentFingerprint> pendingAnnouncements_;
+    std::set<ContentFingerprint> pendingReports_;
+    Millis flushAt_;
     Millis antiEntropyAt_;
     Millis expireAt_;
-    Millis storeReadAt_;
-    Millis storeReadRetryDelay_ = initialRetryDelay;
-    bool isStoreReadInFlight_ = false;
-    /** What was quarantined before the start is known, from the store or from a reader. */
-    bool isStoreRead_ = false;
     std::vector<PeerAddress> readers_;
     int peerQueries_ = 0;
+    Millis nextPeerQueryAt_;
     PeerAddress queriedReader_;
+    /** Another instance has sent its quarantines, or cannot be asked. */
+    bool isBriefed_ = false;
+    Millis nextBriefingAt_;
+    std::size_t nextQuarantine_ = 0;
     QuarantineStats stats_;
 };
 
--- a/modules/quarantine/exchange/QuarantineExchange_test.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange_test.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-RequestFingerprint fingerprintOf(const std::string &what)
+ContentFingerprint fingerprintOf(const std::string &what)
 {
-    return RequestFingerprint::of("north", "/safe/" + what, "body");
+    return ContentFingerprint::ofRequest("north", "/safe/" + what, "body");
 }
 
-const RequestFingerprint fatal = fingerprintOf("fatal");
+const ContentFingerprint fatal = fingerprintOf("fatal");
 
 /** Sends traffic for a while: one fatal request a second to a random instance, and others. */
 void sendTraffic(QuarantineCluster &cluster, int seconds)
@@ -111,7 +111,7 @@
                 row.fault(cluster);
                 sendTraffic(cluster, 25);
                 CHECK(cluster.lateSends <= 3);
-                CHECK(cluster.endsUnder(fatal) >= SuspicionTable::quarantinedThreshold);
+                CHECK(cluster.endsUnder(fatal) >= QuarantineExchange::requestThreshold);
                 CHECK(cluster.refused > 0);
             }
         }
@@ -123,7 +123,7 @@
 {
     const auto quarantine = [](QuarantineCluster &cluster) {
         for (UpstreamIncarnation incarnation = 1;
-             incarnation <= SuspicionTable::quarantinedThreshold; ++incarnation)
+             incarnation <= QuarantineExchange::requestThreshold; ++incarnation)
             cluster.at(1).upstreamEnded(fatal, incarnation);
         cluster.advance(Millis(100));
     };
@@ -138,7 +138,7 @@
     QuarantineCluster killed(6, 12, 1);
     quarantine(killed);
     killAll(killed);
-    killed.advance(QuarantineExchange::storeReadJitter);
+    killed.advance(QuarantineStore::jitter);
     for (int i = 0; i < killed.count(); ++i)
         CHECK(killed.at(i).level(fatal) == SuspicionLevel::Quarantined);
 }
@@ -174,7 +174,7 @@
                 cluster.endEngine(*engine);
         }
         cluster.advance(Millis(1000));
-        CHECK(cluster.endsUnder(popular) >= SuspicionTable::quarantinedThreshold);
+        CHECK(cluster.endsUnder(popular) >= QuarantineExchange::requestThreshold);
         CHECK(cluster.refused == 0);
         CHECK(cluster.store.empty());
     }
@@ -186,7 +186,7 @@
     QuarantineCluster cluster(6, 12, 1);
     // Still running when the request is quarantined.
     cluster.request(0, fatal, false);
-    for (UpstreamIncarnation incarnation = 1; incarnation <= SuspicionTable::quarantinedThreshold;
+    for (UpstreamIncarnation incarnation = 1; incarnation <= QuarantineExchange::requestThreshold;
          ++incarnation)
         cluster.at(1).upstreamEnded(fatal, incarnation);
     cluster.advance(Millis(30));
@@ -203,7 +203,7 @@
 TEST_CASE("a quarantine that the store lost is written again by its owners")
 {
     QuarantineCluster cluster(6, 12, 1);
-    for (UpstreamIncarnation incarnation = 1; incarnation <= SuspicionTable::quarantinedThreshold;
+    for (UpstreamIncarnation incarnation = 1; incarnation <= QuarantineExchange::requestThreshold;
          ++incarnation)
         cluster.at(1).upstreamEnded(fatal, incarnation);
     cluster.advance(Millis(200));
@@ -211,7 +211,7 @@
     cluster.store.clear();
     for (int i = 0; i < cluster.count(); ++i)
         cluster.at(i).storeRestored();
-    cluster.advance(QuarantineExchange::storeReadJitter + Millis(200));
+    cluster.advance(QuarantineStore::jitter + Millis(200));
     CHECK(cluster.store.size() == 1);
 }
 
@@ -219,13 +219,13 @@
 TEST_CASE("a quarantine expires, and reports its remaining time until then")
 {
     QuarantineCluster cluster(1, 12, 1);
-    for (UpstreamIncarnation incarnation = 1; incarnation <= SuspicionTable::quarantinedThreshold;
+    for (UpstreamIncarnation incarnation = 1; incarnation <= QuarantineExchange::requestThreshold;
          ++incarnation)
         cluster.at(0).upstreamEnded(fatal, incarnation);
     cluster.advance(Millis(100));
-    CHECK(cluster.at(0).remainingQuarantine(fatal) == SuspicionTable::retention - Millis(100));
+    CHECK(cluster.at(0).remainingQuarantine(fatal) == QuarantineTable::retention - Millis(100));
     CHECK(cluster.store.size() == 1);
-    cluster.now = cluster.now + SuspicionTable::retention;
+    cluster.now = cluster.now + QuarantineTable::retention;
     CHECK_FALSE(cluster.at(0).remainingQuarantine(fatal));
     cluster.advance(QuarantineExchange::expireInterval);
     CHECK(cluster.store.empty());
@@ -235,7 +235,7 @@
 TEST_CASE("malformed entries of the store are skipped")
 {
     QuarantineCluster cluster(1, 12, 1);
-    for (UpstreamIncarnation incarnation = 1; incarnation <= SuspicionTable::quarantinedThreshold;
+    for (UpstreamIncarnation incarnation = 1; incarnation <= QuarantineExchange::requestThreshold;
          ++incarnation)
         cluster.at(0).upstreamEnded(fatal, incarnation);
     cluster.advance(Millis(100));
@@ -246,5 +246,5 @@
     killAll(cluster);
     cluster.advance(Millis(1500));
     CHECK(cluster.at(0).remainingQuarantine(fatal));
-    CHECK(cluster.at(0).table().suspectCount() == 1);
+    CHECK(cluster.at(0).quarantines().size() == 1);
 }
--- a/modules/quarantine/quarantine.h
+++ b/modules/quarantine/quarantine.h
@@ -1,16 +1,18 @@
 #pragma once
 
 /**
-    Quarantine of requests that make the upstreams that run them crash.
+    Quarantine of what makes the upstreams that run it crash: whole requests, and parts that the
+    prompts of many requests share.
 
-    A request is recognized by its content, whoever sends it and at whichever instance it arrives.
-    Instances announce to each other under which requests upstreams ended; quarantined requests are
-    persisted in the store.
+    Both are recognized by their content, whoever sends it and at whichever instance it arrives.
+    Instances announce to each other under which contents upstreams ended; quarantines are persisted
+   in the store.
 
     Depends on core, ports, identity (hashes), keepers, membership (bounds and encoding of frames).
 */
 
 #include "quarantine/exchange/QuarantineExchange.h"
-#include "quarantine/fingerprint/RequestFingerprint.h"
+#include "quarantine/fingerprint/RequestContents.h"
 #include "quarantine/messages/QuarantineMessages.h"
+#include "quarantine/table/QuarantineTable.h"
 #include "quarantine/table/SuspicionTable.h"
--- a/modules/quarantine/testing/QuarantineCluster.h
+++ b/modules/quarantine/testing/QuarantineCluster.h
@@ -12,19 +12,59 @@
 
 namespace cuminrail::testing {
 
+/** Returns the contents of a request whose prompt has these parts, and one more of its own. */
+inline RequestContents promptContents(const std::string &customer,
+                                      const std::vector<std::string> &parts, const std::string &id)
+{
+    std::vector<ContentFingerprint> fingerprints;
+    for (const std::string &part : parts) {
+        fingerprints.push_back(ContentFingerprint::ofPart("m", part));
+        fingerprints.push_back(ContentFingerprint::ofCustomerPart(customer, "m", part));
+    }
+    return {ContentFingerprint::ofRequest(customer, "/stream", id), std::move(fingerprints)};
+}
+
+/** A request in a simulated cluster. */
+struct ClusterRequest
+{
+    int instance = 0;
+    RequestContents contents;
+    bool isFatal = false;
+    /** Requests are counted by group. */
+    int group = 0;
+    int attempt = 1;
+    bool isTrial = false;
+    Millis arrivedAt;
+};
+
+/** What became of the requests of a group. */
+struct GroupCounts
+{
+    int requests = 0;
+    /** Requests whose first attempt got a response that began. */
+    int begunAtFirst = 0;
+    int served = 0;
+    /** By connected instances. */
+    int refused = 0;
+    int failed = 0;
+    Millis longestHold;
+};
+
 /**
     Simulated instances in virtual time that send requests to engines, some of them fatal to the
-    engine that runs them. Records all sends.
+    engine that begins to respond to them. Records all sends.
 
     Simulates the gateway's part: a request is sent to one engine, and retried on a second one if
-    the first ended, unless it is suspected. An engine that ends interrupts all requests that it
-    runs, and is back as a new incarnation after some seconds.
+    the first ended, unless it is suspected; requests that are held wait, and those that were sent
+    and got nothing yet are called back. An engine that ends interrupts all requests that it runs,
+    and is back as a new incarnation after some seconds.
 */
 class QuarantineCluster : public FrameNetwork
 {
 public:
-    QuarantineCluster(int instances, int engines, std::uint64_t seed)
-        : FrameNetwork(seed), engines_(static_cast<std::size_t>(engines))
+    QuarantineCluster(int instances, int engines, std::uint64_t seed,
+                      const QuarantineOptions &options = {})
+        : FrameNetwork(seed), options_(options), engines_(static_cast<std::size_t>(engines))
     {
         for (int i = 0; i < instances; ++i)
             start(i, instances);
@@ -38,6 +78,12 @@
     {
         dead.insert(i);
         disturbedAt_[i] = now;
+        const auto isOfInstance = [i](const ClusterRequest &request) {
+            return request.instance == i;
+        };
+        eraseIf(held_, isOfInstance);
+        eraseIf(runs_, [&](const Run &run) { return isOfInstance(run.request); });
+        eraseIf(ended_, [&](const Ended &ended) { return isOfInstance(ended.request); });
     }
     /** Restarts an instance without its state. */
     void restart(int i)
@@ -50,14 +96,12 @@
     void disturb(int i) { disturbedAt_[i] = now; }
 
     /** A caller's request arrives at an instance. */
-    void request(int i, const RequestFingerprint &fingerprint, bool isFatal)
+    void request(int i, const RequestContents &contents, bool isFatal, int group = 0)
     {
         if (!isRunning(i))
             return;
-        if (at(i).remainingQuarantine(fingerprint))
-            ++refused;
-        else
-            send({i, fingerprint, isFatal, 1});
+        ++groups[group].requests;
+        admit({i, contents, isFatal, group, 1, false, now});
     }
 
     void advance(Millis span)
@@ -69,29 +113,37 @@
                 at(to).handleFrame(from, frame);
             });
             endRuns();
+            noticeEnds();
             for (int i = 0; i < count(); ++i) {
                 if (isRunning(i))
                     at(i).tick();
             }
+            callBackHeld();
+            admitHeld();
         }
     }
 
     /** An engine ends for a reason of its own, with all requests that it runs. */
-    void endEngine(std::size_t engine) { crash(engine); }
+    void endEngine(std::size_t engine)
+    {
+        if (now >= engines_[engine].downUntil)
+            crash(engine);
+    }
+    std::size_t engineCount() const { return engines_.size(); }
     /** Returns an engine that runs a request with this fingerprint, or nothing. */
-    std::optional<std::size_t> engineRunning(const RequestFingerprint &fingerprint) const
+    std::optional<std::size_t> engineRunning(const ContentFingerprint &request) const
     {
         for (const Run &run : runs_) {
-            if (run.request.fingerprint == fingerprint)
+            if (run.request.contents.request() == request)
                 return run.engine;
         }
         return std::nullopt;
     }
 
     /** Number of engines that ended under requests with this fingerprint. */
-    std::size_t endsUnder(const RequestFingerprint &fingerprint) const
+    std::size_t endsUnder(const ContentFingerprint &content) const
     {
-        const auto found = ends_.find(fingerprint);
+        const auto found = ends_.find(content);
         return found == ends_.end() ? 0 : found->second.size();
     }
 
@@ -99,6 +151,17 @@
     bool isStoreDown = false;
     /** Maximum number of sends of one request. */
     int attempts = 2;
+    /** Whether requests that become held are called back. */
+    bool callsBack = true;
+    /** Time from an engine's first event to the end of its response. */
+    Millis streamTime = Millis(0);
+    /** Time from the begin of a response to the end of the engine that crashes under it. */
+    Millis crashTime = Millis(0);
+    std::map<int, GroupCounts> groups;
+    /** When engines ended under fatal requests, by group. */
+    std::map<int, std::vector<Millis>> crashes;
+    /** The same, under requests that connected instances sent. */
+    std::map<int, std::vector<Millis>> connectedCrashes;
     int refused = 0;
     int served = 0;
     int failed = 0;
@@ -110,19 +173,22 @@
     static constexpr Millis step = Millis(5);
     static constexpr Millis engineRestartTime = Millis(4000);
     static constexpr Millis propagationTime = Millis(3000);
+    static constexpr Millis maxHold = Millis(2000);
 
-    struct Request
-    {
-        int instance = 0;
-        RequestFingerprint fingerprint;
-        bool isFatal = false;
-        int attempt = 1;
-    };
     struct Run
     {
-        Request request;
+        ClusterRequest request;
         std::size_t engine = 0;
+        Millis beginsAt;
         Millis endsAt;
+        bool hasBegun = false;
+    };
+    /** An interrupted request, noticed a moment after its engine ended. */
+    struct Ended
+    {
+        ClusterRequest request;
+        UpstreamIncarnation incarnation = 0;
+        Millis noticedAt;
     };
     struct Engine
     {
@@ -130,6 +196,12 @@
         Millis downUntil;
     };
 
+    template<typename List, typename Predicate>
+    static void eraseIf(List &list, Predicate isErased)
+    {
+        list.erase(std::remove_if(list.begin(), list.end(), isErased), list.end());
+    }
+
     void start(int i, int instances)
     {
         if (i >= count())
@@ -138,8 +210,12 @@
                                                     Clock([this] { return now; }),
                                                     [this] { return random_(); }, ignoreEvents()};
         auto &instance = instances_[static_cast<std::size_t>(i)];
-        instance = std::make_unique<QuarantineExchange>(std::move(environment));
+        instance = std::make_unique<QuarantineExchange>(std::move(environment), options_);
         instance->setPeers(peersOf(i, instances));
+        instance->setLinkCheck([this, i](const PeerAddress &peer) {
+            return !isCut(i, numberOf(peer)) && dead.count(numberOf(peer)) == 0;
+        });
+        instance->onRestricted = [this, i] { restricted_.insert(i); };
     }
 
     ObjectStore storePort()
@@ -179,7 +255,40 @@
         return found == disturbedAt_.end() || now - found->second > propagationTime;
     }
 
-    void send(Request request)
+    /** Sends a request, holds it or refuses it. */
+    void admit(ClusterRequest request)
+    {
+        GroupCounts &counts = groups[request.group];
+        switch (at(request.instance).decide(request.contents)) {
+        case QuarantineDecision::Refuse:
+            return refuse(request);
+        case QuarantineDecision::Wait:
+            counts.longestHold = std::max(counts.longestHold, now - request.arrivedAt);
+            if (now - request.arrivedAt >= maxHold)
+                return refuse(request);
+            return held_.push_back(std::move(request));
+        case QuarantineDecision::SendAsTrial:
+            request.isTrial = true;
+            return send(std::move(request));
+        case QuarantineDecision::Send:
+            request.isTrial = false;
+            return send(std::move(request));
+        }
+    }
+
+    void refuse(const ClusterRequest &request)
+    {
+        ++refused;
+        groups[request.group].refused += isConnected(request.instance) ? 1 : 0;
+    }
+
+    void fail(const ClusterRequest &request)
+    {
+        ++failed;
+        ++groups[request.group].failed;
+    }
+
+    void send(ClusterRequest request)
     {
         std::vector<std::size_t> running;
         for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
@@ -187,78 +296,151 @@
                 running.push_back(engine);
         }
         if (running.empty()) {
-            ++failed;
-            return;
+            if (request.isTrial)
+                at(request.instance).trialEnded(request.contents);
+            return fail(request);
         }
-        const auto &ends = ends_[request.fingerprint];
-        if (ends.size() >= SuspicionTable::quarantinedThreshold && isConnected(request.instance)
-            && now - ends[SuspicionTable::quarantinedThreshold - 1] > propagationTime)
+        const auto &ends = ends_[request.contents.request()];
+        if (ends.size() >= QuarantineExchange::requestThreshold && isConnected(request.instance)
+            && now - ends[QuarantineExchange::requestThreshold - 1] > propagationTime)
             ++lateSends;
         const std::size_t engine =
             running[static_cast<std::size_t>(pick(static_cast<int>(running.size())))];
-        runs_.push_back({std::move(request), engine, now + Millis(40 + pick(60))});
+        const Millis beginsAt = now + Millis(40 + pick(60));
+        const Millis lasts = request.isFatal ? crashTime : streamTime;
+        runs_.push_back({std::move(request), engine, beginsAt, beginsAt + lasts});
     }
 
     void endRuns()
     {
-        std::set<std::size_t> fatal;
-        std::vector<Request> completed;
+        std::map<std::size_t, int> fatal;
+        std::vector<Run> completed;
+        for (Run &run : runs_) {
+            if (run.hasBegun || run.beginsAt > now || run.request.isFatal)
+                continue;
+            run.hasBegun = true;
+            groups[run.request.group].begunAtFirst += run.request.attempt == 1 ? 1 : 0;
+        }
         const auto isFinished = [&](const Run &run) {
             if (run.endsAt > now)
                 return false;
-            if (run.request.isFatal)
-                fatal.insert(run.engine);
-            else
-                completed.push_back(run.request);
+            if (run.request.isFatal) {
+                if (fatal.emplace(run.engine, run.request.group).second) {
+                    crashes[run.request.group].push_back(now);
+                    if (isConnected(run.request.instance))
+                        connectedCrashes[run.request.group].push_back(now);
+                }
+            } else {
+                completed.push_back(run);
+            }
             return !run.request.isFatal;
         };
-        runs_.erase(std::remove_if(runs_.begin(), runs_.end(), isFinished), runs_.end());
-        for (const Request &request : completed) {
+        eraseIf(runs_, isFinished);
+        for (const Run &run : completed) {
             ++served;
-            if (isRunning(request.instance))
-                at(request.instance).requestCompleted(request.fingerprint);
+            ++groups[run.request.group].served;
+            if (isRunning(run.request.instance))
+                endAnswered(run);
         }
-        for (const std::size_t engine : fatal)
+        for (const auto &[engine, group] : fatal)
             crash(engine);
     }
 
+    void endAnswered(const Run &run)
+    {
+        QuarantineExchange &exchange = at(run.request.instance);
+        exchange.requestAnswered(run.request.contents, run.beginsAt);
+        if (run.request.isTrial)
+            exchange.trialEnded(run.request.contents);
+    }
+
     void crash(std::size_t engine)
     {
-        std::vector<Request> interrupted;
-        const auto isHere = [&](const Run &run) {
-            if (run.engine == engine)
-                interrupted.push_back(run.request);
-            return run.engine == engine;
-        };
-        runs_.erase(std::remove_if(runs_.begin(), runs_.end(), isHere), runs_.end());
         const UpstreamIncarnation incarnation =
             engine * incarnationBase + engines_[engine].incarnation++;
         engines_[engine].downUntil = now + engineRestartTime;
-        for (const Request &request : interrupted)
-            ends_[request.fingerprint].push_back(now);
-        for (Request &request : interrupted)
-            handleEnd(std::move(request), incarnation);
+        const auto isHere = [&](const Run &run) {
+            if (run.engine != engine)
+                return false;
+            ends_[run.request.contents.request()].push_back(now);
+            ended_.push_back({run.request, incarnation, now + Millis(pick(3) * 2)});
+            return true;
+        };
+        eraseIf(runs_, isHere);
     }
 
-    void handleEnd(Request request, UpstreamIncarnation incarnation)
+    void noticeEnds()
     {
-        const int i = request.instance;
-        if (!isRunning(i))
-            return;
-        at(i).upstreamEnded(request.fingerprint, incarnation);
-        if (request.attempt++ < attempts
-            && at(i).level(request.fingerprint) < SuspicionLevel::Suspected)
-            send(std::move(request));
+        std::vector<Ended> due;
+        eraseIf(ended_, [&](const Ended &each) {
+            // What a frozen instance would notice waits for it.
+            if (each.noticedAt > now || frozen.count(each.request.instance) > 0)
+                return false;
+            due.push_back(each);
+            return true;
+        });
+        for (Ended &each : due)
+            handleEnd(std::move(each.request), each.incarnation);
+    }
+
+    void handleEnd(ClusterRequest request, UpstreamIncarnation incarnation)
+    {
+        QuarantineExchange &exchange = at(request.instance);
+        exchange.upstreamEnded(request.contents, incarnation, request.isTrial);
+        sendAgain(std::move(request));
+    }
+
+    void sendAgain(ClusterRequest request)
+    {
+        QuarantineExchange &exchange = at(request.instance);
+        if (request.attempt++ < attempts && !exchange.isSuspected(request.contents))
+            admit(std::move(request));
         else
-            ++failed;
+            fail(request);
+    }
+
+    void callBackHeld()
+    {
+        for (const int i : std::exchange(restricted_, {})) {
+            if (!callsBack || !isRunning(i))
+                continue;
+            const auto isCalledBack = [&](const Run &run) {
+                const ClusterRequest &request = run.request;
+                const bool isMine = request.instance == i && !request.isTrial && !run.hasBegun;
+                if (!isMine || !at(i).isHeld(request.contents))
+                    return false;
+                ClusterRequest again = request;
+                if (again.attempt++ < attempts)
+                    held_.push_back(std::move(again));
+                else
+                    fail(again);
+                return true;
+            };
+            eraseIf(runs_, isCalledBack);
+        }
+    }
+
+    void admitHeld()
+    {
+        std::vector<ClusterRequest> waiting = std::exchange(held_, {});
+        for (ClusterRequest &request : waiting) {
+            if (frozen.count(request.instance) > 0)
+                held_.push_back(std::move(request));
+            else
+                admit(std::move(request));
+        }
     }
 
     static constexpr UpstreamIncarnation incarnationBase = 1000000;
 
+    QuarantineOptions options_;
     std::vector<std::unique_ptr<QuarantineExchange>> instances_;
     std::vector<Engine> engines_;
     std::vector<Run> runs_;
-    std::unordered_map<RequestFingerprint, std::vector<Millis>> ends_;
+    std::vector<ClusterRequest> held_;
+    std::vector<Ended> ended_;
+    std::set<int> restricted_;
+    std::unordered_map<ContentFingerprint, std::vector<Millis>> ends_;
     std::map<int, Millis> disturbedAt_;
 };
 
