Connections that waited too long to be accepted are closed unread

While a load balancer hands most new connections to one instance, it accepted and read all of them and answered all late. The sign is the age of a connection when it is accepted: the kernel tells since when its request lies there. Older than 100 ms, it is closed unread, and its caller is served elsewhere at once; what is read is served in time, as the wait before it is bounded.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -23,6 +23,8 @@
 constexpr Millis balancerDelay = Millis(2500);
 /** A caller's first request arrives within this time after accept: two network delays. */
 constexpr Millis firstRequestDelay = Millis(300);
+/** A caller waits a second for its request to be read, and is served elsewhere within less. */
+constexpr Millis maxUnreadAge = Millis(100);
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
 
@@ -37,6 +39,7 @@
     // A quarter of the memory is for bodies, half of the descriptors for callers.
     limits.allBodyBytes = std::uint64_t{settings.memoryMb} * 1024 * 1024 / 4;
     limits.connections = settings.descriptors / 2;
+    limits.maxUnreadAge = maxUnreadAge;
     return limits;
 }
 
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace cuminrail {
@@ -65,9 +66,23 @@
     });
 }
 
+bool HttpServer::isTooOld(TcpSocket &socket) const
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    // Since the last bytes arrived, or since the connection was established if none have.
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && Millis(static_cast<std::int64_t>(info.tcpi_last_data_recv)) > limits_.maxUnreadAge;
+}
+
 void HttpServer::handleAccepted(TcpSocket socket)
 {
     boost::system::error_code ignored;
+    if (isTooOld(socket)) {
+        load_->closedUnread.fetch_add(1, std::memory_order_relaxed);
+        socket.close(ignored);
+        return;
+    }
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
     auto stream =
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -37,10 +37,18 @@
     Millis writeStallTimeout = Millis::seconds(30);
     /** Number of unsent response bytes beyond which a connection counts as congested. */
     std::size_t congestionBytes = 256 * 1024;
+    /**
+        A new connection that waited for longer before it was accepted is closed unread. A server
+        that gets more than it can bear would read all and answer all late; callers whose connection
+        is closed unread go elsewhere at once.
+    */
+    Millis maxUnreadAge = Millis::never();
     /** Maximum number of connections over all threads that share the load. */
     std::uint32_t connections = 10000;
     /** Maximum total size of all request bodies over all threads that share the load. */
     std::uint64_t allBodyBytes = 256 * 1024 * 1024;
+    /** Responses have neither a length nor chunks: the end of the connection ends them. */
+    bool endsResponsesByClose = false;
     /** Status for a head over its limit; some interfaces distinguish it from a large body. */
     int headTooLargeStatus = 413;
 };
@@ -61,6 +69,8 @@
     std::atomic<std::uint32_t> connections{0};
     /** Size of request bodies, counted until their requests end. */
     std::atomic<std::uint64_t> bodyBytes{0};
+    /** Connections that were closed before anything was read from them. */
+    std::atomic<std::uint64_t> closedUnread{0};
 };
 
 /** A request body's share of the common limit, released by the destructor. */
@@ -141,6 +151,7 @@
                                                         boost::asio::io_context::executor_type>;
     void acceptNext();
     void handleAccepted(TcpSocket socket);
+    bool isTooOld(TcpSocket &socket) const;
 
     boost::asio::io_context &io_;
     DeadlineList &deadlines_;
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -231,7 +231,7 @@
 
 void ServerConnection::appendHead(int status, const std::vector<HttpHeader> &headers)
 {
-    isKeepAlive_ = isKeepAlive_ && !server_.isClosing_;
+    isKeepAlive_ = isKeepAlive_ && !server_.isClosing_ && !server_.limits_.endsResponsesByClose;
     queue_ += "HTTP/1.1 ";
     appendNumber(queue_, static_cast<std::uint64_t>(status), 10);
     queue_ += ' ';
@@ -255,7 +255,7 @@
         return;
     appendHead(response.status, response.headers);
     const bool isBodiless = response.status == 204 || response.status == 304;
-    if (!isBodiless) {
+    if (!isBodiless && !server_.limits_.endsResponsesByClose) {
         queue_ += "Content-Length: ";
         appendNumber(queue_, response.body.size(), 10);
         queue_ += "\r\n";
@@ -271,7 +271,7 @@
 {
     if (state_ != State::Responding)
         return;
-    isChunked_ = version_ >= 11;
+    isChunked_ = version_ >= 11 && !server_.limits_.endsResponsesByClose;
     // HTTP/1.0 has no chunked coding; closing the connection ends the stream there.
     isKeepAlive_ = isKeepAlive_ && isChunked_;
     appendHead(status, headers);
