A response that ends with its connection is whole only if its upstream lives on

A crash between two events, or within a body that has neither length nor chunks, ends the connection like a sound response of that form, and the caller was told that it is whole. Before such a response is completed, the upstream is probed: if it refuses connections and the path is sound, the attempt counts as broken and goes on elsewhere where that is allowed. It clears nothing in the quarantine.

--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -33,11 +33,27 @@
         && !(attempt_.isStreaming && sseReader_.hasPartial());
     if (isWhole && attempt_.traits.isRefusedUnrun)
         return onNotExecuted();
+    if (isWhole && end.isDelimitedByClose)
+        return confirmResponse(end);
     if (isWhole)
         return responseCompleted(end);
     attemptFailed(end);
 }
 
+void RequestRelay::confirmResponse(const UpstreamEnd &end)
+{
+    checkEnded(attempt_.upstream, [self = shared_from_this(), end](bool hasEnded) {
+        if (self->hasEnded_)
+            return;
+        if (!hasEnded)
+            return self->responseCompleted(end);
+        self->attemptFailed(
+            {UpstreamEndKind::Broken,
+             Verdict::MayHaveRun,
+             {self->attempt_.upstream->entry.address, "the upstream ended with its response"}});
+    });
+}
+
 void RequestRelay::onNotExecuted()
 {
     // The upstream itself states that it did not run the request: this uses up no attempt, only
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -125,28 +125,35 @@
 }
 
 void RequestRelay::probeUpstream(const UpstreamPointer &upstream, bool dispatchesAfter)
+{
+    checkEnded(upstream,
+               [self = shared_from_this(), incarnation = upstream->incarnation(),
+                isTrial = isTrial_, dispatchesAfter](bool hasEnded) {
+                   if (hasEnded)
+                       self->context_.quarantine->upstreamEnded(self->contents(), incarnation,
+                                                                isTrial);
+                   else if (isTrial)
+                       self->context_.quarantine->trialEnded(self->contents());
+                   if (dispatchesAfter)
+                       self->dispatch();
+               });
+}
+
+void RequestRelay::checkEnded(const UpstreamPointer &upstream,
+                              std::function<void(bool hasEnded)> done)
 {
     UpstreamRequest request;
     request.address = upstream->entry.address;
     request.isProbe = true;
     request.timeouts.connect = connectTimeout;
     UpstreamHooks hooks;
-    hooks.onEnd = [self = shared_from_this(), upstream, incarnation = upstream->incarnation(),
-                   isTrial = isTrial_, dispatchesAfter](const UpstreamEnd &end) {
-        const auto finish = [self, incarnation, isTrial, dispatchesAfter](bool hasEnded) {
-            if (hasEnded)
-                self->context_.quarantine->upstreamEnded(self->contents(), incarnation, isTrial);
-            else if (isTrial)
-                self->context_.quarantine->trialEnded(self->contents());
-            if (dispatchesAfter)
-                self->dispatch();
-        };
+    hooks.onEnd = [self = shared_from_this(), upstream, done](const UpstreamEnd &end) {
         if (end.kind != UpstreamEndKind::ConnectFailed)
-            return finish(false);
+            return done(false);
         // A refused connection means that the process ended, unless all upstreams refuse: then the
         // path of this instance is cut.
         self->context_.path.connectFailed(upstream->entry);
-        self->context_.path.whenJudged(finish);
+        self->context_.path.whenJudged(done);
     };
     context_.pool.start(std::move(request), std::move(hooks));
 }
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -121,6 +121,10 @@
         @param dispatchesAfter  the request is sent elsewhere only after the probe has ended
     */
     void probeUpstream(const UpstreamPointer &upstream, bool dispatchesAfter);
+    /** Finds out whether an upstream's process has ended: it refuses connections, others do not. */
+    void checkEnded(const UpstreamPointer &upstream, std::function<void(bool hasEnded)> done);
+    /** Completes a response that ended with its connection, unless its upstream has ended too. */
+    void confirmResponse(const UpstreamEnd &end);
     /** Hands the request to another instance, as no upstream can be reached from here. */
     void carry();
     void handTo(const PeerAddress &carrier);
