Operators see each quarantine and lift it by a command

Before, the object had to be removed from the store and all instances restarted together. Metrics count trials, requests that were called back and connections closed unread.

--- a/modules/ctl/commands/CommandLine.cpp
+++ b/modules/ctl/commands/CommandLine.cpp
@@ -39,6 +39,13 @@
         {"prune", 0, 0, true, {}, "prune: remove contents that no settings name any more"},
         {"drain", 1, 1, false, {}, "drain IP:PORT: begin an instance's graceful stop"},
         {"state", 1, 1, false, {}, "state IP:PORT: an instance's whole state"},
+        {"quarantine list", 1, 1, false, {}, "quarantine list IP:PORT: what gateways refuse"},
+        {"quarantine lift",
+         2,
+         2,
+         false,
+         {},
+         "quarantine lift IP:PORT ID: end a quarantine at all gateways"},
         {"status", 0, 0, true, {"admin"}, "status: which instance has which settings in force"},
         {"explain", 2, 1000, false, {}, "explain REQUEST-ID LOG...: what logs say of a request"},
         {"summary", 1, 1000, false, {}, "summary LOG...: by route, where requests lost time"},
@@ -125,7 +132,10 @@
 
 bool checkAddresses(const CommandRow &row, const CtlArguments &arguments, Reason *lastReason)
 {
-    const bool takesInstanceAddress = row.name == "drain" || row.name == "state";
+    static const std::vector<std::string> forInstance = {"drain", "state", "quarantine list",
+                                                         "quarantine lift"};
+    const bool takesInstanceAddress =
+        std::find(forInstance.begin(), forInstance.end(), row.name) != forInstance.end();
     if (row.needsPlatform && !isAddress(arguments.platform))
         return fail(lastReason, "--platform", "must be an IP address and a port");
     if (takesInstanceAddress && !isAddress(arguments.operands.front()))
--- a/modules/ctl/commands/CommandSession.h
+++ b/modules/ctl/commands/CommandSession.h
@@ -47,7 +47,7 @@
     SettingsRepository &repository_;
 };
 
-/** Commands that send requests to instances: drain, state, status. */
+/** Commands that send requests to instances. */
 class InstanceCommands
 {
 public:
@@ -57,9 +57,13 @@
 
     CtlReport drain();
     CtlReport state();
+    CtlReport listQuarantines();
+    CtlReport liftQuarantine();
     CtlReport status(SettingsRepository &repository);
 
 private:
+    /** Shows a page of an instance. */
+    CtlReport show(const std::string &target);
     PlatformAnswer callInstance(const std::string &address, const std::string &method,
                                 const std::string &target);
 
--- a/modules/ctl/commands/Commands.cpp
+++ b/modules/ctl/commands/Commands.cpp
@@ -92,6 +92,10 @@
         return instances.drain();
     if (arguments.command == "state")
         return instances.state();
+    if (arguments.command == "quarantine list")
+        return instances.listQuarantines();
+    if (arguments.command == "quarantine lift")
+        return instances.liftQuarantine();
     return instances.status(repository);
 }
 
--- a/modules/ctl/commands/InstanceCommands.cpp
+++ b/modules/ctl/commands/InstanceCommands.cpp
@@ -1,5 +1,7 @@
 #include "ctl/commands/CommandSession.h"
 
+#include <algorithm>
+#include <cctype>
 #include <future>
 
 namespace cuminrail::detail {
@@ -75,16 +77,46 @@
 
 CtlReport InstanceCommands::state()
 {
-    const PlatformAnswer answer = callInstance(arguments_.operands.front(), "GET", "/state");
+    return show("/state");
+}
+
+CtlReport InstanceCommands::listQuarantines()
+{
+    return show("/quarantine");
+}
+
+CtlReport InstanceCommands::show(const std::string &target)
+{
+    const PlatformAnswer answer = callInstance(arguments_.operands.front(), "GET", target);
     const Json state = Json::parse(answer.body, nullptr, false);
-    if (!answer.isSuccess() || !state.is_object())
+    if (!answer.isSuccess() || !state.is_structured())
         return failure(CtlExit::Unavailable, {arguments_.operands.front(), noResponseText});
     CtlReport report;
-    report.json = state;
+    if (state.is_object())
+        report.json = state;
+    else
+        report.json["quarantines"] = state;
     report.text = state.dump(2) + "\n";
     return report;
 }
 
+CtlReport InstanceCommands::liftQuarantine()
+{
+    const std::string &id = arguments_.operands.back();
+    const auto isHexadecimal = [](char each) { return std::isxdigit(each) != 0 || each == 'p'; };
+    if (id.empty() || !std::all_of(id.begin(), id.end(), isHexadecimal))
+        return failure(CtlExit::Usage, {id, "is not the id of a quarantine"});
+    const PlatformAnswer answer =
+        callInstance(arguments_.operands.front(), "DELETE", "/quarantine/" + id);
+    if (!answer.isSuccess())
+        return failure(answer.isWhole() ? CtlExit::Differences : CtlExit::Unavailable,
+                       {id, answer.isWhole() ? answer.body : answer.lastReason.toString()});
+    CtlReport report;
+    report.json["lifted"] = id;
+    report.text = answer.body;
+    return report;
+}
+
 CtlReport InstanceCommands::status(SettingsRepository &repository)
 {
     Reason reason;
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -281,6 +281,8 @@
         const bool isNewer = context_.index != nullptr && context_.index->version() > version;
         return isNewer ? sync_.configurationText() : std::string();
     };
+    pages.quarantines = [this] { return quarantineText(); };
+    pages.liftQuarantine = [this](const std::string &id) { return context_.quarantine->lift(id); };
     return pages;
 }
 
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -79,6 +79,7 @@
     }
     /** The whole state as JSON, without caller keys. */
     std::string stateText() const;
+    std::string quarantineText() const;
 
     const RelayContext &context() const { return context_; }
     /** Returns the number of known instances, this one included. */
--- a/modules/gateway/admin/GatewayAdmin.cpp
+++ b/modules/gateway/admin/GatewayAdmin.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::string_view quarantinePrefix = "/quarantine/";
+
 HttpResponse textAnswer(int status, std::string body, const char *type = "text/plain")
 {
     return {status, {{"Content-Type", type}}, std::move(body)};
@@ -35,6 +37,8 @@
 HttpResponse GatewayAdmin::handleRequest(const HttpHead &head) const
 {
     const std::string_view path = head.path();
+    if (head.method == "DELETE" && path.rfind(quarantinePrefix, 0) == 0)
+        return liftQuarantine(path.substr(quarantinePrefix.size()));
     if (head.method != "GET" && head.method != "HEAD")
         return textAnswer(405, "only GET is allowed here\n");
     if (path == "/healthz")
@@ -45,11 +49,20 @@
         return textAnswer(200, pages_.metrics(), "text/plain; version=0.0.4");
     if (path == "/state")
         return textAnswer(200, pages_.state(), "application/json");
+    if (path == "/quarantine")
+        return textAnswer(200, pages_.quarantines(), "application/json");
     if (path == "/peer/configuration")
         return configuration(head.target);
     return textAnswer(404, "no such page\n");
 }
 
+HttpResponse GatewayAdmin::liftQuarantine(std::string_view id) const
+{
+    return pages_.liftQuarantine(std::string(id))
+        ? textAnswer(200, "lifted at all instances\n")
+        : textAnswer(404, "no such content is quarantined here\n");
+}
+
 HttpResponse GatewayAdmin::configuration(std::string_view target) const
 {
     constexpr std::string_view name = "?after=";
--- a/modules/gateway/admin/GatewayAdmin.h
+++ b/modules/gateway/admin/GatewayAdmin.h
@@ -20,9 +20,16 @@
         It contains caller keys, so only addresses of the system itself may reach this port.
     */
     std::function<std::string(std::uint64_t version)> configurationAfter;
+    /** What is quarantined, as JSON. */
+    std::function<std::string()> quarantines;
+    /** Ends a quarantine at all instances; returns false if there is none with this id. */
+    std::function<bool(const std::string &id)> liftQuarantine;
 };
 
-/** Serves /metrics, /state, /healthz, /readyz and /peer/configuration?after=VERSION. */
+/**
+    Serves /metrics, /state, /healthz, /readyz, /peer/configuration?after=VERSION and /quarantine.
+    DELETE of /quarantine/ID ends a quarantine.
+*/
 class GatewayAdmin
 {
 public:
@@ -35,6 +42,7 @@
 private:
     HttpResponse handleRequest(const HttpHead &head) const;
     HttpResponse configuration(std::string_view target) const;
+    HttpResponse liftQuarantine(std::string_view id) const;
 
     AdminPages pages_;
     HttpServer server_;
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -132,11 +132,23 @@
              static_cast<double>(stats.ends));
     setGauge("cuminrail_quarantine_quarantined", "Verdicts that began",
              static_cast<double>(stats.quarantined));
+    setGauge("cuminrail_quarantine_trials", "Requests that were sent as trials",
+             static_cast<double>(stats.trials));
+    setGauge("cuminrail_quarantine_called_back",
+             "Requests that were taken back from upstreams as their content was suspected",
+             static_cast<double>(gauges.counters.calledBack));
     setGauge("cuminrail_quarantine_cleared",
              "Suspected contents for which an answer here voided endings",
              static_cast<double>(stats.cleared));
 }
 
+void GatewayMetrics::setLoad(const GatewayGauges &gauges)
+{
+    setGauge("cuminrail_caller_connections_closed_unread",
+             "Callers' connections that were closed before anything was read, under overload",
+             static_cast<double>(gauges.closedUnread));
+}
+
 void GatewayMetrics::setLimits(const GatewayGauges &gauges)
 {
     const LimitStats &stats = gauges.limits;
@@ -252,6 +264,7 @@
              static_cast<double>(counters.timeouts));
     setQuotas(gauges.quotas);
     setQuarantine(gauges);
+    setLoad(gauges);
     setLimits(gauges);
     setStreams(gauges);
     setLinkTraffic(gauges.linkTraffic);
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -117,6 +117,8 @@
     QuotaExchangeStats quotas;
     QuarantineStats quarantine;
     std::size_t suspects = 0;
+    /** Callers' connections that were closed unread. */
+    std::uint64_t closedUnread = 0;
     LimitStats limits;
     std::size_t limitedUpstreams = 0;
     std::size_t leavingUpstreams = 0;
@@ -158,6 +160,7 @@
 private:
     void setQuotas(const QuotaExchangeStats &quotas);
     void setQuarantine(const GatewayGauges &gauges);
+    void setLoad(const GatewayGauges &gauges);
     void setLimits(const GatewayGauges &gauges);
     void setStreams(const GatewayGauges &gauges);
     void setLinkTraffic(const LinkTraffic &traffic);
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -34,6 +34,19 @@
     return state;
 }
 
+Json quarantineState(const Quarantine &quarantine)
+{
+    Json contents = Json::array();
+    for (const ContentFingerprint &content : quarantine.contents)
+        contents.push_back({{"content", content.text()},
+                            {"kind", std::string(contentKindNames.name(content.kind()))}});
+    return {{"id", quarantine.id()},
+            {"contents", contents},
+            {"ended_upstreams", quarantine.ended},
+            {"age_s", quarantine.age.toSeconds()},
+            {"remaining_s", quarantine.remaining.toSeconds()}};
+}
+
 } // namespace
 
 GatewayGauges Gateway::gauges() const
@@ -59,6 +72,7 @@
     gauges.pausingUpstreams = context_.backoffs.size();
     gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
+    gauges.closedUnread = load_->closedUnread.load(std::memory_order_relaxed);
     gauges.counters = context_.counters;
     gauges.linkTraffic = linkTraffic_;
     gauges.streamRecords = context_.origins->records().stats();
@@ -67,6 +81,14 @@
     return gauges;
 }
 
+std::string Gateway::quarantineText() const
+{
+    Json list = Json::array();
+    for (const Quarantine &quarantine : context_.quarantine->quarantines())
+        list.push_back(quarantineState(quarantine));
+    return list.dump(2) + "\n";
+}
+
 std::string Gateway::stateText() const
 {
     const GatewayGauges now = gauges();
@@ -85,7 +107,8 @@
                      {"duty_holder", now.isDutyHolder},
                      {"store_era", now.storeEra},
                      {"requests_in_progress", now.counters.inProgress},
-                     {"suspected_requests", now.suspects},
+                     {"suspected_contents", now.suspects},
+                     {"quarantined_contents", context_.quarantine->quarantines().size()},
                      {"upstreams", upstreams}};
     return state.dump(2) + "\n";
 }
