--- a/extras/bench.sh
+++ b/extras/bench.sh
@@ -46,6 +46,7 @@
 if has control; then both control control; fi
 once carriage carriage
 both streams streams
+both parts parts
 both policy policy --seeds "$seeds"
 echo
 echo "JSON is in $out/"
--- a/programs/cuminrail-bench/BenchCommand.h
+++ b/programs/cuminrail-bench/BenchCommand.h
@@ -25,6 +25,7 @@
 int runPathCommand(int argc, char **argv);
 int runCarriageCommand(int argc, char **argv);
 int runStreamsCommand(int argc, char **argv);
+int runPartsCommand(int argc, char **argv);
 int runAtMostOnceCommand(int argc, char **argv);
 int runAuthorityHolderCommand(int argc, char **argv);
 int runAuthorityJudgeCommand(int argc, char **argv);
--- a/programs/cuminrail-bench/main.cpp
+++ b/programs/cuminrail-bench/main.cpp
@@ -29,6 +29,8 @@
          cuminrail::runCarriageCommand},
         {"streams", "streams taken up elsewhere while versions change: shares, sizes, look-ups",
          cuminrail::runStreamsCommand},
+        {"parts", "parts of prompts that end engines: ways to find them, sizes, cost of the check",
+         cuminrail::runPartsCommand},
         {"authority-holder", "a process that holds duties, for extras/authority-runs.sh",
          cuminrail::runAuthorityHolderCommand},
         {"authority-judge", "judges a trial of holders by the stand-ins' records",
--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -128,8 +128,11 @@
         result.id = "r" + std::to_string(number) + "-" + std::to_string(count);
         result.kind = static_cast<CallKind>(random() % callKindNames.entries.size());
         result.customer = random() % 3 == 0 ? "south" : "north";
-        if (!socket.isOpen() || random() % 8 == 0) {
-            gateway = ports_[random() % ports_.size()];
+        if (hasPrompts && result.kind == CallKind::Stream)
+            result.parts = {"first" + std::to_string(random() % 3),
+                            "middle" + std::to_string(random() % 12)};
+        if (!socket.isOpen() || random() % (favoured_ < 0 ? 8 : 2) == 0) {
+            gateway = nextGateway(random);
             socket = testing::TestSocket::connectTo(gateway);
             if (socket.isOpen())
                 socket.setTimeout(socketPatienceSeconds);
@@ -143,13 +146,24 @@
     }
 }
 
+std::uint16_t Callers::nextGateway(const RandomHook &random) const
+{
+    const int favoured = favoured_;
+    const bool isOther = favoured < 0 || random() % 10 == 0;
+    return isOther ? ports_[random() % ports_.size()] : ports_[static_cast<std::size_t>(favoured)];
+}
+
 void Callers::call(testing::TestSocket &socket, CallResult &result) const
 {
     result.sentAt = bootTime();
     const auto began = std::chrono::steady_clock::now();
     const std::string path = "/" + std::string(callKindNames.name(result.kind)) + "/x";
-    std::string request =
-        platform::callerRequest(path, result.id, "key-" + result.customer, callPatience);
+    std::vector<std::string> parts = result.parts;
+    parts.push_back(result.id);
+    const std::string key = "key-" + result.customer;
+    std::string request = result.parts.empty()
+        ? platform::callerRequest(path, result.id, key, callPatience)
+        : platform::promptRequest(path, result.id, parts, callPatience, key);
     if (!result.resumes.empty())
         request.insert(request.find("Request-Id"),
                        "Resumes: " + result.resumes
@@ -187,6 +201,7 @@
         next.id = broken.id + "." + std::to_string(i);
         next.kind = CallKind::Stream;
         next.customer = broken.customer;
+        next.parts = broken.parts;
         next.resumes = streamId;
         next.resumeAfter = last.resumeAfter;
         next.gateway = ports_[random() % ports_.size()];
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -35,6 +35,8 @@
         that its caller has. */
     std::string resumes;
     int resumeAfter = 0;
+    /** The first parts of the prompt; empty for a request without one. */
+    std::vector<std::string> parts;
     /** The port of the gateway to which it was sent. */
     std::uint16_t gateway = 0;
     Millis sentAt;
@@ -58,12 +60,19 @@
     Callers(const Callers &) = delete;
     Callers &operator=(const Callers &) = delete;
 
+    /** Streams have prompts that share parts. Set before start(). */
+    bool hasPrompts = false;
+    /** Callers open new connections more often, and most of them to one gateway; none with -1. */
+    void favour(int gateway) { favoured_ = gateway; }
+
     void start();
     void stop();
     std::vector<CallResult> results() const;
 
 private:
     void run(int number);
+    /** Returns the gateway that a new connection goes to. */
+    std::uint16_t nextGateway(const RandomHook &random) const;
     /** Sends a request over the socket, on a new connection if it has none, and reads the response.
      */
     void call(testing::TestSocket &socket, CallResult &result) const;
@@ -75,6 +84,7 @@
     int count_;
     std::uint64_t seed_;
     std::atomic<bool> isStopping_{false};
+    std::atomic<int> favoured_{-1};
     std::vector<std::thread> threads_;
     mutable std::mutex mutex_;
     std::vector<CallResult> results_;
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -4,6 +4,8 @@
 #include "platform/testing/StandinDeclarations.h"
 #include "runtime/time/BootClock.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <array>
 #include <csignal>
 #include <cstring>
@@ -25,6 +27,8 @@
 constexpr std::chrono::seconds endPatience(9);
 /** Streams last so long that many are under way when a gateway is killed. */
 constexpr Millis releaseEventInterval = Millis(80);
+/** For how long a server that crashed is away. */
+constexpr std::chrono::milliseconds crashTime(1500);
 /** From fork() until the gateway handles signals, with room for a busy machine. */
 constexpr Millis startUp = Millis(300);
 
@@ -240,6 +244,31 @@
     noteLinkChange(index, isLinkHarmed(index));
 }
 
+void Fleet::setFatalPart()
+{
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        servers[i]->setFatalPart(fatalPart);
+        servers[i]->setCrashHook([this, i] { crash(i); });
+    }
+}
+
+void Fleet::crash(std::size_t index)
+{
+    crashes_.push_back(bootTime());
+    noteLinkChange(index, true);
+    for (const auto &proxies : proxies_)
+        cutPath(*proxies[index], PathCut::Reset);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(thread_.io());
+    timer->expires_after(crashTime);
+    timer->async_wait([this, index, timer](const boost::system::error_code &error) {
+        if (error)
+            return;
+        forEachProxy(index, healPath);
+        noteLinkChange(index, false);
+        restartServer(index);
+    });
+}
+
 void Fleet::start()
 {
     thread_.start();
@@ -255,7 +284,9 @@
 
 void Fleet::configure(bool hasSecondKey)
 {
-    const auto configuration = platform::standinConfiguration(++version_, hasSecondKey);
+    auto configuration = platform::standinConfiguration(++version_, hasSecondKey);
+    for (auto &route : configuration["routes"])
+        route["sticky"] = options_.hasIncidents && route["name"] == "stream";
     onThread([this, &configuration] { store->write("config", "main", configuration); });
 }
 
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -14,6 +14,9 @@
 
 namespace cuminrail::soak {
 
+/** The part of prompts that ends servers. */
+inline constexpr const char *fatalPart = "dead01";
+
 /** What a run is made of. */
 struct SoakOptions
 {
@@ -31,6 +34,9 @@
     bool hasCuts = false;
     /** Servers are replaced by others with another version of their software. */
     bool hasReleases = false;
+    /** Prompts have parts, one of which crashes servers; responses end with their connections; most
+        new connections go to one gateway. */
+    bool hasIncidents = false;
     /** The gateways write their logs to a pipe that nobody reads. */
     bool isLogUnread = false;
 };
@@ -116,6 +122,11 @@
     /** A server ends, and one with other software starts at its address, under another id. Call on
         the stand-ins' thread. */
     void releaseServer(std::size_t index, const std::string &softwareVersion);
+    /** From now on a request with the fatal part ends its server, which is back after a while. Call
+        on the stand-ins' thread. */
+    void setFatalPart();
+    /** Returns when servers ended under requests with the fatal part. */
+    const std::vector<Millis> &crashes() const { return crashes_; }
     /** The link to a server was harmed, healed or reset. */
     void noteLinkChange(std::size_t server, bool isHarmed)
     {
@@ -154,6 +165,7 @@
 private:
     bool isOther(std::size_t gateway) const;
     void list(std::size_t index);
+    void crash(std::size_t index);
     /** Makes the proxies through which a gateway reaches the servers and the store. */
     void makeProxies();
 
@@ -170,6 +182,7 @@
     std::vector<std::vector<std::unique_ptr<FaultProxy>>> proxies_;
     std::map<std::uint16_t, std::vector<CutSpan>> cutSpans_;
     std::set<std::size_t> cutGateways_;
+    std::vector<Millis> crashes_;
 };
 
 } // namespace cuminrail::soak
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -3,6 +3,7 @@
 #include "CutJudge.h"
 #include "FaultDriver.h"
 #include "Fleet.h"
+#include "IncidentDriver.h"
 #include "ReleaseDriver.h"
 #include "StatementJudge.h"
 
@@ -69,14 +70,25 @@
     return ports;
 }
 
+std::string incidentSummary(const SoakOptions &options, const Fleet &fleet,
+                            const IncidentDriver &incidents)
+{
+    if (!options.hasIncidents)
+        return {};
+    return "; " + std::to_string(incidents.sent()) + " requests with the fatal part, under which "
+        + std::to_string(fleet.crashes().size()) + " servers ended";
+}
+
 int runSeed(const SoakOptions &options, StreamFigures &allStreams)
 {
     Fleet fleet(options);
     Callers callers(startFleet(fleet), options.callers, options.seed);
+    callers.hasPrompts = options.hasIncidents;
     callers.start();
     FaultDriver driver(fleet, options.seed);
     CutDriver cuts(fleet, options.seed);
     ReleaseDriver releases(fleet, options.seed);
+    IncidentDriver incidents(fleet, callers, options.seed);
     constexpr int stepsOfCalmStop = 5;
     int steps = 0;
     const auto random = seededRandom(options.seed + 77);
@@ -90,9 +102,12 @@
             cuts.step();
         if (options.hasReleases)
             releases.step();
+        if (options.hasIncidents)
+            incidents.step();
         sleepFor(Millis(static_cast<std::int64_t>(200 + random() % 900)));
     }
     driver.heal();
+    callers.favour(-1);
     sleepFor(Millis(4000));
     const Millis withdrawnAt = driver.withdraw();
     sleepFor(Millis(6500));
@@ -111,7 +126,9 @@
     const auto statements = judgeStatements(results, fleet.record(), disturbances(fleet));
     broken.insert(broken.end(), statements.begin(), statements.end());
     broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
-    if (driver.isCalm() && !options.hasCuts && !options.hasReleases) {
+    const auto ended = incidents.judge();
+    broken.insert(broken.end(), ended.begin(), ended.end());
+    if (driver.isCalm() && !options.hasCuts && !options.hasReleases && !options.hasIncidents) {
         const auto cut = cutCalls(results);
         broken.insert(broken.end(), cut.begin(), cut.end());
     }
@@ -129,7 +146,7 @@
     std::cout << "seed " << options.seed << (driver.isCalm() ? " (planned work only)" : "") << ": "
               << results.size() << " requests, " << served << " served, " << broken.size()
               << " promises broken" << (options.hasReleases ? "; " + streams.text() : "")
-              << cutSummary << "\n";
+              << cutSummary << incidentSummary(options, fleet, incidents) << "\n";
     for (const std::string &each : options.hasReleases ? streams.lost : std::vector<std::string>())
         std::cout << "  not taken up: " << each << "\n";
     const std::size_t shown = std::min(broken.size(), mostShown);
@@ -224,6 +241,10 @@
         "callers", "at the same time", cxxopts::value<int>()->default_value("12"))(
         "cuts", "gateways lose the path to all servers for some seconds, besides the other faults")(
         "releases", "servers are replaced by others with another version of their software")(
+        "incidents",
+        "one part of prompts crashes servers, most new connections go to one gateway, and "
+        "responses "
+        "end with their connections")(
         "flood", "no faults: the same load with logs read, and with logs that nobody reads")(
         "keep", "directory for settings and logs; default: one that goes when all is well",
         cxxopts::value<std::string>());
@@ -241,7 +262,11 @@
         soak.callers = arguments["callers"].as<int>();
         soak.hasCuts = arguments.count("cuts") > 0 && soak.instances > 1;
         soak.hasReleases = arguments.count("releases") > 0;
+        soak.hasIncidents = arguments.count("incidents") > 0;
         constexpr int serversInReleases = 6;
+        constexpr int serversInIncidents = 9;
+        if (soak.hasIncidents)
+            soak.servers = serversInIncidents;
         if (soak.hasReleases)
             soak.servers = serversInReleases;
         const std::string base = arguments.count("keep") > 0
