What was answered until just now needs more ends than a part nobody was answered on

A content that was answered within the last minute is now quarantined only after four ends at three moments or more.

--- a/modules/quarantine/exchange/QuarantineExchange.cpp
+++ b/modules/quarantine/exchange/QuarantineExchange.cpp
@@ -225,8 +225,13 @@
     const std::size_t rivalEndings = table_.mostEndings(contents.all());
     if (rivalEndings > suspicion.endings.size())
         return false;
-    const bool isDoubtful = suspicion.wasAnswered
-        || countMoments(suspicion) < partThreshold || rivalEndings == suspicion.endings.size()
+    // What was sound until just now needs more than what nobody was answered on.
+    const bool isEarly =
+        suspicion.endings.size() <= partThreshold || countMoments(suspicion) < partThreshold;
+    if (suspicion.wasAnswered && isEarly)
+        return false;
+    const bool isDoubtful = suspicion.wasAnswered || countMoments(suspicion) < partThreshold
+        || rivalEndings == suspicion.endings.size()
         || table_.hasOtherEnding(suspicion, Millis(0), doubtWindow, environment_.clock.now());
     return countTrials(suspicion) >= (isDoubtful ? 2 : 1);
 }
