A test of evicted entries fills each table to its own size

It expected suspicions and answers to be bounded alike, and failed since suspicions are bounded more closely.

--- a/modules/quarantine/table/SuspicionTable_test.cpp
+++ b/modules/quarantine/table/SuspicionTable_test.cpp
@@ -136,11 +136,12 @@
     for (int i = 0; i < count; ++i)
         table.add(suspicionOf(i, {1, 2}), start);
     CHECK(table.suspectCount() == SuspicionTable::maxSuspects);
-    for (int i = 0; i < count; ++i)
+    const int answered = static_cast<int>(AnsweredContents::maxContents) + 50;
+    for (int i = 0; i < answered; ++i)
         table.recordAnswer(fingerprintOf(i), start, start);
-    CHECK_FALSE(table.wasAnswered(fingerprintOf(0), start));
-    CHECK(table.wasAnswered(fingerprintOf(count - 1), start));
-    CHECK_FALSE(table.wasAnswered(fingerprintOf(count - 1), start + AnsweredContents::retention));
+    CHECK_FALSE(table.wasAnswered(fingerprintOf(49), start));
+    CHECK(table.wasAnswered(fingerprintOf(50), start));
+    CHECK_FALSE(table.wasAnswered(fingerprintOf(50), start + AnsweredContents::retention));
 }
 
 TEST_CASE("suspects are returned in round-robin order")
