--- a/modules/quarantine/testing/FatalPartScenario.h
+++ b/modules/quarantine/testing/FatalPartScenario.h
@@ -104,14 +104,17 @@
         cluster_.callsBack = setting.way != BlameWay::NotCalledBack;
     }
 
-    /** @param span  for which requests with the fatal part come after the first six seconds */
+    /** The first requests with a fatal part come in this time; what follows is compared. */
+    static constexpr Millis onset = Millis(6000);
+
+    /** @param span  for which requests with the fatal part come after the onset */
     Result run(Millis span = Millis::seconds(20))
     {
         std::optional<DisabledGuard> untried;
         if (setting_.way == BlameWay::Counted)
             untried.emplace(Guard::PartTried);
         play(Millis::seconds(5), false, soundBefore);
-        play(Millis::seconds(6), true, soundAtOnset);
+        play(onset, true, soundAtOnset);
         play(span, true, soundAfter);
         return result();
     }
--- a/programs/cuminrail-bench/PartsCommand.cpp
+++ b/programs/cuminrail-bench/PartsCommand.cpp
@@ -81,7 +81,8 @@
     const auto result = scenario.run(Millis::seconds(seconds));
     // What one instance sends, another one receives.
     const double bytes = 2 * double(cluster.sentBytes - before);
-    return {bytes / instances / (2.0 * seconds), result.crashes};
+    const Millis disturbed = FatalPartScenario::onset + Millis::seconds(seconds);
+    return {bytes / instances / disturbed.toSeconds(), result.crashes};
 }
 
 struct CheckRow
