--- a/modules/quarantine/testing/FatalPartScenario.h
+++ b/modules/quarantine/testing/FatalPartScenario.h
@@ -101,7 +101,6 @@
     {
         cluster_.streamTime = Millis(200);
         cluster_.crashTime = Millis(90);
-        cluster_.callsBack = setting.way != BlameWay::NotCalledBack;
     }
 
     /** The first requests with a fatal part come in this time; what follows is compared. */
@@ -110,9 +109,11 @@
     /** @param span  for which requests with the fatal part come after the onset */
     Result run(Millis span = Millis::seconds(20))
     {
-        std::optional<DisabledGuard> untried;
+        std::optional<DisabledGuard> without;
         if (setting_.way == BlameWay::Counted)
-            untried.emplace(Guard::PartTried);
+            without.emplace(Guard::PartTried);
+        if (setting_.way == BlameWay::NotCalledBack)
+            without.emplace(Guard::HeldCalledBack);
         play(Millis::seconds(5), false, soundBefore);
         play(onset, true, soundAtOnset);
         play(span, true, soundAfter);
--- a/modules/quarantine/testing/QuarantineCluster.h
+++ b/modules/quarantine/testing/QuarantineCluster.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "core/guards/Guards.h"
 #include "keepers/testing/FrameNetwork.h"
-#include "quarantine/quarantine.h"
+#include "quarantine/testing/ClusterRequest.h"
 
 #include <algorithm>
 #include <functional>
@@ -12,44 +13,6 @@
 
 namespace cuminrail::testing {
 
-/** Returns the contents of a request whose prompt has these parts, and one more of its own. */
-inline RequestContents promptContents(const std::string &customer,
-                                      const std::vector<std::string> &parts, const std::string &id)
-{
-    std::vector<ContentFingerprint> fingerprints;
-    for (const std::string &part : parts) {
-        fingerprints.push_back(ContentFingerprint::ofPart("m", part));
-        fingerprints.push_back(ContentFingerprint::ofCustomerPart(customer, "m", part));
-    }
-    return {ContentFingerprint::ofRequest(customer, "/stream", id), std::move(fingerprints)};
-}
-
-/** A request in a simulated cluster. */
-struct ClusterRequest
-{
-    int instance = 0;
-    RequestContents contents;
-    bool isFatal = false;
-    /** Requests are counted by group. */
-    int group = 0;
-    int attempt = 1;
-    bool isTrial = false;
-    Millis arrivedAt;
-};
-
-/** What became of the requests of a group. */
-struct GroupCounts
-{
-    int requests = 0;
-    /** Requests whose first attempt got a response that began. */
-    int begunAtFirst = 0;
-    int served = 0;
-    /** By connected instances. */
-    int refused = 0;
-    int failed = 0;
-    Millis longestHold;
-};
-
 /**
     Simulated instances in virtual time that send requests to engines, some of them fatal to the
     engine that begins to respond to them. Records all sends.
@@ -133,11 +96,10 @@
     /** Returns an engine that runs a request with this fingerprint, or nothing. */
     std::optional<std::size_t> engineRunning(const ContentFingerprint &request) const
     {
-        for (const Run &run : runs_) {
-            if (run.request.contents.request() == request)
-                return run.engine;
-        }
-        return std::nullopt;
+        const auto found = std::find_if(runs_.begin(), runs_.end(), [&](const Run &run) {
+            return run.request.contents.request() == request;
+        });
+        return found == runs_.end() ? std::nullopt : std::optional<std::size_t>(found->engine);
     }
 
     /** Number of engines that ended under requests with this fingerprint. */
@@ -151,8 +113,6 @@
     bool isStoreDown = false;
     /** Maximum number of sends of one request. */
     int attempts = 2;
-    /** Whether requests that become held are called back. */
-    bool callsBack = true;
     /** Time from an engine's first event to the end of its response. */
     Millis streamTime = Millis(0);
     /** Time from the begin of a response to the end of the engine that crashes under it. */
@@ -196,12 +156,6 @@
         Millis downUntil;
     };
 
-    template<typename List, typename Predicate>
-    static void eraseIf(List &list, Predicate isErased)
-    {
-        list.erase(std::remove_if(list.begin(), list.end(), isErased), list.end());
-    }
-
     void start(int i, int instances)
     {
         if (i >= count())
@@ -402,7 +356,7 @@
     void callBackHeld()
     {
         for (const int i : std::exchange(restricted_, {})) {
-            if (!callsBack || !isRunning(i))
+            if (!guardEnabled(Guard::HeldCalledBack) || !isRunning(i))
                 continue;
             const auto isCalledBack = [&](const Run &run) {
                 const ClusterRequest &request = run.request;
