--- a/modules/quarantine/testing/QuarantineCluster.h
+++ b/modules/quarantine/testing/QuarantineCluster.h
@@ -8,8 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <string>
-#include <vector>
 
 namespace cuminrail::testing {
 
