--- a/modules/net/server/Overload_test.cpp
+++ b/modules/net/server/Overload_test.cpp
@@ -73,6 +73,7 @@
     REQUIRE(server.listen("127.0.0.1", 0, false, &reason));
     thread.start();
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     const auto end = SteadyClock::now() + duration;
     for (int i = 0; i < callers; ++i)
         threads.emplace_back([&] { callInTurn(server.port(), end, counts); });
