--- a/modules/quarantine/testing/FatalPartScenario.h
+++ b/modules/quarantine/testing/FatalPartScenario.h
@@ -114,16 +114,16 @@
             without.emplace(Guard::PartTried);
         if (setting_.way == BlameWay::NotCalledBack)
             without.emplace(Guard::HeldCalledBack);
-        play(Millis::seconds(5), false, soundBefore);
-        play(onset, true, soundAtOnset);
-        play(span, true, soundAfter);
+        play(Millis::seconds(5), false, SoundBefore);
+        play(onset, true, SoundAtOnset);
+        play(span, true, SoundAfter);
         return result();
     }
 
     QuarantineCluster &cluster() { return cluster_; }
 
 private:
-    enum Group : int { soundBefore, soundAtOnset, soundAfter, fatalGroup };
+    enum Group : int { SoundBefore, SoundAtOnset, SoundAfter, FatalGroup };
 
     static constexpr Millis step = Millis(10);
     static constexpr int customers = 8;
@@ -155,7 +155,7 @@
     void sendSound(int group)
     {
         std::string part = middle();
-        const bool isAvoided = setting_.turnsFatal && group != soundBefore;
+        const bool isAvoided = setting_.turnsFatal && group != SoundBefore;
         while (isAvoided && part == fatalPart(0))
             part = middle();
         cluster_.request(cluster_.pick(cluster_.count()), contents({first(), part}), false, group);
@@ -168,7 +168,7 @@
         const auto parts = setting_.isFirst ? std::vector<std::string>{part, middle()}
                                             : std::vector<std::string>{first(), part, middle()};
         cluster_.request(cluster_.pick(cluster_.count()), contents(parts), true,
-                         fatalGroup + number);
+                         FatalGroup + number);
     }
 
     void play(Millis span, bool isDisturbed, int group)
@@ -305,14 +305,14 @@
             for (const Millis at : cluster_.connectedCrashes[group])
                 result.lateCrashes += times.size() > 3 && at > times[2] + Millis(1000) ? 1 : 0;
         }
-        for (const int group : {soundBefore, soundAtOnset, soundAfter}) {
+        for (const int group : {SoundBefore, SoundAtOnset, SoundAfter}) {
             const GroupCounts &counts = cluster_.groups[group];
             result.soundRefused += counts.refused;
             result.longestHold = std::max(result.longestHold, counts.longestHold);
         }
         result.wrongQuarantines = countWrongQuarantines();
-        result.begunBefore = begunShare(cluster_.groups[soundBefore]);
-        result.begunAfter = begunShare(cluster_.groups[soundAfter]);
+        result.begunBefore = begunShare(cluster_.groups[SoundBefore]);
+        result.begunAfter = begunShare(cluster_.groups[SoundAfter]);
         return result;
     }
 
