--- a/modules/quarantine/table/SuspicionTable.cpp
+++ b/modules/quarantine/table/SuspicionTable.cpp
@@ -137,7 +137,7 @@
     answered_.record(content, beganAt, now);
     if (isEmpty())
         return {};
-    const auto removed =
+    auto removed =
         removeEndings(content, [&](const Ending &ending) { return ending.at < beganAt; });
     for (const UpstreamIncarnation upstream : removed)
         rememberVoided(content, upstream);
--- a/programs/cuminrail-bench/PartsCommand.cpp
+++ b/programs/cuminrail-bench/PartsCommand.cpp
@@ -130,6 +130,7 @@
     CheckRow row;
     row.tableBytes = usedBytes() - before;
     std::vector<Prompt> prompts;
+    prompts.reserve(repeats);
     for (int i = 0; i < repeats; ++i)
         prompts.push_back(promptOf(i));
     std::vector<RequestContents> contents;
