--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -149,6 +149,8 @@
         ++active;
         std::thread([&, number] {
             const std::string id = "r" + std::to_string(100000 + number);
+            record.line("client " + id + " sends POST /tag/x to front-"
+                        + std::to_string(number % gatewayCount));
             const Answer answer = ask(gateways[number % gatewayCount]->settings().front,
                                       "POST /tag/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: "
                                           + id
@@ -164,6 +166,8 @@
                 for (int i = 1; i <= events; ++i)
                     expected += event(id, i);
                 ++(answer.body == expected ? whole : wrong);
+                record.line("client " + id + ": " + answer.text()
+                            + (answer.body == expected ? "" : ", not the server's body"));
             } else {
                 record.line("client " + id + ": " + answer.text());
             }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -212,6 +212,8 @@
                 parts += part + ":40,";
             }
             parts += "e" + std::to_string(own) + ":50";
+            record.line("client " + id + " sends POST /read/x" + (isFatal ? " FATAL" : "")
+                        + " to front-" + std::to_string(own % gatewayCount));
             const Answer answer =
                 ask(gateways[static_cast<std::size_t>(own % gatewayCount)]->settings().front,
                     "POST /read/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: " + id
