--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <sys/prctl.h>
 #include <poll.h>
+#include <random>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -251,7 +252,8 @@
 std::uint16_t freePort()
 {
     // Below the range of the ports that the kernel gives to connections, so that none takes it.
-    static std::uint16_t next = static_cast<std::uint16_t>(12000 + (getpid() * 37) % 16000);
+    static std::uint16_t next =
+        static_cast<std::uint16_t>(12000 + std::random_device()() % 17000);
     for (;;) {
         next = next >= 30000 ? 12000 : static_cast<std::uint16_t>(next + 1);
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -784,8 +786,9 @@
 
 std::string temporaryFolder()
 {
-    char name[] = "/tmp/review-XXXXXX";
-    if (mkdtemp(name) == nullptr)
+    const char *const parent = std::getenv("REVIEW_TMP");
+    std::string name = std::string(parent == nullptr ? "/tmp" : parent) + "/review-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr)
         std::exit(2);
     return name;
 }
