--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,9 +2,9 @@
     Case 1: a stream that may be resumed breaks off at a connection reset, and the server at which
     it goes on answers with a failure of its own.
 
-    Three gateways, seven servers of one service, 40 streams a second for 35 s. Each second
-    half of one gateway's connections to servers are reset by a proxy; one server of seven fails
-    four in ten of its requests with 500, as srv_grey does.
+    Three gateways, seven servers of one service, 40 streams a second for 75 s. Each second
+    half of one gateway's connections to servers are reset by a proxy; one server of seven at a time
+    fails four in ten of its requests with 500 for 6.5 s, as srv_grey does.
 */
 #include "stand.h"
 
@@ -21,9 +21,12 @@
 constexpr int serverCount = 7;
 constexpr int events = 12;
 constexpr std::int64_t eventInterval = 50;
-constexpr std::int64_t playMs = 35000;
+constexpr std::int64_t playMs = 75000;
 constexpr std::int64_t requestInterval = 25;
 constexpr double greyShare = 0.4;
+constexpr int noServer = -1;
+constexpr std::int64_t greyMs = 6500;
+constexpr std::int64_t greyInterval = 7000;
 constexpr double resetShare = 0.5;
 
 std::mutex randomMutex;
@@ -42,7 +45,7 @@
 }
 
 /** One server: streams numbered events, and goes on after Last-Event-Id. */
-void serveStreams(Conn &conn, int index, const std::atomic<bool> &isGrey, Record &record)
+void serveStreams(Conn &conn, int index, const std::atomic<int> &greyServer, Record &record)
 {
     while (const auto request = readRequest(conn)) {
         const std::string id = request->header("Request-Id");
@@ -54,7 +57,7 @@
         }
         const std::string last = request->header("Last-Event-Id");
         record.line("server " + server + " runs " + id + (last.empty() ? "" : " after " + last));
-        if (isGrey && draw() < greyShare) {
+        if (greyServer == index && draw() < greyShare) {
             record.line("server " + server + " answers " + id + " 500");
             conn.send("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id
                       + "\r\nResponse-Stamp: stamp." + id + "\r\nContent-Length: 6\r\n\r\nfailed");
@@ -78,14 +81,13 @@
     std::signal(SIGPIPE, SIG_IGN);
     Record record(argc > 1 ? argv[1] : "record.txt");
     const std::string folder = temporaryFolder();
-    std::atomic<bool> isGrey{false};
-    const std::atomic<bool> isNever{false};
+    std::atomic<int> greyServer{noServer};
     Store store;
     std::vector<std::unique_ptr<Listener>> servers;
     for (int i = 0; i < serverCount; ++i)
         servers.push_back(std::make_unique<Listener>(
-            freePort(), [i, &isGrey, &isNever, &record](Conn &conn) {
-                serveStreams(conn, i, i == 0 ? isGrey : isNever, record);
+            freePort(), [i, &greyServer, &record](Conn &conn) {
+                serveStreams(conn, i, greyServer, record);
             }));
     const char *const zones[] = {"zone-a", "zone-b", "zone-c"};
     std::vector<std::vector<std::unique_ptr<Proxy>>> proxies(gatewayCount);
@@ -135,7 +137,6 @@
     sleepMs(5000);
 
     const bool isTroubled = hasTrouble();
-    isGrey = isTroubled;
     std::atomic<int> unreadable{0};
     std::atomic<int> whole{0};
     std::atomic<int> wrong{0};
@@ -145,6 +146,9 @@
     int resets = 0;
     int count = 0;
     while (now() - begun < playMs) {
+        const std::int64_t at = now() - begun;
+        const bool isGreyNow = isTroubled && at % greyInterval < greyMs;
+        greyServer = isGreyNow ? static_cast<int>(at / greyInterval) % serverCount : noServer;
         const int number = ++count;
         ++active;
         std::thread([&, number] {
