A request ends by what its caller has, not by its last attempt

What callers saw: "HTTP/1.1 500 Internal Server Error" where the size of a chunk is due. A resumable stream had begun, its connection to the upstream was reset, and the upstream at which it went on answered with a failure.

Cause: deliverResponse() looked at the last attempt: a response that is no stream was sent with a head of its own, also when the caller was reading another one. giveUp() did look at what the caller had, refuse() left it to its callers.

Why it works: all ends of a request go through end(), which knows whether a response is open: then only the stream's rest may follow, or a break. What another upstream or a carrier answers after a first event is judged at its head (OpenResponse: the same status, a stream) and at its end (it must not end before the caller's last event). What isn't the rest is a failed attempt: another upstream is tried if attempts, the retry allowance and the deadline allow, and the response is broken off if not. A failed continuation counts once: as the upstream's failure (5xx), as nothing (4xx) or as an invalid response, and no longer voids endings in the quarantine. cuminrail_resumes counted continuations that were never sent; it counts those that were accepted, and cuminrail_streams_begun and _broken_off are new. attempt-ended says why a response was not the rest, and whether one was open.

--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -254,6 +254,10 @@
              static_cast<double>(gauges.pathState));
     setGauge("cuminrail_resumes", "Streams that went on at another upstream",
              static_cast<double>(counters.resumes));
+    setGauge("cuminrail_streams_begun", "Streams of which callers received events",
+             static_cast<double>(counters.streamsBegun));
+    setGauge("cuminrail_streams_broken_off", "Of these, broken off here before their end",
+             static_cast<double>(counters.streamsBrokenOff));
     setGauge("cuminrail_held", "Prompts that waited at the instance until engines had room",
              static_cast<double>(counters.deferred));
     setGauge("cuminrail_hand_overs", "Prompts read by a prefill engine first",
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -39,13 +39,25 @@
         attempt_.isInvalid = true;
     if (attempt_.isInvalid)
         return;
-    attempt_.headers = context_.wire.callerHeaders(head);
-    attempt_.isStreaming = isSuccess && route_->kind == RouteKind::Stream;
+    acceptHead(head.status, context_.wire.callerHeaders(head),
+               isSuccess && route_->kind == RouteKind::Stream);
+}
+
+void RequestRelay::acceptHead(int status, std::vector<HttpHeader> headers, bool isStream)
+{
+    attempt_.status = status;
+    attempt_.headers = std::move(headers);
+    if (openResponse_)
+        attempt_.mismatch = openResponse_->mismatch(status, attempt_.headers);
+    attempt_.isStreaming = isStream && attempt_.mismatch.empty();
+    if (openResponse_ && attempt_.isStreaming)
+        ++context_.counters.resumes;
 }
 
 void RequestRelay::onBody(std::string_view data)
 {
-    if (hasEnded_ || attempt_.isInvalid || attempt_.traits.isRefusedUnrun)
+    if (hasEnded_ || attempt_.isInvalid || attempt_.traits.isRefusedUnrun
+        || !attempt_.mismatch.empty())
         return;
     if (!attempt_.isStreaming) {
         if (attempt_.body.size() + data.size() <= maxBufferedBytes)
@@ -67,6 +79,8 @@
     if (attempt_.isInvalid)
         return;
     attempt_.mustShowPosition = false;
+    if (event.number)
+        attempt_.lastEvent = std::max(attempt_.lastEvent.value_or(0), *event.number);
     notePrefillDone();
     if (attempt_.choice)
         context_.engines.runBegan(*attempt_.choice, context_.now());
@@ -87,11 +101,7 @@
         return;
     if (event.number)
         lastEventId_ = event.number;
-    if (!hasResponseStarted_) {
-        hasResponseStarted_ = true;
-        noteFirstResponse();
-        exchange_->beginStream(attempt_.status, attempt_.headers);
-    }
+    beginResponse();
     noteEvent();
     exchange_->write(event.bytes);
     if (!exchange_->isCongested())
@@ -171,70 +181,4 @@
     return base + Millis(static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id) % jitter));
 }
 
-void RequestRelay::refuse(int status, GiveUpCause cause, std::optional<Millis> retryAfter,
-                          const std::string &why)
-{
-    ++context_.counters.refused;
-    context_.metrics.requestGivenUp(cause, RequestOutcome::Refused);
-    logEnd(events::requestRefused, status, cause, why);
-    if (!carried_)
-        exchange_->respond(context_.wire.localResponse(status, inbound_.id, retryAfter, why));
-    else if (status == 503 && cause != GiveUpCause::NoConfiguration && !context_.path.isCut())
-        carried_->refuse(retryAfter, why);
-    else
-        carried_->decline(why);
-    endRequest(RequestOutcome::Refused);
-}
-
-void RequestRelay::giveUp(GiveUpCause cause, const std::string &why)
-{
-    const auto self = shared_from_this();
-    // What cannot go on later either names no time to come back.
-    const bool isFinal = cause == GiveUpCause::StreamGone || cause == GiveUpCause::StreamUnknown;
-    const auto retryAfter = isFinal ? std::nullopt : std::optional<Millis>(callerRetryAfter());
-    if (!hasResponseStarted_ && !mayHaveRun_)
-        return refuse(503, cause, retryAfter, why);
-    ++context_.counters.failed;
-    context_.metrics.requestGivenUp(cause, RequestOutcome::Failed);
-    if (carried_)
-        carried_->setSends(sends_);
-    if (hasResponseStarted_) {
-        logEnd(events::requestFailed, 0, cause, "stream truncated: " + why);
-        exchange_->abort();
-    } else {
-        const bool isOverdue =
-            cause == GiveUpCause::DeadlineExceeded || context_.now() >= deadlineAt_;
-        const int status = isOverdue ? 504 : 502;
-        logEnd(events::requestFailed, status, cause, why);
-        if (carried_)
-            carried_->fail(isOverdue, why);
-        else
-            exchange_->respond(context_.wire.localResponse(status, inbound_.id, std::nullopt, why));
-    }
-    endRequest(RequestOutcome::Failed);
-}
-
-void RequestRelay::noteFirstResponse()
-{
-    const Millis took = context_.now() - arrivedAt_;
-    context_.metrics.firstResponse(route_->kind, took.toSeconds());
-}
-
-void RequestRelay::endRequest(RequestOutcome outcome)
-{
-    hasEnded_ = true;
-    deadlineTimer_.clear();
-    silenceTimer_.clear();
-    deferralTimer_.clear();
-    leaveDeferredQueue();
-    trialEnded();
-    // A refused request was not run, so its quota is returned. A request that was sent for a caller
-    // that left may have run.
-    if (!wasSent_ || outcome == RequestOutcome::Refused)
-        context_.quotas->release(quotaGrant_);
-    const Millis took = context_.now() - arrivedAt_;
-    const RouteKind kind = route_ == nullptr ? RouteKind::Safe : route_->kind;
-    context_.metrics.requestEnded(kind, outcome, took.toSeconds());
-}
-
 } // namespace cuminrail
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -119,9 +119,7 @@
     const auto self = shared_from_this();
     CarriedCallHooks hooks;
     hooks.onHead = [self](const CarriedHead &head) {
-        self->attempt_.status = head.status;
-        self->attempt_.headers = headersOf(head.fields);
-        self->attempt_.isStreaming = head.isStream;
+        self->acceptHead(head.status, headersOf(head.fields), head.isStream);
         // The carrier counts the run for usage.
         self->hasStarted_ = true;
     };
@@ -136,28 +134,27 @@
     if (hasEnded_)
         return;
     const bool isPartial = attempt_.isStreaming && sseReader_.hasPartial();
-    if (end.result == CarriedResult::Complete && !attempt_.isInvalid && !isPartial) {
+    const bool isWhole = end.result == CarriedResult::Complete && !attempt_.isInvalid && !isPartial;
+    if (isWhole && goesOnWithResponse()) {
         sends_ += static_cast<int>(end.sends);
         return deliverResponse();
     }
+    const std::string reason = isWhole ? attempt_.mismatch : end.reason;
     ++context_.counters.handedOverFailed;
     context_.events(Event{&events::carriedAttemptEnded,
                           {{"request", inbound_.id},
                            {"result", std::string(carriedResultNames.name(end.result))},
-                           {"reason", end.reason}}});
-    lastProblem_ = end.reason;
+                           {"reason", reason}}});
+    lastProblem_ = reason;
     lastCause_ = GiveUpCause::Unreachable;
     if (end.result == CarriedResult::Declined)
         return dispatch();
     isFirstSendCounted_ = true;
-    const bool isUnrun = end.result == CarriedResult::NotRun;
-    if (isUnrun && !hasResponseStarted_ && !mayHaveRun_)
-        return refuse(503, GiveUpCause::Refused, end.retryAfter, end.reason);
-    if (isUnrun)
-        return giveUp(GiveUpCause::Refused, end.reason);
+    if (end.result == CarriedResult::NotRun)
+        return refuse(503, GiveUpCause::Refused, end.retryAfter, reason);
     mayHaveRun_ = true;
     if (end.result == CarriedResult::Overdue)
-        return giveUp(GiveUpCause::DeadlineExceeded, end.reason);
+        return giveUp(GiveUpCause::DeadlineExceeded, reason);
     lastCause_ = GiveUpCause::Broken;
     // Of a lost carrier it is not known how many attempts it made.
     const bool isLost = end.result == CarriedResult::Lost;
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -19,7 +19,8 @@
         return;
     }
     const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
-    if (!isPlainSuccess || attempt_.isInvalid)
+    const bool canGoOn = goesOnWithResponse();
+    if (!isPlainSuccess || attempt_.isInvalid || !canGoOn)
         logAttempt(end);
     if (attempt_.isPrefill)
         prefillEnded(end);
@@ -33,11 +34,34 @@
         && !(attempt_.isStreaming && sseReader_.hasPartial());
     if (isWhole && attempt_.traits.isRefusedUnrun)
         return onNotExecuted();
+    if (isWhole && !goesOnWithResponse())
+        return continuationFailed();
     if (isWhole && end.isDelimitedByClose)
         return confirmResponse(end);
     if (isWhole)
         return responseCompleted(end);
-    attemptFailed(end);
+    attemptFailed(end, AttemptSign::Broken);
+}
+
+bool RequestRelay::goesOnWithResponse()
+{
+    if (attempt_.mismatch.empty() && attempt_.lastEvent && lastEventId_
+        && *attempt_.lastEvent < *lastEventId_)
+        attempt_.mismatch = "ended at event " + std::to_string(*attempt_.lastEvent)
+            + ", before the caller's last one, " + std::to_string(*lastEventId_);
+    return attempt_.mismatch.empty();
+}
+
+void RequestRelay::continuationFailed()
+{
+    // A 4xx says nothing of the upstream's health: it may not know the stream.
+    const AttemptSign sign = attempt_.status >= 500 ? AttemptSign::Failure
+        : attempt_.status >= 400                    ? AttemptSign::Good
+                                                    : AttemptSign::Broken;
+    attemptFailed({UpstreamEndKind::Complete,
+                   Verdict::Ran,
+                   {attempt_.upstream->entry.address, attempt_.mismatch}},
+                  sign);
 }
 
 void RequestRelay::confirmResponse(const UpstreamEnd &end)
@@ -50,7 +74,8 @@
         self->attemptFailed(
             {UpstreamEndKind::Broken,
              Verdict::MayHaveRun,
-             {self->attempt_.upstream->entry.address, "the upstream ended with its response"}});
+             {self->attempt_.upstream->entry.address, "the upstream ended with its response"}},
+            AttemptSign::Broken);
     });
 }
 
@@ -80,11 +105,11 @@
     dispatch();
 }
 
-void RequestRelay::attemptFailed(const UpstreamEnd &end)
+void RequestRelay::attemptFailed(const UpstreamEnd &end, AttemptSign sign)
 {
     lastProblem_ =
         std::string(upstreamEndKindNames.name(end.kind)) + ": " + end.lastReason.toString();
-    recordOutcome(AttemptSign::Broken);
+    recordOutcome(sign);
     tried_.insert(attempt_.upstream->entry.id);
     const UpstreamPointer upstream = attempt_.upstream;
     const bool mayHaveRun = end.verdict != Verdict::NotRun;
@@ -119,8 +144,6 @@
     isTrial_ = isTrial_ && !mayHaveRun;
     if (mayHaveRun && !route_->isRepeatable())
         return giveUpWithLastCause();
-    if (hasResponseStarted_)
-        ++context_.counters.resumes;
     if (!awaitsProbe)
         dispatch();
 }
@@ -162,25 +185,4 @@
     deliverResponse();
 }
 
-void RequestRelay::deliverResponse()
-{
-    if (carried_)
-        carried_->setSends(sends_);
-    if (attempt_.isStreaming) {
-        if (!hasResponseStarted_)
-            exchange_->beginStream(attempt_.status, attempt_.headers);
-        exchange_->finish();
-    } else {
-        noteFirstResponse();
-        HttpResponse answer;
-        answer.status = attempt_.status;
-        answer.headers = std::move(attempt_.headers);
-        answer.body = std::move(attempt_.body);
-        exchange_->respond(answer);
-    }
-    ++(attempt_.status < 400 ? context_.counters.served : context_.counters.failed);
-    logEnd(events::requestServed, attempt_.status);
-    endRequest(attempt_.status < 400 ? RequestOutcome::Served : RequestOutcome::UpstreamError);
-}
-
 } // namespace cuminrail
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -68,15 +68,17 @@
     const UpstreamPointer &upstream = target();
     const Verdict verdict =
         attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun : end.verdict;
-    Event event{&events::attemptEnded,
-                {{"request", inbound_.id},
-                 {"upstream", upstream->entry.id},
-                 {"step", attempt_.isPrefill ? "prefill" : "run"},
-                 {"end", std::string(upstreamEndKindNames.name(end.kind))},
-                 {"status", std::to_string(attempt_.status)},
-                 {"verdict", std::string(verdictNames.name(verdict))},
-                 {"reason", end.lastReason.toString()},
-                 {"elapsed_ms", text(context_.now() - arrivedAt_)}}};
+    Event event{
+        &events::attemptEnded,
+        {{"request", inbound_.id},
+         {"upstream", upstream->entry.id},
+         {"step", attempt_.isPrefill ? "prefill" : "run"},
+         {"end", std::string(upstreamEndKindNames.name(end.kind))},
+         {"status", std::to_string(attempt_.status)},
+         {"verdict", std::string(verdictNames.name(verdict))},
+         {"reason", attempt_.mismatch.empty() ? end.lastReason.toString() : attempt_.mismatch},
+         {"response", openResponse_ ? "open" : "none"},
+         {"elapsed_ms", text(context_.now() - arrivedAt_)}}};
     if (!attempt_.traits.backoffText.empty())
         event.fields.emplace_back("retry_after", attempt_.traits.backoffText);
     // Distinguishes a request that crashes one upstream after another from upstreams that fail by
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -59,10 +59,7 @@
     const auto remaining = context_.quarantine->remainingQuarantine(contents());
     if (!remaining)
         return false;
-    if (hasResponseStarted_ || mayHaveRun_)
-        giveUp(GiveUpCause::Quarantined, quarantineReason);
-    else
-        refuse(503, GiveUpCause::Quarantined, remaining, quarantineReason);
+    refuse(503, GiveUpCause::Quarantined, remaining, quarantineReason);
     return true;
 }
 
@@ -101,7 +98,7 @@
 void RequestRelay::onContentsRestricted()
 {
     const bool hasBegunHere =
-        hasBegun_ || hasResponseStarted_ || (attempt_.status != 0 && !attempt_.isPrefill);
+        hasBegun_ || openResponse_ || (attempt_.status != 0 && !attempt_.isPrefill);
     const bool mayBeSentAgain = attempt_.isPrefill || route_->isRepeatable();
     if (hasEnded_ || hasBegunHere || !call_.isActive() || !mayBeSentAgain || !isHeld()
         || !guardEnabled(Guard::HeldCalledBack))
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request/OpenResponse.h"
 #include "gateway/request/RelayContext.h"
 #include "net/http/SseReader.h"
 #include "net/upstream/UpstreamCall.h"
@@ -65,8 +66,12 @@
         /** The stream goes on after events that the caller has, and none of these responses' events
             has shown yet where. */
         bool mustShowPosition = false;
+        /** The highest number of its events. */
+        std::optional<std::uint64_t> lastEvent;
         /** The response is not the upstream's own, malformed or too large: it is not relayed. */
         bool isInvalid = false;
+        /** Why the response is not the rest of the one that the caller has begun to receive. */
+        std::string mismatch;
     };
 
     /** Events of a stream that the caller received, over all attempts. */
@@ -136,8 +141,10 @@
     void resumeResponse();
     /** Abandons the attempt in progress; returns whether it may run the request. */
     bool cancelAttempt();
-    /** Sends the caller the response of an attempt that is complete. */
-    void deliverResponse();
+    /** Sets what the head of a response shows; the caller may have a part of an earlier one. */
+    void acceptHead(int status, std::vector<HttpHeader> headers, bool isStream);
+    /** Finds out whether a whole response can be the rest of the one that the caller has. */
+    bool goesOnWithResponse();
     /** Whether streams of the route may be resumed, and so must stay at one software version. */
     bool isResumable() const;
     /** Identity of the request that began the stream; empty if the caller does not state it. */
@@ -220,7 +227,9 @@
     bool chooseOtherDecodeEngine();
     void runOnOtherEngine();
     void runWithCache();
-    void attemptFailed(const UpstreamEnd &end);
+    void attemptFailed(const UpstreamEnd &end, AttemptSign sign);
+    /** A whole response can't be the rest of the one that the caller has begun to receive. */
+    void continuationFailed();
     void responseCompleted(const UpstreamEnd &end);
 
     void noteEvent();
@@ -234,6 +243,36 @@
     void onDeadline();
     void onSilence();
     void onCallerDisconnected();
+    /** How a request ends, unless its caller has received a part of a response. */
+    enum class Ending : std::uint8_t {
+        /** With the response of the last attempt. */
+        Response,
+        /** No upstream has run it. */
+        Refusal,
+        /** An upstream may have run it, and there is no response. */
+        Failure,
+    };
+    struct EndCause
+    {
+        GiveUpCause cause;
+        std::string why;
+        /** Of a refusal. */
+        int status = 503;
+        std::optional<Millis> retryAfter;
+    };
+
+    /**
+        Ends the request. All its ends come here, as what the caller has received decides what may
+        still be sent: after a part of a stream only the stream's rest, or a break.
+    */
+    void end(Ending ending, const EndCause &cause);
+    void sendResponse();
+    void sendRefusal(const EndCause &cause);
+    void sendFailure(const EndCause &cause);
+    void breakResponseOff(const EndCause &cause);
+    void beginResponse();
+    /** Sends the caller the response of an attempt that is complete. */
+    void deliverResponse();
     void refuse(int status, GiveUpCause cause, std::optional<Millis> retryAfter,
                 const std::string &why);
     void giveUp(GiveUpCause cause, const std::string &why);
@@ -312,7 +351,8 @@
     bool wasPrefillSent_ = false;
     UpstreamPointer otherDecodeEngine_;
     bool hasStarted_ = false;
-    bool hasResponseStarted_ = false;
+    /** Set once the caller has received a part of a response. */
+    std::optional<OpenResponse> openResponse_;
     bool hasEnded_ = false;
     std::string cacheHandle_;
     std::optional<std::uint64_t> lastEventId_;
--- a/modules/net/testing/TestSocket.h
+++ b/modules/net/testing/TestSocket.h
@@ -135,7 +135,7 @@
         setsockopt(handle_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     }
 
-private:
+    /** Reads what has arrived, or waits for it. Returns false at the end and on time-out. */
     bool readSome()
     {
         char buffer[16384];
@@ -148,6 +148,7 @@
         return true;
     }
 
+private:
     std::string consume(std::size_t size)
     {
         std::string taken = input_.substr(0, size);
