A connection refuses calls that are out of a response's order

Cause: ServerConnection::respond() and beginStream() asked only whether a response was due, not whether one had begun. write() and finish() took what came before a beginning.

Why it works: the connection knows whether a stream is open. A call out of order writes nothing, resets the connection so that the caller sees a break, is logged as response-out-of-order (219, error: a fault of this process) and counted in cuminrail_responses_out_of_order. A late call, when the request is over, is reported too; it closes an idle connection and leaves a next request alone. Calls after the caller has left stay without effect.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -34,6 +34,7 @@
         &contentTried,
         &quarantineLifted,
         &requestCalledBack,
+        &responseOutOfOrder,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -104,6 +104,11 @@
     "A request that an upstream had not begun to answer was taken back, as its content is "
     "suspected."};
 
+inline constexpr EventKind responseOutOfOrder{
+    219, EventLevel::Error, "response-out-of-order",
+    "A fault of this process: it called for a part of a response out of its order. Nothing of it "
+    "was sent, and the response was broken off."};
+
 // 3xx upstreams
 inline constexpr EventKind upstreamEjected{
     301, EventLevel::Warning, "upstream-ejected",
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -79,14 +79,10 @@
       pool_(environment_.io, environment_.deadlines, poolLimits()),
       context_(wire_, environment_.deadlines, pool_, settings_),
       callers_(environment_.io, environment_.deadlines, serverLimits(CallerLimits(), settings_),
-               {nullptr, [this](const auto &exchange) { onRequest(exchange); },
-                [this](int status, const Reason &reason) { return problemAnswer(status, reason); }},
-               load_),
-      readiness_(
-          environment_.io, environment_.deadlines, HttpServerLimits(),
-          {nullptr, [this](const auto &exchange) { onReadinessRequest(exchange); },
-           [this](int status, const Reason &reason) { return problemAnswer(status, reason); }},
-          std::make_shared<ServerLoad>()),
+               serverHooks([this](const auto &exchange) { onRequest(exchange); }), load_),
+      readiness_(environment_.io, environment_.deadlines, HttpServerLimits(),
+                 serverHooks([this](const auto &exchange) { onReadinessRequest(exchange); }),
+                 std::make_shared<ServerLoad>()),
       admin_(environment_.io, environment_.deadlines, adminPages()),
       sync_(context_, environment_.store, environment_.random),
       registry_(registrationOf(settings_), settings_.isFirstStart, registryHooks()),
@@ -252,25 +248,6 @@
     });
 }
 
-void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
-{
-    noteExchangeActivity();
-    std::make_shared<RequestRelay>(context_, exchange)->start();
-}
-
-void Gateway::onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange)
-{
-    HttpResponse answer;
-    answer.status = isReady() ? 200 : 503;
-    exchange->respond(answer);
-}
-
-HttpResponse Gateway::problemAnswer(int status, const Reason &reason) const
-{
-    const auto retryAfter = status == 503 ? std::optional<Millis>(Millis(500)) : std::nullopt;
-    return wire_.localResponse(status, {}, retryAfter, reason.toString());
-}
-
 AdminPages Gateway::adminPages()
 {
     AdminPages pages;
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -102,6 +102,11 @@
     std::string carriageRefusal() const;
     void onPathChange(PathState before);
     void tickPath();
+    /** Returns the hooks of a server whose requests a function handles. */
+    HttpServerHooks
+    serverHooks(std::function<void(const std::shared_ptr<HttpExchange> &)> onRequest);
+    /** Logs that this instance called for a part of a response out of its order. */
+    void reportOutOfOrder(const Reason &reason) const;
     void onReadinessRequest(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse problemAnswer(int status, const Reason &reason) const;
     void applyLimits();
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -147,6 +147,9 @@
     setGauge("cuminrail_caller_connections_closed_unread",
              "Callers' connections that were closed before anything was read, under overload",
              static_cast<double>(gauges.closedUnread));
+    setGauge("cuminrail_responses_out_of_order",
+             "Responses that a fault of this process would have garbled; they were broken off",
+             static_cast<double>(gauges.responsesOutOfOrder));
 }
 
 void GatewayMetrics::setLimits(const GatewayGauges &gauges)
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -119,6 +119,8 @@
     std::size_t suspects = 0;
     /** Callers' connections that were closed unread. */
     std::uint64_t closedUnread = 0;
+    /** Calls for callers' responses that were out of order. */
+    std::uint64_t responsesOutOfOrder = 0;
     LimitStats limits;
     std::size_t limitedUpstreams = 0;
     std::size_t leavingUpstreams = 0;
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -73,6 +73,7 @@
     gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
     gauges.closedUnread = load_->closedUnread.load(std::memory_order_relaxed);
+    gauges.responsesOutOfOrder = load_->outOfOrder.load(std::memory_order_relaxed);
     gauges.counters = context_.counters;
     gauges.linkTraffic = linkTraffic_;
     gauges.streamRecords = context_.origins->records().stats();
--- a/modules/instance/request/RequestWorker.cpp
+++ b/modules/instance/request/RequestWorker.cpp
@@ -100,6 +100,9 @@
     hooks.onProblem = [this](int status, const Reason &reason) {
         return protocolErrorResponse(status, reason);
     };
+    hooks.onOutOfOrder = [this](const Reason &reason) {
+        context_.events(Event{&events::responseOutOfOrder, {{"reason", reason.toString()}}});
+    };
     hooks.onRequest = [this](const std::shared_ptr<HttpExchange> &exchange) {
         const auto flow = std::make_shared<RequestFlow>(*this, exchange);
         keep(flow);
--- a/modules/net/server/HttpExchange.h
+++ b/modules/net/server/HttpExchange.h
@@ -21,10 +21,10 @@
 /**
     One request on a server connection and the means to respond to it. Confined to one thread.
 
-    Respond with respond(), or with beginStream(), write()… and finish() or abort(). Hooks are
-    removed when the response has ended. After that all calls have no effect, also when the
-    connection already serves its next request: a late response must not be mixed into that
-    request's response.
+    Respond with respond(), or with beginStream(), write()… and finish() or abort(). A call out of
+    this order is a fault of the program: it writes nothing and breaks the response off, so that the
+    caller cannot take it for whole. Hooks are removed when the response has ended. A late call does
+    not touch the connection's next request. Once the caller has left, calls have no effect.
 */
 class HttpExchange
 {
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -61,6 +61,8 @@
     std::function<void(const std::shared_ptr<HttpExchange> &)> onRequest;
     /** Returns the response to bytes that are no valid request or that arrived too slowly. */
     std::function<HttpResponse(int status, const Reason &)> onProblem;
+    /** Optional. The program called for a response out of its order; nothing of it was sent. */
+    std::function<void(const Reason &)> onOutOfOrder = {};
 };
 
 /** Load of several servers together, for their common limits. */
@@ -71,6 +73,8 @@
     std::atomic<std::uint64_t> bodyBytes{0};
     /** Connections that were closed before anything was read from them. */
     std::atomic<std::uint64_t> closedUnread{0};
+    /** Calls of the program that were out of a response's order. */
+    std::atomic<std::uint64_t> outOfOrder{0};
 };
 
 /** A request body's share of the common limit, released by the destructor. */
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -249,9 +249,37 @@
         queue_ += "Connection: keep-alive\r\n";
 }
 
+void ServerConnection::reportOutOfOrder(const char *call)
+{
+    server_.load_->outOfOrder.fetch_add(1, std::memory_order_relaxed);
+    if (server_.hooks_.onOutOfOrder)
+        server_.hooks_.onOutOfOrder({call, "is out of the response's order"});
+}
+
+void ServerConnection::rejectLateCall(const char *call)
+{
+    if (state_ == State::Closed)
+        return;
+    reportOutOfOrder(call);
+    if (state_ == State::Idle)
+        reset();
+}
+
+bool ServerConnection::isInOrder(bool needsOpenStream, const char *call)
+{
+    if (state_ == State::Responding && isStreamOpen_ == needsOpenStream)
+        return true;
+    // Nobody gets anything of a response whose caller has left.
+    if (state_ != State::Closed) {
+        reportOutOfOrder(call);
+        reset();
+    }
+    return false;
+}
+
 void ServerConnection::respond(const HttpResponse &response)
 {
-    if (state_ != State::Responding)
+    if (!isInOrder(false, "respond"))
         return;
     appendHead(response.status, response.headers);
     const bool isBodiless = response.status == 204 || response.status == 304;
@@ -264,13 +292,14 @@
     if (!isBodiless && !isHeadMethod_)
         queue_ += response.body;
     isChunked_ = false;
-    finish();
+    endResponse();
 }
 
 void ServerConnection::beginStream(int status, const std::vector<HttpHeader> &headers)
 {
-    if (state_ != State::Responding)
+    if (!isInOrder(false, "beginStream"))
         return;
+    isStreamOpen_ = true;
     isChunked_ = version_ >= 11 && !server_.limits_.endsResponsesByClose;
     // HTTP/1.0 has no chunked coding; closing the connection ends the stream there.
     isKeepAlive_ = isKeepAlive_ && isChunked_;
@@ -283,7 +312,7 @@
 
 void ServerConnection::write(std::string_view data)
 {
-    if (state_ != State::Responding || data.empty())
+    if (!isInOrder(true, "write") || data.empty())
         return;
     if (isChunked_) {
         appendNumber(queue_, data.size(), 16);
@@ -297,10 +326,16 @@
 
 void ServerConnection::finish()
 {
-    if (state_ != State::Responding)
+    if (!isInOrder(true, "finish"))
         return;
     if (isChunked_)
         queue_ += "0\r\n\r\n";
+    endResponse();
+}
+
+void ServerConnection::endResponse()
+{
+    isStreamOpen_ = false;
     isChunked_ = false;
     state_ = State::Flushing;
     readDeadline_.clear();
@@ -310,8 +345,12 @@
 
 void ServerConnection::abort()
 {
-    if (state_ != State::Responding)
-        return;
+    if (state_ == State::Responding)
+        reset();
+}
+
+void ServerConnection::reset()
+{
     clearHooks();
     // Reset instead of an orderly close: over HTTP/1.0, or to a careless client, the orderly close
     // of a truncated stream would look like the end of the response.
@@ -322,12 +361,11 @@
 
 void ServerConnection::finishTruncated(std::string_view finalData)
 {
-    if (state_ != State::Responding)
+    if (!isInOrder(true, "finishTruncated"))
         return;
     write(finalData);
-    isChunked_ = false;
     isKeepAlive_ = false;
-    finish();
+    endResponse();
 }
 
 bool ServerConnection::isCongested() const
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -43,6 +43,8 @@
 
     /** Returns the sequence number of the current request on this connection. */
     std::uint64_t requestNumber() const { return requestNumber_; }
+    /** Reports a call for a request that is over. A next request in progress is not touched. */
+    void rejectLateCall(const char *call);
 
 private:
     enum class State : std::uint8_t { Idle, Reading, Responding, Flushing, Lingering, Closed };
@@ -56,6 +58,16 @@
     void rejectMalformed(const HttpProblem &problem);
     void rejectAndClose(const HttpResponse &response);
     void appendHead(int status, const std::vector<HttpHeader> &headers);
+    /**
+        Returns whether a call is in the response's order; breaks the response off if not.
+
+        @param needsOpenStream  the call continues a stream; otherwise it begins a response
+    */
+    bool isInOrder(bool needsOpenStream, const char *call);
+    void reportOutOfOrder(const char *call);
+    void endResponse();
+    /** Closes with a TCP reset, which no caller can mistake for the end of a response. */
+    void reset();
     void flush();
     void onWritten(const boost::system::error_code &error, std::size_t size);
     boost::asio::const_buffer unsent() const;
@@ -88,6 +100,8 @@
     bool isReading_ = false;
     bool isWriting_ = false;
     bool isHeadAccepted_ = false;
+    /** The head of the current request's response was sent, and its end was not. */
+    bool isStreamOpen_ = false;
     bool isChunked_ = false;
     bool isKeepAlive_ = true;
     std::size_t lingeredBytes_ = 0;
--- a/modules/net/server/ServerExchange.cpp
+++ b/modules/net/server/ServerExchange.cpp
@@ -20,24 +20,32 @@
 {
     if (isCurrent())
         connection_->respond(response);
+    else
+        connection_->rejectLateCall("respond");
 }
 
 void ServerExchange::beginStream(int status, const std::vector<HttpHeader> &headers)
 {
     if (isCurrent())
         connection_->beginStream(status, headers);
+    else
+        connection_->rejectLateCall("beginStream");
 }
 
 void ServerExchange::write(std::string_view data)
 {
     if (isCurrent())
         connection_->write(data);
+    else
+        connection_->rejectLateCall("write");
 }
 
 void ServerExchange::finish()
 {
     if (isCurrent())
         connection_->finish();
+    else
+        connection_->rejectLateCall("finish");
 }
 
 void ServerExchange::abort()
@@ -50,6 +58,8 @@
 {
     if (isCurrent())
         connection_->finishTruncated(finalData);
+    else
+        connection_->rejectLateCall("finishTruncated");
 }
 
 bool ServerExchange::isCongested() const
