Streams without a body end with their head

What callers would see: "0\r\n\r\n" after the head of a HEAD request, a 204 or a 304, where the next response on the connection is due.

Cause: an upstream's success on a route of streams is passed on as a stream, and beginStream() announced chunks, with their last one, whatever the method and status. Found by the row 204 of what may follow a first event; not seen by callers.

Why it works: such a response has no coding and no body; what is written to it is dropped, and its connection is kept.

--- a/modules/net/server/ResponseOrder_test.cpp
+++ b/modules/net/server/ResponseOrder_test.cpp
@@ -56,6 +56,10 @@
         thread_.run([&] { copy = faults_; });
         return copy;
     }
+    void closeAll()
+    {
+        thread_.run([&] { server_->closeAll(); });
+    }
     /** Calls a function with the first request's exchange. */
     void withFirst(const Respond &function)
     {
@@ -207,3 +211,37 @@
     });
     CHECK(server.faults().empty());
 }
+
+// Guards against bytes after a head that callers take for the next response.
+TEST_CASE("a response that has no body is followed by the next response")
+{
+    struct Row
+    {
+        const char *method;
+        int status;
+        bool isStream;
+    };
+    for (const Row &row : {Row{"HEAD", 200, true}, Row{"HEAD", 200, false}, Row{"GET", 204, true},
+                           Row{"GET", 204, false}, Row{"GET", 304, true}, Row{"GET", 304, false}}) {
+        CAPTURE(std::string(row.method));
+        CAPTURE(row.status);
+        CAPTURE(row.isStream);
+        RespondingServer server([&row](HttpExchange &exchange) {
+            if (exchange.head().method == "POST")
+                return exchange.respond({200, {}, "next"});
+            if (!row.isStream)
+                return exchange.respond({row.status, {}, "body"});
+            exchange.beginStream(row.status, {});
+            exchange.write("body");
+            exchange.finish();
+        });
+        TestSocket socket = TestSocket::connectTo(server.port());
+        socket.send(get("HTTP/1.1", row.method)
+                    + "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(socket.readUntil("next"));
+        const std::string received = socket.input();
+        const auto firstEnd = received.find("\r\n\r\n") + 4;
+        CHECK(received.compare(firstEnd, 9, "HTTP/1.1 ") == 0);
+        CHECK(server.faults().empty());
+    }
+}
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -25,6 +25,12 @@
     return kind == HttpProblemKind::BodyTooLarge ? 413 : 400;
 }
 
+/** Whether responses with this status consist of their head alone. */
+bool hasNoBody(int status)
+{
+    return status == 204 || status == 304;
+}
+
 void appendNumber(std::string &out, std::uint64_t number, int base)
 {
     std::array<char, 24> text{};
@@ -282,7 +288,7 @@
     if (!isInOrder(false, "respond"))
         return;
     appendHead(response.status, response.headers);
-    const bool isBodiless = response.status == 204 || response.status == 304;
+    const bool isBodiless = hasNoBody(response.status);
     if (!isBodiless && !server_.limits_.endsResponsesByClose) {
         queue_ += "Content-Length: ";
         appendNumber(queue_, response.body.size(), 10);
@@ -300,9 +306,11 @@
     if (!isInOrder(false, "beginStream"))
         return;
     isStreamOpen_ = true;
-    isChunked_ = version_ >= 11 && !server_.limits_.endsResponsesByClose;
+    isBodiless_ = isHeadMethod_ || hasNoBody(status);
+    isChunked_ = !isBodiless_ && version_ >= 11 && !server_.limits_.endsResponsesByClose;
     // HTTP/1.0 has no chunked coding; closing the connection ends the stream there.
-    isKeepAlive_ = isKeepAlive_ && isChunked_;
+    const bool endsByClose = !isBodiless_ && !isChunked_;
+    isKeepAlive_ = isKeepAlive_ && !endsByClose;
     appendHead(status, headers);
     if (isChunked_)
         queue_ += "Transfer-Encoding: chunked\r\n";
@@ -312,7 +320,7 @@
 
 void ServerConnection::write(std::string_view data)
 {
-    if (!isInOrder(true, "write") || data.empty())
+    if (!isInOrder(true, "write") || data.empty() || isBodiless_)
         return;
     if (isChunked_) {
         appendNumber(queue_, data.size(), 16);
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -102,6 +102,8 @@
     bool isHeadAccepted_ = false;
     /** The head of the current request's response was sent, and its end was not. */
     bool isStreamOpen_ = false;
+    /** The open stream is a response that has no body, so bytes after its head belong to no one. */
+    bool isBodiless_ = false;
     bool isChunked_ = false;
     bool isKeepAlive_ = true;
     std::size_t lingeredBytes_ = 0;
