A stream that its connection's end completes is reset when it is cut off

What callers would see: a truncated stream that looks whole. HTTP/1.0 has no chunks, so that the end of the connection is the end of the stream, and a server that stops, a caller that reads too slowly or the end of the process closed it in order.

Cause: only abort() reset the connection. closeAll() at a planned stop, the write time-out and the kernel at the end of a process did not.

Why it works: while such a stream is open, its socket is set to reset when it is closed, by whom ever; the end of the stream takes that back first.

Measured: test_net -tc="a stream without chunks*": the row of a server that stops failed before, none after. The end of a process was not run.

--- a/modules/net/server/ResponseOrder_test.cpp
+++ b/modules/net/server/ResponseOrder_test.cpp
@@ -212,6 +212,36 @@
     CHECK(server.faults().empty());
 }
 
+// Guards against a stream that is cut off and looks whole, as only its connection's end marks its
+// end.
+TEST_CASE("a stream without chunks ends in order only if it is whole")
+{
+    struct Row
+    {
+        const char *name;
+        std::function<void(RespondingServer &)> end;
+        bool isWhole;
+    };
+    const auto callFirst = [](void (HttpExchange::*call)()) {
+        return [call](RespondingServer &server) {
+            server.withFirst([call](HttpExchange &exchange) { (exchange.*call)(); });
+        };
+    };
+    for (const Row &row :
+         {Row{"finished", callFirst(&HttpExchange::finish), true},
+          Row{"broken off", callFirst(&HttpExchange::abort), false},
+          Row{"the server stops", [](RespondingServer &server) { server.closeAll(); }, false}}) {
+        CAPTURE(std::string(row.name));
+        RespondingServer server(beginWithEvent);
+        TestSocket socket = TestSocket::connectTo(server.port());
+        socket.send(get("HTTP/1.0"));
+        CHECK(socket.readUntil("event"));
+        row.end(server);
+        CHECK(countOf(socket.readToEnd(), "event") == 1);
+        CHECK(socket.wasReset() != row.isWhole);
+    }
+}
+
 // Guards against bytes after a head that callers take for the next response.
 TEST_CASE("a response that has no body is followed by the next response")
 {
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -311,6 +311,9 @@
     // HTTP/1.0 has no chunked coding; closing the connection ends the stream there.
     const bool endsByClose = !isBodiless_ && !isChunked_;
     isKeepAlive_ = isKeepAlive_ && !endsByClose;
+    // Until the stream's end, its connection must not end in order, not even with this process.
+    if (endsByClose)
+        setResetsOnClose(true);
     appendHead(status, headers);
     if (isChunked_)
         queue_ += "Transfer-Encoding: chunked\r\n";
@@ -362,11 +365,16 @@
     clearHooks();
     // Reset instead of an orderly close: over HTTP/1.0, or to a careless client, the orderly close
     // of a truncated stream would look like the end of the response.
-    boost::system::error_code ignored;
-    stream_->socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    setResetsOnClose(true);
     close();
 }
 
+void ServerConnection::setResetsOnClose(bool resets)
+{
+    boost::system::error_code ignored;
+    stream_->socket().set_option(boost::asio::socket_base::linger(resets, 0), ignored);
+}
+
 void ServerConnection::finishTruncated(std::string_view finalData)
 {
     if (!isInOrder(true, "finishTruncated"))
@@ -466,6 +474,7 @@
     // Closing with unread bytes in the kernel resets the connection, and the reset can overtake
     // the response: the caller would see a broken connection instead of the reason.
     state_ = State::Lingering;
+    setResetsOnClose(false);
     boost::system::error_code ignored;
     stream_->socket().shutdown(boost::asio::socket_base::shutdown_send, ignored);
     input_.clear();
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -68,6 +68,7 @@
     void endResponse();
     /** Closes with a TCP reset, which no caller can mistake for the end of a response. */
     void reset();
+    void setResetsOnClose(bool resets);
     void flush();
     void onWritten(const boost::system::error_code &error, std::size_t size);
     boost::asio::const_buffer unsent() const;
