Carried responses keep their order at both ends

What callers saw: nothing yet; a second head from a carrier was taken for the response's own, and its body for the stream's.

Cause: IncomingCall sent a head as often as it was asked to and took a body after its end; OutgoingCalls took a second head, and a body before one.

Why it works: at the carrier a call out of order sends nothing, ends the response as truncated and is reported as the connection's are. At the other instance a frame out of order ends the request as lost, whichever build the carrier is of.

--- a/modules/carriage/calls/CarriedCalls_test.cpp
+++ b/modules/carriage/calls/CarriedCalls_test.cpp
@@ -166,3 +166,99 @@
     REQUIRE(pair.ends.size() == 1);
     CHECK(pair.ends[0].result == CarriedResult::Lost);
 }
+
+// Guards against a second response inside the one that the other instance passes on.
+TEST_CASE(
+    "a call out of a carried response's order ends it as truncated, and nothing of it arrives")
+{
+    struct Row
+    {
+        const char *name;
+        std::function<void(IncomingCall &)> call;
+        std::string received;
+    };
+    const std::string large = bytes(CarriageLimits::window * 2);
+    const auto beginWithEvent = [](IncomingCall &call) {
+        call.sendHead(200, {}, true);
+        call.write("event");
+    };
+    for (const Row &row :
+         {Row{"a second head",
+              [&](IncomingCall &call) {
+                  beginWithEvent(call);
+                  call.sendHead(500, {}, false);
+                  call.write("failed");
+                  call.finish(complete());
+              },
+              "event"},
+          Row{"a body before its head", [](IncomingCall &call) { call.write("event"); }, ""},
+          Row{"a body after the end",
+              [&](IncomingCall &call) {
+                  call.sendHead(200, {}, true);
+                  call.write(large);
+                  call.finish(complete());
+                  call.write("late");
+              },
+              large},
+          Row{"a second end",
+              [&](IncomingCall &call) {
+                  call.sendHead(200, {}, true);
+                  call.write(large);
+                  call.finish(complete());
+                  call.finish(complete());
+              },
+              large}}) {
+        CAPTURE(std::string(row.name));
+        CarriagePair pair;
+        pair.start("x");
+        pair.run();
+        row.call(*pair.arrived[0]);
+        pair.run();
+        REQUIRE(pair.ends.size() == 1);
+        CHECK(pair.ends[0].result == CarriedResult::Truncated);
+        CHECK(pair.received == row.received);
+        CHECK(pair.status != 500);
+        CHECK(pair.faults.size() == 1);
+        CHECK(pair.outgoing.size() + pair.incoming.size() == 0);
+    }
+}
+
+// Guards against a carrier, of any build, whose frames would be taken for the rest of a response.
+TEST_CASE("a carried response whose frames come in the wrong order is lost")
+{
+    enum class Frame : std::uint8_t { Head, Body, End };
+    struct Row
+    {
+        const char *name;
+        std::vector<Frame> frames;
+        std::string received;
+    };
+    for (const Row &row :
+         {Row{"a second head", {Frame::Head, Frame::Body, Frame::Head, Frame::Body}, "event"},
+          Row{"a body before its head", {Frame::Body, Frame::Head, Frame::End}, ""},
+          Row{"an end without a head", {Frame::End, Frame::Head, Frame::Body}, ""}}) {
+        CAPTURE(std::string(row.name));
+        CarriagePair pair;
+        const CarriedCallId call = pair.start("x");
+        pair.run();
+        std::uint64_t sent = 0;
+        for (const Frame frame : row.frames) {
+            if (frame == Frame::Head)
+                pair.outgoing.handle("carrier", CarriedHead{call, 200, true, {}});
+            if (frame == Frame::Body) {
+                pair.outgoing.handle("carrier", CarriedChunk{call, true, sent, "event"});
+                sent += 5;
+            }
+            if (frame == Frame::End) {
+                CarriedEnd end = complete();
+                end.call = call;
+                end.bytes = sent;
+                pair.outgoing.handle("carrier", end);
+            }
+        }
+        REQUIRE(pair.ends.size() == 1);
+        CHECK(pair.ends[0].result == CarriedResult::Lost);
+        CHECK(pair.received == row.received);
+        CHECK(pair.outgoing.size() == 0);
+    }
+}
--- a/modules/carriage/calls/IncomingCalls.cpp
+++ b/modules/carriage/calls/IncomingCalls.cpp
@@ -7,20 +7,35 @@
 
 void IncomingCall::sendHead(int status, const std::vector<CarriedField> &fields, bool isStream)
 {
-    if (calls_ == nullptr)
+    if (calls_ == nullptr || !isInOrder(!hasHead_ && !end_, "sendHead"))
         return;
+    hasHead_ = true;
     const CarriedHead head{open_.call, static_cast<std::uint16_t>(status), isStream, fields};
     calls_->hooks_.transport.send(from_, encodeCarriage(head));
 }
 
 void IncomingCall::write(std::string_view data)
 {
-    if (calls_ == nullptr)
+    if (calls_ == nullptr || !isInOrder(hasHead_ && !end_, "write"))
         return;
     unsent_.append(data);
     flush();
 }
 
+bool IncomingCall::isInOrder(bool isOrdered, const char *call)
+{
+    if (isOrdered)
+        return true;
+    if (calls_->hooks_.onOutOfOrder)
+        calls_->hooks_.onOutOfOrder({call, "is out of the carried response's order"});
+    if (!end_)
+        end_.emplace();
+    end_->result = CarriedResult::Truncated;
+    end_->reason = "the carrier called for it out of order";
+    flush();
+    return false;
+}
+
 void IncomingCall::flush()
 {
     const std::uint64_t mayBeSent = taken_ + CarriageLimits::window - sent_;
@@ -44,7 +59,7 @@
 
 void IncomingCall::finish(CarriedEnd end)
 {
-    if (calls_ == nullptr || end_)
+    if (calls_ == nullptr || !isInOrder(!end_, "finish"))
         return;
     end_ = std::move(end);
     flush();
--- a/modules/carriage/calls/IncomingCalls.h
+++ b/modules/carriage/calls/IncomingCalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carriage/messages/CarriageMessages.h"
+#include "core/errors/Reason.h"
 #include "ports/peers/PeerTransport.h"
 
 #include <cstddef>
@@ -18,7 +19,9 @@
 /**
     A request of another instance that this one runs, and the means to respond to it.
 
-    After the end or abandonment of the request, all calls have no effect.
+    The head comes first, then the body, then the end, each once. A call out of this order is a
+   fault of the program: nothing of it is sent, and the response ends as truncated. After the end or
+    abandonment of the request, calls have no effect.
 */
 class IncomingCall : public std::enable_shared_from_this<IncomingCall>
 {
@@ -45,6 +48,8 @@
 private:
     friend class IncomingCalls;
 
+    /** Reports a call, if it is out of order, and ends the response as truncated. */
+    bool isInOrder(bool isOrdered, const char *call);
     void flush();
     void abandon();
     void detach();
@@ -55,6 +60,7 @@
     CarriedOpen open_;
     std::string body_;
     bool isStarted_ = false;
+    bool hasHead_ = false;
     /** Written, but not yet sent. */
     std::string unsent_;
     std::uint64_t sent_ = 0;
@@ -82,6 +88,8 @@
         std::function<std::string()> refusal;
         /** A request has arrived completely. */
         std::function<void(const std::shared_ptr<IncomingCall> &)> onRequest;
+        /** Optional. The program called for a response out of its order. */
+        std::function<void(const Reason &)> onOutOfOrder = {};
     };
 
     IncomingCalls(Bounds bounds, Hooks hooks) : bounds_(bounds), hooks_(std::move(hooks)) { }
--- a/modules/carriage/calls/OutgoingCalls.cpp
+++ b/modules/carriage/calls/OutgoingCalls.cpp
@@ -94,6 +94,8 @@
         Call *const call = find(from, head->call);
         if (call == nullptr)
             return;
+        if (call->hasHead)
+            return lose(head->call, "the carrier sent a second head");
         call->hasHead = true;
         if (call->hooks.onHead)
             call->hooks.onHead(*head);
@@ -113,6 +115,8 @@
     Call *call = chunk.isResponse ? find(from, chunk.call) : nullptr;
     if (call == nullptr)
         return;
+    if (!call->hasHead)
+        return lose(chunk.call, "the carrier sent a part of the response before its head");
     if (chunk.offset != call->received)
         return lose(chunk.call, "a part of the response was lost on the way");
     call->received += chunk.data.size();
--- a/modules/carriage/testing/CarriagePair.h
+++ b/modules/carriage/testing/CarriagePair.h
@@ -23,7 +23,8 @@
           incoming(bounds,
                    {{[this](const PeerAddress &, const std::string &frame) { post(false, frame); }},
                     [this] { return refusal; },
-                    [this](const auto &call) { arrived.push_back(call); }})
+                    [this](const auto &call) { arrived.push_back(call); },
+                    [this](const Reason &reason) { faults.push_back(reason.toString()); }})
     { }
 
     /** Passes on all messages, also those sent meanwhile. */
@@ -65,6 +66,8 @@
     int status = 0;
     std::string received;
     std::vector<CarriedEnd> ends;
+    /** Calls for responses that were out of order at the carrier. */
+    std::vector<std::string> faults;
     OutgoingCalls outgoing;
     IncomingCalls incoming;
 
--- a/modules/gateway/GatewayCarriage.cpp
+++ b/modules/gateway/GatewayCarriage.cpp
@@ -12,6 +12,7 @@
         noteExchangeActivity();
         std::make_shared<RequestRelay>(context_, exchange)->start();
     };
+    hooks.onOutOfOrder = [this](const Reason &reason) { reportOutOfOrder(reason); };
     context_.carriage = std::make_unique<RequestCarriage>(
         RequestCarriage::Environment{environment_.io, environment_.clock, environment_.random,
                                      environment_.events, linkTraffic_},
--- a/modules/gateway/carriage/RequestCarriage.cpp
+++ b/modules/gateway/carriage/RequestCarriage.cpp
@@ -75,7 +75,8 @@
     return {transport(), std::move(hooks.refusal),
             [onRequest = std::move(hooks.onRequest)](const std::shared_ptr<IncomingCall> &call) {
                 onRequest(std::make_shared<CarriedExchange>(call));
-            }};
+            },
+            std::move(hooks.onOutOfOrder)};
 }
 
 CarrierSet::Hooks RequestCarriage::carrierHooks()
--- a/modules/gateway/carriage/RequestCarriage.h
+++ b/modules/gateway/carriage/RequestCarriage.h
@@ -44,6 +44,8 @@
         std::function<std::string()> refusal;
         /** A request of another instance is to be run. */
         std::function<void(const std::shared_ptr<CarriedExchange> &)> onRequest;
+        /** This instance called for a carried response out of its order. */
+        std::function<void(const Reason &)> onOutOfOrder;
     };
 
     RequestCarriage(Environment environment, const InstanceSettings &settings, Hooks hooks);
