cuminraild goes on with a stream only if the response is one

What callers would see: a stream whose rest is a document of another type, and which never ends.

Cause: a resumed stream was checked by its status only, so a 200 of any Content-Type was read as events.

Why it works: the head must announce events, as that of a first response.

Measured: test_instance -tc="a stream that cannot be resumed*": the row of a document failed before (the response was not ended), 30 of 30 assertions after.

--- a/modules/instance/request/AnswerRelay.cpp
+++ b/modules/instance/request/AnswerRelay.cpp
@@ -34,15 +34,19 @@
       events_([this](const SseEvent &event) { onEvent(event); })
 { }
 
+bool AnswerRelay::announcesEvents(const HttpHead &head)
+{
+    const std::string *type = head.find("Content-Type");
+    return head.status == 200 && type != nullptr
+        && sameHeaderName(type->substr(0, eventStreamType.size()), eventStreamType);
+}
+
 void AnswerRelay::onHead(HttpHead &head)
 {
     status_ = head.status;
-    head_ = std::move(head);
-    const std::string *type = head_.find("Content-Type");
-    const bool hasEventStreamType =
-        type != nullptr && sameHeaderName(type->substr(0, eventStreamType.size()), eventStreamType);
     if (!hasStarted_)
-        isEventStream_ = status_ == 200 && hasEventStreamType;
+        isEventStream_ = announcesEvents(head);
+    head_ = std::move(head);
 }
 
 bool AnswerRelay::onBody(std::string_view data)
--- a/modules/instance/request/AnswerRelay.h
+++ b/modules/instance/request/AnswerRelay.h
@@ -34,6 +34,9 @@
 
     AnswerRelay(std::shared_ptr<HttpExchange> exchange, std::string requestId);
 
+    /** Returns whether a response with this head consists of events. */
+    static bool announcesEvents(const HttpHead &head);
+
     /** Handles a response head. Events are expected to continue after the last one. */
     void onHead(HttpHead &head);
     /** Handles bytes of the body. Returns false when they cannot belong to a valid response. */
--- a/modules/instance/request/RequestFlow.cpp
+++ b/modules/instance/request/RequestFlow.cpp
@@ -486,12 +486,13 @@
 
 void RequestFlow::onResumeHead(HttpHead &head)
 {
-    if (head.status == 200)
+    if (AnswerRelay::announcesEvents(head))
         return relay_.onHead(head);
     const auto self = shared_from_this();
     call_.cancel();
-    onFailedAttempt({Verdict::MayHaveRun, {"resume", "status " + std::to_string(head.status)}},
-                    UpstreamEndKind::Broken);
+    onFailedAttempt(
+        {Verdict::MayHaveRun, {"resume", "no stream, but status " + std::to_string(head.status)}},
+        UpstreamEndKind::Broken);
 }
 
 void RequestFlow::cancelAtEngine()
--- a/modules/instance/request/RequestFlow_test.cpp
+++ b/modules/instance/request/RequestFlow_test.cpp
@@ -221,8 +221,9 @@
 // A truncated response must not look like a complete one.
 TEST_CASE("a stream that cannot be resumed ends with an error event")
 {
-    enum class Kind { Unknown, Gap, Silent, EndsEarly };
-    for (const Kind kind : {Kind::Unknown, Kind::Gap, Kind::Silent, Kind::EndsEarly}) {
+    enum class Kind { Unknown, Gap, Silent, EndsEarly, Document };
+    for (const Kind kind :
+         {Kind::Unknown, Kind::Gap, Kind::Silent, Kind::EndsEarly, Kind::Document}) {
         CAPTURE(static_cast<int>(kind));
         ScriptedUpstream engine([&](Connection &connection) {
             const ReceivedRequest request = connection.read();
@@ -238,6 +239,8 @@
                 connection.socket.send(streamHead(id) + chunk(event(3, "four")));
             if (kind == Kind::Unknown || kind == Kind::EndsEarly)
                 connection.socket.send(plainResponse(id, "{}", "404 Not Found"));
+            if (kind == Kind::Document)
+                connection.socket.send(plainResponse(id, "data: four\n\ndata: [DONE]\n\n"));
             connection.read();
         });
         InstanceConfig config = testConfig();
