--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/time/BootClock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 
@@ -73,6 +74,26 @@
     return body;
 }
 
+/** Whether a response's body, as far as it was received, has no bytes that are no chunk. */
+bool isChunkFramed(const CallResult &result)
+{
+    const std::string &text = result.text;
+    const auto headEnd = text.find("\r\n\r\n");
+    if (headEnd == std::string::npos
+        || text.substr(0, headEnd).find("chunked") == std::string::npos)
+        return true;
+    for (std::size_t at = headEnd + 4; at < text.size();) {
+        const std::size_t end = std::min(text.find("\r\n", at), text.size());
+        const std::string size = text.substr(at, end - at);
+        const bool isCutOff = end == text.size();
+        if (size.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos
+            || (size.empty() && !isCutOff))
+            return isCutOff && size.back() == '\r';
+        at = end + 2 + std::strtoul(size.c_str(), nullptr, 16) + 2;
+    }
+    return true;
+}
+
 std::string bodyOf(const CallResult &result)
 {
     const auto headEnd = result.text.find("\r\n\r\n");
@@ -313,6 +334,8 @@
             broken.push_back(result.id + ": ran " + std::to_string(ran) + " times");
         if (!isRepeatable && isPromise(result.status) && ran > 0)
             broken.push_back(result.id + ": said not to have run, and ran");
+        if (!isChunkFramed(result))
+            broken.push_back(result.id + ": bytes that are no answer, in an open response");
         if (result.status >= 200 && result.status < 300 && result.isWhole)
             checkSuccess(result, broken);
         if (ran > 0 && found->second.customer != result.customer)
