One unreadable entry costs no other entry of its list or watch

What callers saw: nobody was served.

Cause: a response of the store was parsed as a whole. What the parser refuses for any part of it (half of a surrogate pair, a number out of range, a control character) discarded the response, which counted as a failure of the store and was repeated for good. A spec of 400,000 brackets ended the process, as values are written by recursion.

Such an entry is logged once until it can be used or is removed (upstream-entry-refused), and counted in cuminrail_upstream_entries_refused.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -4,7 +4,8 @@
     Small value types that every other module leans on.
 
     Purpose: time in milliseconds, the verdict on whether a request may have run, reasons for
-    errors, identifiers, tables of names for enumerations, numbered events, random numbers.
+    errors, identifiers, tables of names for enumerations, numbered events, random numbers, texts
+    of JSON that are split before they are parsed.
 
     Depends on: the C++ standard library.
 */
@@ -15,6 +16,7 @@
 #include "core/guards/Guards.h"
 #include "core/ids/Ids.h"
 #include "core/ids/Indexes.h"
+#include "core/json/JsonText.h"
 #include "core/names/NameTable.h"
 #include "core/random/Random.h"
 #include "core/time/Clock.h"
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -224,6 +224,9 @@
     setGauge("cuminrail_upstreams_age_seconds", "Since the store confirmed the list of upstreams",
              gauges.upstreamsAgeSeconds);
     setGauge("cuminrail_upstreams", "Upstreams in the list", static_cast<double>(gauges.upstreams));
+    setGauge("cuminrail_upstream_entries_refused",
+             "Entries of the list that name no upstream to use",
+             static_cast<double>(gauges.refusedUpstreams));
     setGauge("cuminrail_upstreams_leaving",
              "Upstreams known to leave from a response in the last minutes",
              static_cast<double>(gauges.leavingUpstreams));
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -107,6 +107,8 @@
     double configurationAgeSeconds = 0;
     double upstreamsAgeSeconds = 0;
     std::size_t upstreams = 0;
+    /** Entries of the list that name no upstream to use. */
+    std::size_t refusedUpstreams = 0;
     std::size_t callerConnections = 0;
     std::size_t upstreamConnections = 0;
     std::size_t instances = 0;
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -58,6 +58,7 @@
     gauges.configurationAgeSeconds = (now - context_.configurationConfirmedAt).toSeconds();
     gauges.upstreamsAgeSeconds = (now - context_.upstreamsConfirmedAt).toSeconds();
     gauges.upstreams = context_.directory.size();
+    gauges.refusedUpstreams = sync_.refusedUpstreams();
     gauges.callerConnections = callers_.openConnections();
     gauges.upstreamConnections = pool_.openConnections();
     gauges.instances = registry_.instances().size();
--- a/modules/gateway/control/StoreSync.cpp
+++ b/modules/gateway/control/StoreSync.cpp
@@ -3,6 +3,7 @@
 #include "core/events/EventCatalogue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminrail {
 
@@ -144,22 +145,33 @@
 void StoreSync::replaceUpstreams(const std::vector<StoreObject> &objects)
 {
     std::vector<UpstreamEntry> entries;
+    const std::set<std::string> refusedBefore = std::exchange(refusedUpstreams_, {});
     for (const StoreObject &object : objects) {
         Reason reason;
-        auto entry = context_.wire.decodeUpstream(upstreamId(object), object.value, &reason);
+        const std::string id = upstreamId(object);
+        auto entry = context_.wire.decodeUpstream(id, object.value, &reason);
         if (entry && !object.removed)
             entries.push_back(std::move(*entry));
+        else if (!entry && refusedBefore.count(id) > 0)
+            refusedUpstreams_.insert(id);
         else if (!entry)
-            context_.events(Event{&events::upstreamEntryRefused, {{"reason", reason.toString()}}});
+            refuseUpstream(id, reason);
     }
     context_.directory.replaceAll(entries, context_.now());
     hasUpstreams_ = true;
 }
 
+void StoreSync::refuseUpstream(const std::string &id, const Reason &reason)
+{
+    if (refusedUpstreams_.insert(id).second)
+        context_.events(Event{&events::upstreamEntryRefused, {{"reason", reason.toString()}}});
+}
+
 void StoreSync::applyUpstream(const StoreObject &object)
 {
     const std::string id = upstreamId(object);
     if (object.removed) {
+        refusedUpstreams_.erase(id);
         context_.directory.remove(id, context_.now());
         context_.health.forget(id);
         context_.engines.forget(id);
@@ -169,10 +181,11 @@
     Reason reason;
     const auto entry = context_.wire.decodeUpstream(id, object.value, &reason);
     if (!entry) {
-        context_.events(Event{&events::upstreamEntryRefused, {{"reason", reason.toString()}}});
+        refuseUpstream(id, reason);
         context_.directory.remove(id, context_.now());
         return;
     }
+    refusedUpstreams_.erase(id);
     const UpstreamPointer known = context_.directory.find(id);
     if (known != nullptr && known->entry.startedAt < entry->startedAt) {
         // A new incarnation of the upstream has no cache and no state of the previous one.
--- a/modules/gateway/control/StoreSync.h
+++ b/modules/gateway/control/StoreSync.h
@@ -6,6 +6,9 @@
 #include "gateway/request/RelayContext.h"
 #include "ports/store/ObjectStore.h"
 
+#include <set>
+#include <string>
+
 namespace cuminrail {
 
 /** Keeps this instance's configuration and list of upstreams in step with the store. */
@@ -33,6 +36,8 @@
     void tick();
     /** Returns whether the upstreams were read at least once. */
     bool hasUpstreams() const { return hasUpstreams_; }
+    /** Returns how many entries of the list name no upstream to use. */
+    std::size_t refusedUpstreams() const { return refusedUpstreams_.size(); }
     /** Sets the number of instances that follow the store. */
     void setInstances(std::size_t count);
     /** To be called when another call to the store failed or timed out. */
@@ -57,12 +62,15 @@
     void replaceUpstreams(const std::vector<StoreObject> &objects);
     void applyUpstream(const StoreObject &object);
     std::string upstreamId(const StoreObject &object) const;
+    /** Logs that an entry names no upstream to use, once until it does or is removed. */
+    void refuseUpstream(const std::string &id, const Reason &reason);
 
     RelayContext &context_;
     ListingLog listingLog_;
     FeedFollower configuration_;
     FeedFollower upstreams_;
     bool hasUpstreams_ = false;
+    std::set<std::string> refusedUpstreams_;
     std::string configurationText_;
 };
 
