--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -260,7 +260,7 @@
              static_cast<double>(gauges.pathState));
     setGauge("cuminrail_resumes", "Streams that went on at another upstream",
              static_cast<double>(counters.resumes));
-    setGauge("cuminrail_streams_begun", "Streams of which callers received events",
+    setGauge("cuminrail_streams_begun", "Streamed responses that callers began to receive",
              static_cast<double>(counters.streamsBegun));
     setGauge("cuminrail_streams_broken_off", "Of these, broken off here before their end",
              static_cast<double>(counters.streamsBrokenOff));
--- a/modules/gateway/request/RelayCounters.h
+++ b/modules/gateway/request/RelayCounters.h
@@ -16,7 +16,7 @@
     std::uint64_t sends = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumes = 0;
-    /** Streams of which callers received events, and how many of them were broken off here. */
+    /** Streamed responses that callers began to receive, and how many were broken off here. */
     std::uint64_t streamsBegun = 0;
     std::uint64_t streamsBrokenOff = 0;
     /** Requests that were taken back from upstreams as their content became held. */
