Log: bytes that are not their request's response, with both identities

Callers got answers that were not their own, and no line told where the bytes came from. An attempt's line named neither how many requests its connection had carried before nor whether the response stated an identity, so these could not be told apart: a refusal without an identity that belongs to an earlier call of the connection; a second answer that bears the request's own identity; bytes of a second answer inside a body.

The pool of connections now reports such bytes with the place at which they showed up (while idle, after a response, under another identity, without one on a connection that carried others): event 311 and a counter by place, for connections to upstreams and to the platform. attempt-ended states how many requests its connection has carried. No decision changes.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -46,6 +46,7 @@
         &upstreamsListed,
         &pathChanged,
         &upstreamEntryRefused,
+        &strayResponse,
         // 4xx platform store
         &storeUnavailable,
         &storeReturned,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -144,6 +144,10 @@
 inline constexpr EventKind upstreamEntryRefused{
     310, EventLevel::Warning, "upstream-entry-refused",
     "An entry in the list of upstreams names none that could be used; the others hold."};
+inline constexpr EventKind strayResponse{
+    311, EventLevel::Warning, "stray-response",
+    "An upstream sent bytes that are not, or may not be, the response to the request of their "
+    "connection; both identities are in the fields."};
 
 // 4xx platform store
 inline constexpr EventKind storeUnavailable{
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -139,6 +139,7 @@
     context_.quarantine->setLinkCheck(feeds_.isLinked);
     context_.quarantine->onRestricted = [this] { callBackHeld(); };
     context_.path.onChange = [this](PathState before) { onPathChange(before); };
+    pool_.setStrayHandler([this](const StrayResponse &stray) { noteStray(stray); });
     if (settings_.links.isSet()) {
         setUpCarriage();
         context_.prefillExchange = std::make_unique<PrefillExchange>(
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -60,6 +60,8 @@
     {
         context_.metrics.platformCall(what, wasAnswered, took.toSeconds());
     }
+    /** Counts and logs bytes that are not their request's response. */
+    void noteStray(const StrayResponse &stray);
     /** Begins a graceful shutdown; @c onDrained is called when the last response is complete. */
     void drain(std::function<void()> onDrained);
     /**
--- a/modules/gateway/GatewayServers.cpp
+++ b/modules/gateway/GatewayServers.cpp
@@ -21,6 +21,19 @@
     environment_.events(Event{&events::responseOutOfOrder, {{"reason", reason.toString()}}});
 }
 
+void Gateway::noteStray(const StrayResponse &stray)
+{
+    context_.metrics.strayResponse(stray.place);
+    environment_.events(Event{&events::strayResponse,
+                              {{"place", std::string(strayPlaceNames.name(stray.place))},
+                               {"address", stray.address},
+                               {"expected", stray.expected},
+                               {"found", stray.found},
+                               {"status", std::to_string(stray.status)},
+                               {"connection_requests", std::to_string(stray.requests)},
+                               {"bytes", std::to_string(stray.bytes)}}});
+}
+
 void Gateway::onRequest(const std::shared_ptr<HttpExchange> &exchange)
 {
     noteExchangeActivity();
--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -30,6 +30,11 @@
                    .Name("cuminrail_given_up_total")
                    .Help("Requests without an upstream's answer, by cause and outcome")
                    .Register(registry_)),
+      strayResponses_(prometheus::BuildCounter()
+                          .Name("cuminrail_stray_responses_total")
+                          .Help("Bytes of upstreams and of the platform that are not their "
+                                "request's response, by place")
+                          .Register(registry_)),
       requestSeconds_(prometheus::BuildHistogram()
                           .Name("cuminrail_request_seconds")
                           .Help("From a request's arrival to the end of its answer")
@@ -104,6 +109,11 @@
         .Observe(seconds);
 }
 
+void GatewayMetrics::strayResponse(StrayPlace place)
+{
+    strayResponses_.Add({{"place", std::string(strayPlaceNames.name(place))}}).Increment();
+}
+
 void GatewayMetrics::setGauge(const std::string &name, const std::string &help, double value)
 {
     prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add({}).Set(value);
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -5,6 +5,7 @@
 #include "gateway/peers/LinkTraffic.h"
 #include "gateway/request/RelayCounters.h"
 #include "keyedrecords/keyedrecords.h"
+#include "net/upstream/StrayResponse.h"
 #include "quarantine/exchange/QuarantineExchange.h"
 #include "quotas/exchange/QuotaExchange.h"
 #include "upstreamlimits/exchange/LimitExchange.h"
@@ -159,6 +160,9 @@
     /** A call to the platform's store or duties ended. */
     void platformCall(const char *what, bool wasAnswered, double seconds);
 
+    /** An upstream or the platform sent bytes that are not their request's response. */
+    void strayResponse(StrayPlace place);
+
     std::string page(const GatewayGauges &gauges);
 
 private:
@@ -173,6 +177,7 @@
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Counter> &requests_;
     prometheus::Family<prometheus::Counter> &givenUp_;
+    prometheus::Family<prometheus::Counter> &strayResponses_;
     prometheus::Family<prometheus::Histogram> &requestSeconds_;
     prometheus::Family<prometheus::Histogram> &firstResponseSeconds_;
     prometheus::Histogram &prefillSeconds_;
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -78,6 +78,7 @@
          {"verdict", std::string(verdictNames.name(verdict))},
          {"reason", attempt_.mismatch.empty() ? end.lastReason.toString() : attempt_.mismatch},
          {"response", openResponse_ ? "open" : "none"},
+         {"connection_requests", std::to_string(end.connectionRequests)},
          {"elapsed_ms", text(context_.now() - arrivedAt_)}}};
     if (!attempt_.traits.backoffText.empty())
         event.fields.emplace_back("retry_after", attempt_.traits.backoffText);
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -89,6 +89,8 @@
     Reason lastReason;
     /** Only the end of the connection showed that the response is complete. */
     bool isDelimitedByClose = false;
+    /** Number of requests that the connection has carried, this one included. */
+    std::size_t connectionRequests = 0;
 };
 
 /** Callbacks of an attempt, on its pool's thread; onEnd is called last and exactly once. */
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -48,6 +48,8 @@
     request_ = std::move(request);
     hooks_ = std::move(hooks);
     sent_ = 0;
+    if (!request_.isProbe)
+        ++requests_;
     isPaused_ = false;
     newParser();
     const bool isOpen = state_ == State::Idle;
@@ -195,6 +197,8 @@
     if (state_ == State::Idle) {
         // No request is in progress: either the upstream closes, or these bytes belong to a
         // response that its request no longer waits for. The next request must not receive them.
+        if (!error)
+            noteStray(StrayPlace::Idle, size);
         end(UpstreamEndKind::Broken, {address_, "closed or sent bytes while idle"});
         if (error && error != boost::asio::error::eof)
             pool_.noteIdleLost();
@@ -258,6 +262,10 @@
     const bool isIdentityValid = echo == nullptr
         ? !request_.isEchoRequired
         : head.count(request_.identityHeader) == 1 && *echo == request_.requestId;
+    if (!isIdentityValid)
+        noteStray(StrayPlace::OtherIdentity, input_.size());
+    else if (echo == nullptr && requests_ > 1)
+        noteStray(StrayPlace::NoIdentity, input_.size());
     if (!isIdentityValid && guardEnabled(Guard::AnswerIdentityChecked)) {
         end(UpstreamEndKind::WrongIdentity, {address_, "response belongs to another request"});
         return false;
@@ -275,6 +283,8 @@
 
 void UpstreamConnection::complete()
 {
+    if (!input_.empty())
+        noteStray(StrayPlace::AfterResponse, input_.size());
     const bool isClean = input_.empty() || !guardEnabled(Guard::DoubtfulConnectionDropped);
     const bool isReusable = isClean && parser_->isKeepAlive() && !isCutAt(SendPoint::BeforeReuse);
     if (!isReusable)
@@ -295,7 +305,7 @@
     pool_.keepIdle(shared_from_this());
     read();
     if (hooks.onEnd)
-        hooks.onEnd(UpstreamEnd{});
+        hooks.onEnd(UpstreamEnd{UpstreamEndKind::Complete, Verdict::Ran, {}, false, requests_});
 }
 
 Millis UpstreamConnection::idleTimeout() const
@@ -319,7 +329,7 @@
         return;
     const bool isComplete = kind == UpstreamEndKind::Complete;
     const UpstreamEnd report{kind, isComplete ? Verdict::Ran : verdictSoFar(), std::move(reason),
-                             isDelimitedByClose_};
+                             isDelimitedByClose_, requests_};
     const UpstreamHooks hooks = std::move(hooks_);
     close();
     if (hooks.onEnd)
@@ -398,6 +408,22 @@
     pool_.removeConnection(self);
 }
 
+void UpstreamConnection::noteStray(StrayPlace place, std::size_t bytes)
+{
+    StrayResponse stray;
+    stray.place = place;
+    stray.address = address_;
+    stray.expected = request_.requestId;
+    stray.requests = requests_;
+    stray.bytes = bytes;
+    if (place == StrayPlace::OtherIdentity || place == StrayPlace::NoIdentity) {
+        const std::string *found = parser_->head().find(request_.identityHeader);
+        stray.found = found == nullptr ? std::string() : *found;
+        stray.status = parser_->head().status;
+    }
+    pool_.noteStray(stray);
+}
+
 bool UpstreamConnection::isCutAt(SendPoint point)
 {
     return pool_.isCutAt(point, request_);
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -56,6 +56,7 @@
     void end(UpstreamEndKind kind, Reason reason);
     void onStalled();
     bool isCutAt(SendPoint point);
+    void noteStray(StrayPlace place, std::size_t bytes);
 
     UpstreamPool &pool_;
     std::string address_;
@@ -65,6 +66,8 @@
     UpstreamRequest request_;
     UpstreamHooks hooks_;
     std::size_t sent_ = 0;
+    /** Requests that the connection has carried, the one in progress included. */
+    std::size_t requests_ = 0;
     std::unique_ptr<HttpParser> parser_;
     bool isHeadAccepted_ = false;
     bool isDelimitedByClose_ = false;
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -149,6 +149,12 @@
     handler();
 }
 
+void UpstreamPool::noteStray(const StrayResponse &stray) const
+{
+    if (strayFound_)
+        strayFound_(stray);
+}
+
 bool UpstreamPool::isCutAt(SendPoint point, const UpstreamRequest &request) const
 {
     return faultHook_ && faultHook_(point, request);
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/stream/ByteStream.h"
+#include "net/upstream/StrayResponse.h"
 #include "net/upstream/UpstreamCall.h"
 #include "runtime/time/DeadlineList.h"
 
@@ -84,6 +85,11 @@
 
     /** Sets a hook that is called when an idle connection ends by anything but an orderly close. */
     void setIdleLostHandler(std::function<void()> handler) { idleLost_ = std::move(handler); }
+    /** Sets a hook that is called for bytes that are not the response to their request. */
+    void setStrayHandler(std::function<void(const StrayResponse &)> handler)
+    {
+        strayFound_ = std::move(handler);
+    }
     /**
         Returns true if the other ends of idle connections do not answer keep-alive probes: of all
         that are looked at, one for each of a few addresses.
@@ -105,6 +111,7 @@
     void keepIdle(const Connection &connection);
     void removeConnection(const Connection &connection);
     void noteIdleLost() const;
+    void noteStray(const StrayResponse &stray) const;
     bool isCutAt(SendPoint point, const UpstreamRequest &request) const;
 
     boost::asio::io_context &io_;
@@ -112,6 +119,7 @@
     UpstreamPoolLimits limits_;
     SendFaultHook faultHook_;
     std::function<void()> idleLost_;
+    std::function<void(const StrayResponse &)> strayFound_;
     std::unordered_map<std::string, std::vector<Connection>> idle_;
     std::unordered_set<Connection> open_;
 };
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -54,6 +54,12 @@
     /** Told of each call that ended, whether by a whole answer, and how long it took. */
     using Observer = std::function<void(PlatformCallKind kind, bool wasAnswered, Millis took)>;
     void setObserver(Observer observer) { observer_ = std::move(observer); }
+    /** Sets a hook that is called for bytes that are not the answer to their call. */
+    void setStrayHandler(const std::function<void(const StrayResponse &)> &handler)
+    {
+        pool_.setStrayHandler(handler);
+        authorityPool_.setStrayHandler(handler);
+    }
     /** Runs a function on the event loop after a while, unless this object is gone by then. */
     void later(Millis wait, std::function<void()> function);
     /** Ends all calls at once, without a report. */
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -159,6 +159,10 @@
         if (gateway)
             gateway->platformCallEnded(name.c_str(), wasAnswered, took);
     });
+    client->setStrayHandler([&gateway](const StrayResponse &stray) {
+        if (gateway)
+            gateway->noteStray(stray);
+    });
     SettingsFollower follower(path, settings, log.sink());
     boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](const boost::system::error_code &error, int) {
