--- a/modules/net/testing/ScriptedUpstream.h
+++ b/modules/net/testing/ScriptedUpstream.h
@@ -66,12 +66,16 @@
 
     using Script = std::function<void(Connection &)>;
 
-    explicit ScriptedUpstream(Script script) : script_(std::move(script))
+    /** On the given port, or on any free one. */
+    explicit ScriptedUpstream(Script script, std::uint16_t port = 0) : script_(std::move(script))
     {
         listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int isOn = port != 0 ? 1 : 0;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof isOn);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
         static_cast<void>(
             ::bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address));
         ::listen(listener_, 64);
