Tests: responses whose bytes never end, by the part that has no end

Callers waited until their deadlines, and gateways came near their memory limit, while an upstream sent bytes that were no answer and did not stop: in a head, a line of it, interim responses, a chunk extension, trailers, a body of each framing, comments of a stream or one event. Only an endless head is cut off at once. Calls without a deadline, such as those to the store, to engines, to another instance and the release of a cache, do not end at all while bytes come in time.

The interface that they need, a total time of a call and a longest body, is declared here and has no effect yet.

--- /dev/null
+++ b/modules/net/http/SseReader_test.cpp
@@ -0,0 +1,72 @@
+#include "net/http/SseReader.h"
+
+#include <doctest/doctest.h>
+
+using namespace cuminrail;
+
+namespace {
+
+/** Returns the data of the events in these bytes, each followed by a bar. */
+std::string eventsIn(std::string_view bytes)
+{
+    std::string found;
+    SseReader reader([&found](const SseEvent &event) { found += std::string(event.data) + "|"; });
+    reader.feed(bytes);
+    return found;
+}
+
+} // namespace
+
+// Guards against comments that count as events, so that a stream seems to make progress.
+TEST_CASE("a block is an event if it has data or a number")
+{
+    struct Row
+    {
+        const char *bytes;
+        const char *events;
+    };
+    for (const Row &row : {
+             Row{"id: 1\ndata: a\n\ndata: b\n\n", "a|b|"},
+             Row{"id: 1\r\ndata: a\r\n\r\n", "a|"},
+             Row{"id: 1\n\n", "|"},
+             Row{"data:\n\n", "|"},
+             Row{": comment\n\n", ""},
+             Row{":\n\n:\n\ndata: a\n\n", "a|"},
+             Row{": comment\ndata: a\n\n", "a|"},
+             Row{"retry: 10\n\n", ""},
+             Row{"\n\n\n\n", ""},
+             Row{"data: a\n", ""},
+         }) {
+        CAPTURE(std::string(row.bytes));
+        CHECK(eventsIn(row.bytes) == row.events);
+    }
+}
+
+// Guards against readers that accept bytes forever without an event.
+TEST_CASE("only so many bytes are accepted without an event")
+{
+    struct Row
+    {
+        const char *start;
+        const char *repeated;
+        bool isAccepted;
+    };
+    for (const Row &row : {
+             Row{"", "data: a\n\n", true},
+             Row{"", "data: a\n\n: comment\n\n", true},
+             Row{"", ": comment\n\n", false},
+             Row{"", ": comment\n", false},
+             Row{"data: ", "more", false},
+         }) {
+        CAPTURE(std::string(row.repeated));
+        SseReader reader([](const SseEvent &) {});
+        std::string block;
+        while (block.size() < 64 * 1024)
+            block += row.repeated;
+        bool isAccepted = reader.feed(row.start);
+        for (std::size_t fed = 0; isAccepted && fed < 2 * SseReader::maxEventBytes;
+             fed += block.size())
+            isAccepted = reader.feed(block);
+        CHECK(isAccepted == row.isAccepted);
+    }
+}
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,6 +26,8 @@
     Millis firstByte = Millis::seconds(30);
     /** Between bytes sent of the request, and between bytes received of the response. */
     Millis stall = Millis::seconds(10);
+    /** For the whole call, however much progress it makes. */
+    Millis total = Millis::never();
 };
 
 /** One attempt to send a request to an upstream. */
@@ -50,6 +53,8 @@
     Millis maxIdleTime = Millis::never();
     /** Accepts a response delimited only by an orderly connection close. */
     bool allowsEndByClose = false;
+    /** A response with a longer body is malformed. */
+    std::uint64_t maxBodyBytes = std::numeric_limits<std::uint64_t>::max();
     UpstreamTimeouts timeouts;
 };
 
