Platform calls: an answer over the limit no longer frees its call early

An instance crashed when an answer to one of its own calls, such as the store's, was longer than the limit. Nobody could see a reason.

Cause: the call is given up inside the hook for its body. That cancels the attempt, which drops the hooks, and these were all that held the call; what it did afterwards read freed memory. The hook now holds the call until it returns.

--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -180,11 +180,13 @@
         pending->answer.headers = head.headers;
     };
     hooks.onBody = [this, pending](std::string_view data) {
-        if (pending->isOver)
+        // Giving up drops the hooks, which are all that refers to the call.
+        const auto held = pending;
+        if (held->isOver)
             return;
-        pending->answer.body.append(data);
-        if (pending->answer.body.size() > options_.maxAnswerBytes)
-            pending->giveUp({"answer", "too long"});
+        held->answer.body.append(data);
+        if (held->answer.body.size() > options_.maxAnswerBytes)
+            held->giveUp({"answer", "too long"});
     };
     hooks.onEnd = [pending](const UpstreamEnd &end) {
         if (end.kind != UpstreamEndKind::Complete)
