Stand-ins: every answer states the identity of its request

The platform's calls carry X-Request-Id, but the stand-ins of the platform and of engines' control interfaces did not echo it, so nothing in an answer showed whose it is and no connection could be kept safely. Now every answer with a body of its own does, refusals by a fault included; calls without an identity get none.

--- a/modules/standin/platform/StandinPlatform_test.cpp
+++ b/modules/standin/platform/StandinPlatform_test.cpp
@@ -39,6 +39,50 @@
     CHECK(Json::parse(read.body)["version"] == 2);
 }
 
+// Guards against an answer that can't be told from that of another call on its connection.
+TEST_CASE("the platform and engines state the identity of every call that has one")
+{
+    StandinHost<StandinPlatform> platform(PlatformOptions{});
+    StandinHost<StandinEngine> engine(EngineOptions{});
+    struct Row
+    {
+        std::uint16_t port;
+        const char *method;
+        const char *target;
+        const char *body;
+    };
+    const Row rows[] = {
+        {platform.port(), "GET", "/objects/a", ""},
+        {platform.port(), "PUT", "/objects/a", "1"},
+        {platform.port(), "DELETE", "/objects/none", ""},
+        {platform.port(), "GET", "/list?prefix=a", ""},
+        {platform.port(), "GET", "/watch?prefix=a&after=0&wait_ms=1", ""},
+        {platform.port(), "GET", "/instances", ""},
+        {platform.port(), "GET", "/fleet/east/regular", ""},
+        {platform.port(), "PUT", "/fleet/east/regular", "{}"},
+        {platform.port(), "POST", "/usage-reports", "{}"},
+        {platform.port(), "POST", "/weights/tickets", "{}"},
+        {platform.port(), "GET", "/no-such-call", ""},
+        {engine.port(), "GET", "/control/state", ""},
+        {engine.port(), "POST", "/control/orders", "{}"},
+        {engine.port(), "DELETE", "/v1/requests/none", ""},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.target));
+        const auto named =
+            callOnce(row.port, {row.method, row.target, row.body, {{"X-Request-Id", "c-1"}}});
+        CHECK(named.header("x-request-id") == "c-1");
+        const auto unnamed = callOnce(row.port, {row.method, row.target, row.body, {}});
+        CHECK(unnamed.isWhole);
+        CHECK(unnamed.header("x-request-id").empty());
+    }
+    REQUIRE(platform.setFaults(R"({"rules":[{"fault":"refuse","status":503}]})"));
+    const auto refused =
+        callOnce(platform.port(), {"GET", "/objects/a", "", {{"X-Request-Id", "c-2"}}});
+    CHECK(refused.status == 503);
+    CHECK(refused.header("x-request-id") == "c-2");
+}
+
 TEST_CASE("a watch waits for a change below its prefix, removals too")
 {
     StandinHost<StandinPlatform> platform(PlatformOptions{});
--- a/modules/standin/server/Exchange.cpp
+++ b/modules/standin/server/Exchange.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr unsigned httpVersion = 11;
+constexpr const char *identityHeader = "X-Request-Id";
 
 std::string toChunk(const std::string &text)
 {
@@ -95,6 +96,9 @@
 {
     http::response<http::string_body> response(static_cast<http::status>(status), httpVersion);
     response.set(http::field::content_type, contentType);
+    // Whatever is answered, the identity of its request shows whose answer it is.
+    if (const std::string identity = header(identityHeader); !identity.empty())
+        response.set(identityHeader, identity);
     for (const auto &[name, value] : headers)
         response.set(name, value);
     response.keep_alive(request_.keep_alive());
