Records: a look-up's second round waits for the owners that it asked

Callers that take a stream up can be told that nothing is known of it, though an owner of the second round keeps its record: replies to a look-up's first round that came after its time-out were counted as those of the second one, which ended at once as "missing". A reply is counted now once, and only for the round in which its sender was asked; a record in a late reply is still taken.

--- a/modules/keyedrecords/exchange/RecordExchange.cpp
+++ b/modules/keyedrecords/exchange/RecordExchange.cpp
@@ -175,13 +175,13 @@
                                                       : RecordLookUp::Unreachable;
         return endQuery(number, result, 0);
     }
-    query.awaited = count;
     query.deadline = clock_.now() + replyTimeout;
     const RecordQuery message{number, query.key, query.scope};
     const std::vector<PeerAddress> owners(
         query.owners.begin() + static_cast<std::ptrdiff_t>(query.asked),
         query.owners.begin() + static_cast<std::ptrdiff_t>(query.asked + count));
     query.asked += count;
+    query.awaited = owners;
     for (const PeerAddress &owner : owners)
         send(owner, message);
 }
@@ -257,7 +257,11 @@
     query.isAmbiguous = query.isAmbiguous || reply.isAmbiguous;
     if (reply.statement != 0)
         query.statements.push_back(reply.statement);
-    if (query.awaited > 0 && --query.awaited == 0)
+    const auto awaited = std::find(query.awaited.begin(), query.awaited.end(), from);
+    if (awaited == query.awaited.end())
+        return;
+    query.awaited.erase(awaited);
+    if (query.awaited.empty())
         askNext(reply.number);
 }
 
--- a/modules/keyedrecords/exchange/RecordExchange.h
+++ b/modules/keyedrecords/exchange/RecordExchange.h
@@ -150,7 +150,8 @@
         Completion done;
         std::vector<PeerAddress> owners;
         std::size_t asked = 0;
-        std::size_t awaited = 0;
+        /** The owners of the current round that have not replied. */
+        std::vector<PeerAddress> awaited;
         int rounds = 0;
         Millis deadline;
         bool hasReply = false;
--- a/modules/keyedrecords/exchange/RecordExchange_test.cpp
+++ b/modules/keyedrecords/exchange/RecordExchange_test.cpp
@@ -149,3 +149,26 @@
     CHECK(table.find(200, Millis(300)) != nullptr);
     CHECK(table.bytes() < 100 * 100);
 }
+
+// Guards against "there is none" while the owners that were asked last still have their time.
+TEST_CASE("late replies to the first round do not end the second one")
+{
+    int found = 0;
+    for (int keeper = 1; keeper < 9; ++keeper) {
+        RecordCluster cluster(9, 3, 7);
+        cluster.at(keeper).remember(1, 1001);
+        for (int i = 1; i < cluster.count(); ++i)
+            cluster.frozen.insert(i);
+        std::optional<RecordOutcome> outcome;
+        cluster.at(0).lookUp(1, 1, [&outcome](const RecordOutcome &reply) { outcome = reply; });
+        cluster.advance(RecordExchange::replyTimeout + Millis(2));
+        cluster.frozen = {keeper};
+        cluster.advance(Millis(15));
+        cluster.frozen.clear();
+        cluster.advance(Millis(100));
+        REQUIRE(outcome);
+        found += outcome->result == RecordLookUp::Found ? 1 : 0;
+    }
+    // The owners of the second round.
+    CHECK(found == static_cast<int>(RecordExchange::defaultCopies));
+}
