--- a/modules/net/testing/TestSocket.h
+++ b/modules/net/testing/TestSocket.h
@@ -111,6 +111,9 @@
     /** Returns input that was read but not yet returned. */
     const std::string &input() const { return input_; }
 
+    /** Removes the first bytes of the input and returns them. */
+    std::string take(std::size_t size) { return consume(size); }
+
     /** Returns true when the connection ended with a reset. */
     bool wasReset() const { return wasReset_; }
 
