Soak: responses that come twice, cut short and filled up, or without end

No stand-in answered twice or sent bytes without end. With a name one fault is played alone, and memory and the ends of requests are judged.

Every response is judged by its identity and stamp, failures too; one that breaks off must be the beginning of its server's. A plain response shorter than its length no longer counts as whole: it breaks off as its caller can see, and was reported as another body before.

--- /dev/null
+++ b/modules/standin/proxy/ResponsePlan_test.cpp
@@ -0,0 +1,80 @@
+#include "standin/proxy/HttpFraming.h"
+#include "standin/proxy/ResponsePlan.h"
+
+#include <doctest/doctest.h>
+
+using namespace cuminrail;
+
+namespace {
+
+const std::string plain =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\n0123456789";
+const std::string stream =
+    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n6\r\nid: 2\n\r\n0\r\n\r\n";
+const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\n"
+                            "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+struct FaultCase
+{
+    ResponseFault fault;
+    std::string response;
+    /** Parts of it as the other end reads them. */
+    std::string body;
+    std::string identity;
+    LateMoment when;
+};
+
+} // namespace
+
+// Guards against stand-ins whose second response is no whole one, or comes at another moment.
+TEST_CASE("a response that is spoilt reads as its fault says")
+{
+    const FaultCase cases[] = {
+        {ResponseFault::SecondAtOnce, plain, "0123456789", "r1", LateMoment::Never},
+        {ResponseFault::SecondWhileIdle, plain, "0123456789", "r1", LateMoment::WhileIdle},
+        {ResponseFault::SecondBeforeNext, stream, "id: 1\nid: 2\n", "r1", LateMoment::BeforeNext},
+        {ResponseFault::SecondInNextBody, plain, "0123456789", "r1", LateMoment::InNextBody},
+        {ResponseFault::RefusalAtOnce, refusal, "", "r1", LateMoment::Never},
+        {ResponseFault::RefusalBeforeNext, refusal, "", "r1", LateMoment::BeforeNext},
+        {ResponseFault::Anonymous, refusal, "", "", LateMoment::Never},
+        {ResponseFault::AnonymousInNextBody, refusal, "", "", LateMoment::InNextBody},
+        {ResponseFault::RefusalOfResent, refusal, "", "r1", LateMoment::OfResent},
+        {ResponseFault::CutByOne, plain, "012345678H", "r1", LateMoment::Never},
+        {ResponseFault::CutByFew, plain, "01234HTTP/", "r1", LateMoment::Never},
+        {ResponseFault::CutByHalf, plain, "01234HTTP/", "r1", LateMoment::Never},
+        {ResponseFault::CutInChunk, stream, "id:HTT", "r1", LateMoment::Never},
+        {ResponseFault::CutInEvent, stream, "id:", "r1", LateMoment::Never},
+    };
+    for (const FaultCase &row : cases) {
+        CAPTURE(responseFaultNames.name(row.fault));
+        REQUIRE(canSpoil(row.fault, row.response));
+        const ResponsePlan plan = planFor(row.fault, row.response, 0);
+        const std::size_t length = messageLength(plan.now);
+        CHECK(bodyOf(plan.now.substr(0, length == 0 ? plan.now.size() : length)) == row.body);
+        CHECK(headerValue(plan.now, "Request-Id") == row.identity);
+        CHECK(plan.when == row.when);
+        CHECK(plan.late.empty() == (row.when == LateMoment::Never));
+        CHECK((plan.late.empty() || headerValue(plan.late, "Request-Id") == row.identity));
+    }
+}
+
+// Guards against bytes without end that end after all, as whole messages do.
+TEST_CASE("bytes without end are no whole response, however many there are")
+{
+    for (const auto &entry : responseFaultNames.entries) {
+        const ResponseFault fault = entry.first;
+        const std::string name(entry.second);
+        if (!isEndless(fault))
+            continue;
+        CAPTURE(name);
+        const std::string &response = canSpoil(fault, plain) ? plain : stream;
+        const ResponsePlan plan = planFor(fault, response, 0);
+        REQUIRE(!plan.unit.empty());
+        CHECK((plan.interval > Millis()) == (name.find("-slowly") != std::string::npos));
+        std::string bytes = plan.now;
+        for (int i = 0; i < 100; ++i)
+            bytes += plan.unit;
+        CHECK(messageLength(bytes) == 0);
+    }
+}
--- a/programs/cuminrail-soak/Callers.cpp
+++ b/programs/cuminrail-soak/Callers.cpp
@@ -1,6 +1,8 @@
 #include "Callers.h"
 
+#include "ReceivedResponse.h"
 #include "runtime/time/BootClock.h"
+#include "standin/proxy/HttpFraming.h"
 
 #include <algorithm>
 #include <chrono>
@@ -10,10 +12,14 @@
 
 namespace {
 
-constexpr Millis callPatience = Millis(4000);
 /** A withdrawn key must have stopped working this long after its withdrawal. */
 constexpr Millis withdrawalBound = Millis(5000);
 constexpr int socketPatienceSeconds = 5;
+/** A caller leaves this long after its deadline. */
+constexpr Millis leavingDelay = Millis(1000);
+/** No server's answer is longer; of more bytes the first are kept. */
+constexpr std::size_t longestAnswer = 256 * 1024;
+constexpr std::size_t largeBody = 1024 * 1024;
 
 bool isPromise(int status)
 {
@@ -23,99 +29,29 @@
 /** Requests that a caller sends for one stream, the first included. */
 constexpr int maxStreamCalls = 3;
 
-/** Returns the events of a stream after one of them, from a server with this software version. */
-std::string eventsOf(const std::string &id, int after, const std::string &version)
+/** Reads until the response is whole, the connection ends, or the time is over. */
+std::string readResponse(testing::TestSocket &socket, Millis until)
 {
-    std::string all;
-    for (int i = after + 1; i <= platform::standinEvents; ++i)
-        all += platform::standinEvent(id, i, version);
-    return all;
-}
-
-/** An event as a caller received it. */
-struct ReceivedEvent
-{
-    int number = 0;
-    std::string version;
-};
-
-/** Returns the whole events of a body without chunk framing. */
-std::vector<ReceivedEvent> receivedEvents(const std::string &body)
-{
-    std::vector<ReceivedEvent> events;
-    std::size_t at = 0;
-    for (auto end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", at)) {
-        const std::string text = body.substr(at, end - at);
-        const auto id = text.find("id: ");
-        const auto data = text.find("data: ");
-        if (id != std::string::npos && data != std::string::npos) {
-            const auto blank = text.find(' ', data + 6);
-            events.push_back({std::atoi(text.c_str() + id + 4),
-                              blank == std::string::npos ? "" : text.substr(blank + 1)});
+    std::string kept;
+    while (true) {
+        const std::size_t length = kept.empty() ? messageLength(socket.input()) : 0;
+        if (length > 0)
+            return socket.take(length);
+        if (!kept.empty() || socket.input().size() > longestAnswer) {
+            const std::string more = socket.take(socket.input().size());
+            kept = kept.empty() ? more : kept;
         }
-        at = end + 2;
-    }
-    return events;
-}
-
-/** Takes the chunk framing out of a body. */
-std::string unchunked(const std::string &text)
-{
-    std::string body;
-    std::size_t at = 0;
-    while (at < text.size()) {
-        const auto end = text.find("\r\n", at);
-        if (end == std::string::npos)
-            return body;
-        const std::size_t size = std::strtoul(text.c_str() + at, nullptr, 16);
-        body += text.substr(end + 2, size);
-        at = end + 2 + size + 2;
-    }
-    return body;
-}
-
-/** Whether a response's body, as far as it was received, has no bytes that are no chunk. */
-bool isChunkFramed(const CallResult &result)
-{
-    const std::string &text = result.text;
-    const auto headEnd = text.find("\r\n\r\n");
-    if (headEnd == std::string::npos
-        || text.substr(0, headEnd).find("chunked") == std::string::npos)
-        return true;
-    for (std::size_t at = headEnd + 4; at < text.size();) {
-        const std::size_t end = std::min(text.find("\r\n", at), text.size());
-        const std::string size = text.substr(at, end - at);
-        const bool isCutOff = end == text.size();
-        if (size.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos
-            || (size.empty() && !isCutOff))
-            return isCutOff && size.back() == '\r';
-        at = end + 2 + std::strtoul(size.c_str(), nullptr, 16) + 2;
+        if (bootTime() > until || !socket.readSome())
+            return kept.empty() ? socket.take(socket.input().size()) : kept;
     }
-    return true;
-}
-
-std::string bodyOf(const CallResult &result)
-{
-    const auto headEnd = result.text.find("\r\n\r\n");
-    const std::string rest = headEnd == std::string::npos ? "" : result.text.substr(headEnd + 4);
-    const bool isChunked = result.text.substr(0, headEnd).find("chunked") != std::string::npos;
-    return isChunked ? unchunked(rest) : rest;
 }
 
-void checkSuccess(const CallResult &result, std::vector<std::string> &broken)
+/** Replaces a request's body by a large one. */
+std::string withLargeBody(const std::string &request)
 {
-    const auto headEnd = result.text.find("\r\n\r\n");
-    const std::string head = result.text.substr(0, headEnd);
-    const std::string body = bodyOf(result);
-    const bool isStream = result.kind == CallKind::Stream || result.kind == CallKind::Once;
-    const auto events = receivedEvents(body);
-    const std::string version = events.empty() ? "" : events.front().version;
-    const std::string expected = isStream ? eventsOf(result.id, result.resumeAfter, version)
-                                          : platform::standinBody(result.id);
-    if (body != expected)
-        broken.push_back(result.id + ": a success with another body than the server's");
-    if (platform::stampIn(head) != "stamp-" + result.id)
-        broken.push_back(result.id + ": a success without its own server's stamp");
+    const std::size_t length = request.find("Content-Length");
+    return request.substr(0, length) + "Content-Length: " + std::to_string(largeBody) + "\r\n\r\n"
+        + std::string(largeBody, 'b');
 }
 
 } // namespace
@@ -159,6 +95,7 @@
                 socket.setTimeout(socketPatienceSeconds);
         }
         result.gateway = gateway;
+        result.hasLargeBody = hasLargeBodies && random() % 3 == 0;
         call(socket, result);
         add(result);
         if (result.kind == CallKind::Stream && result.status == 200 && !result.isWhole)
@@ -189,16 +126,15 @@
         request.insert(request.find("Request-Id"),
                        "Resumes: " + result.resumes
                            + "\r\nLast-Event-Id: " + std::to_string(result.resumeAfter) + "\r\n");
+    if (result.hasLargeBody)
+        request = withLargeBody(request);
     result.wasSent = socket.isOpen() && socket.send(request);
     if (result.wasSent)
-        result.text = socket.readMessage();
+        result.text = readResponse(socket, result.sentAt + callPatience + leavingDelay);
     result.tookMillis =
         std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
     result.status = result.text.size() < 12 ? 0 : std::atoi(result.text.c_str() + 9);
-    const bool isChunked = result.text.find("chunked") != std::string::npos;
-    const bool hasEnd =
-        !isChunked || result.text.compare(result.text.size() - 5, 5, "0\r\n\r\n") == 0;
-    result.isWhole = result.status != 0 && hasEnd;
+    result.isWhole = result.status != 0 && messageLength(result.text) == result.text.size();
     const bool closes = result.text.find("Connection: close") != std::string::npos;
     if (!result.isWhole || closes)
         socket.close();
@@ -209,7 +145,7 @@
     std::string streamId;
     CallResult last = broken;
     for (int i = 1; i < maxStreamCalls && !last.isWhole; ++i) {
-        const auto events = receivedEvents(bodyOf(last));
+        const auto events = receivedEvents(bodyOf(last.text));
         if (!events.empty()) {
             last.resumeAfter = events.back().number;
             // The request that brought the first event names the stream from then on.
@@ -287,7 +223,7 @@
     for (const CallResult &result : results) {
         if (result.kind != CallKind::Stream)
             continue;
-        const auto events = receivedEvents(bodyOf(result));
+        const auto events = receivedEvents(bodyOf(result.text));
         const bool isTakeUp = !result.resumes.empty();
         // One that had all events but the end goes on without another event.
         const bool wentOn = !events.empty() || (result.status == 200 && result.isWhole);
@@ -336,8 +272,7 @@
             broken.push_back(result.id + ": said not to have run, and ran");
         if (!isChunkFramed(result))
             broken.push_back(result.id + ": bytes that are no answer, in an open response");
-        if (result.status >= 200 && result.status < 300 && result.isWhole)
-            checkSuccess(result, broken);
+        checkResponse(result, broken);
         if (ran > 0 && found->second.customer != result.customer)
             broken.push_back(result.id + ": ran for another customer");
         if (ran > 0 && found->second.sawKey)
--- a/programs/cuminrail-soak/Callers.h
+++ b/programs/cuminrail-soak/Callers.h
@@ -16,6 +16,9 @@
 
 namespace cuminrail::soak {
 
+/** How long callers wait for an answer, as they state. */
+inline constexpr Millis callPatience(4000);
+
 enum class CallKind : std::uint8_t { Safe, Unsafe, Stream, Once };
 
 inline constexpr NameTable<CallKind, 4> callKindNames{{{
@@ -37,6 +40,9 @@
     int resumeAfter = 0;
     /** The first parts of the prompt; empty for a request without one. */
     std::vector<std::string> parts;
+    bool hasLargeBody = false;
+    /** Its server's response has no end. */
+    bool hadNoEnd = false;
     /** The port of the gateway to which it was sent. */
     std::uint16_t gateway = 0;
     Millis sentAt;
@@ -62,6 +68,8 @@
 
     /** Streams have prompts that share parts. Set before start(). */
     bool hasPrompts = false;
+    /** Some requests have bodies that their sender can't send at once. Set before start(). */
+    bool hasLargeBodies = false;
     /** Callers open new connections more often, and most of them to one gateway; none with -1. */
     void favour(int gateway) { favoured_ = gateway; }
 
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstring>
@@ -99,6 +100,15 @@
         kill(pid_, number);
 }
 
+void GatewayProcess::notePeak()
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; pid_ > 0 && std::getline(status, line);) {
+        if (line.rfind("VmHWM:", 0) == 0)
+            peakKilobytes_ = std::max(peakKilobytes_, std::atol(line.c_str() + 6));
+    }
+}
+
 bool GatewayProcess::hasEnded()
 {
     if (pid_ <= 0)
@@ -154,7 +164,8 @@
     std::vector<std::unique_ptr<FaultProxy>> proxies;
     for (const auto &server : servers) {
         proxies.push_back(std::make_unique<FaultProxy>(thread_, server->port()));
-        addresses[loopback(server->port())] = loopback(proxies.back()->port());
+        addresses[loopback(server->port())] =
+            loopback(addPath(proxies_.size(), proxies.size(), *proxies.back()));
     }
     proxies_.push_back(std::move(proxies));
     const std::uint16_t view = store->addView([addresses](std::string body) {
@@ -167,6 +178,28 @@
     storeProxies.push_back(std::make_unique<FaultProxy>(thread_, view));
 }
 
+std::uint16_t Fleet::addPath(std::size_t gateway, std::size_t server, const FaultProxy &proxy)
+{
+    if (options_.responseFaults.empty())
+        return proxy.port();
+    ResponseFaultRates rates;
+    rates.faults = options_.responseFaults;
+    repeaters_.push_back(std::make_unique<ResponseRepeater>(
+        spoiling_, proxy.port(), std::move(rates),
+        seededRandom(options_.seed * 10000 + gateway * 100 + server)));
+    return repeaters_.back()->port();
+}
+
+std::vector<SpoiltResponse> Fleet::spoilt()
+{
+    std::vector<SpoiltResponse> all;
+    spoiling_.run([this, &all] {
+        for (const auto &repeater : repeaters_)
+            all.insert(all.end(), repeater->spoilt().begin(), repeater->spoilt().end());
+    });
+    return all;
+}
+
 void Fleet::forEachProxy(std::size_t server, const std::function<void(FaultProxy &)> &function)
 {
     for (std::size_t gateway = 0; gateway < proxies_.size(); ++gateway) {
@@ -206,6 +239,12 @@
         gateway->signal(SIGCONT);
         gateway->signal(SIGKILL);
     }
+    spoiling_.stop();
+    spoiling_.join();
+    for (const auto &repeater : repeaters_)
+        repeater->close();
+    spoiling_.runLeftovers();
+    repeaters_.clear();
     thread_.stop();
     thread_.join();
     for (const auto &server : servers)
@@ -272,6 +311,7 @@
 void Fleet::start()
 {
     thread_.start();
+    spoiling_.start();
     configure(true);
     onThread([this] {
         for (std::size_t i = 0; i < servers.size(); ++i)
@@ -302,7 +342,11 @@
     const std::string settings =
         platform::standinSettings("instance-" + std::to_string(index), ports);
     const bool isFirstStart = (options_.hasCuts || options_.hasReleases) && !hasStarted_;
-    gateway.start(settings + (isFirstStart ? "bootstrap=true\n" : ""), options_.isLogUnread);
+    const std::string memory = options_.responseFaults.empty()
+        ? ""
+        : "limits.memoryMb=" + std::to_string(memoryLimitMegabytes) + "\n";
+    gateway.start(settings + memory + (isFirstStart ? "bootstrap=true\n" : ""),
+                  options_.isLogUnread);
 }
 
 std::vector<std::string> Fleet::stop()
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -5,6 +5,7 @@
 #include "platform/testing/StandinStore.h"
 #include "runtime/time/BootClock.h"
 #include "standin/proxy/PathCut.h"
+#include "standin/proxy/ResponseRepeater.h"
 
 #include <map>
 #include <set>
@@ -17,6 +18,9 @@
 /** The part of prompts that ends servers. */
 inline constexpr const char *fatalPart = "dead01";
 
+/** The memory that the settings of gateways allow where responses are spoilt. */
+inline constexpr long memoryLimitMegabytes = 260;
+
 /** What a run is made of. */
 struct SoakOptions
 {
@@ -37,6 +41,8 @@
     /** Prompts have parts, one of which crashes servers; responses end with their connections; most
         new connections go to one gateway. */
     bool hasIncidents = false;
+    /** How responses are spoilt on their way; none by default. */
+    std::vector<ResponseFault> responseFaults;
     /** The gateways write their logs to a pipe that nobody reads. */
     bool isLogUnread = false;
 };
@@ -78,6 +84,10 @@
     /** Set when the process ended in a way that nobody asked for. */
     const std::string &complaint() const { return complaint_; }
     void expectKill() { isKillExpected_ = true; }
+    /** Reads the most memory that the process needed so far. */
+    void notePeak();
+    /** Returns the most memory that was read, over all starts. */
+    long peakMegabytes() const { return peakKilobytes_ / 1024; }
     /** When it was asked to stop. */
     const std::vector<Millis> &stoppedAt() const { return stoppedAt_; }
     /** When a signal was sent to it. */
@@ -101,6 +111,7 @@
     std::vector<Millis> signalledAt_;
     std::vector<Millis> stoppedAt_;
     std::string complaint_;
+    long peakKilobytes_ = 0;
 };
 
 /** The store, the servers behind proxies, and the gateways. */
@@ -154,6 +165,15 @@
     /** Runs a function on the stand-ins' thread. */
     void onThread(const std::function<void()> &function) { thread_.run(function); }
 
+    /** Returns the responses that were spoilt. */
+    std::vector<SpoiltResponse> spoilt();
+    /** Reads the most memory that each gateway needed so far. */
+    void notePeaks()
+    {
+        for (const auto &gateway : gateways)
+            gateway->notePeak();
+    }
+
     const VersionHistory &versions() const { return versions_; }
     platform::ServerRequestLog &record() { return record_; }
     std::vector<std::unique_ptr<GatewayProcess>> gateways;
@@ -166,11 +186,15 @@
     bool isOther(std::size_t gateway) const;
     void list(std::size_t index);
     void crash(std::size_t index);
+    /** Returns where a gateway reaches a server: its proxy, or what spoils responses before it. */
+    std::uint16_t addPath(std::size_t gateway, std::size_t server, const FaultProxy &proxy);
     /** Makes the proxies through which a gateway reaches the servers and the store. */
     void makeProxies();
 
     SoakOptions options_;
     IoThread thread_;
+    /** Bytes without end must not delay the servers. */
+    IoThread spoiling_;
     platform::ServerRequestLog record_;
     std::uint64_t version_ = 0;
     std::uint64_t releases_ = 0;
@@ -180,6 +204,7 @@
     std::map<std::size_t, std::vector<LinkChange>> linkChanges_;
     /** To each server, for each gateway. */
     std::vector<std::vector<std::unique_ptr<FaultProxy>>> proxies_;
+    std::vector<std::unique_ptr<ResponseRepeater>> repeaters_;
     std::map<std::uint16_t, std::vector<CutSpan>> cutSpans_;
     std::set<std::size_t> cutGateways_;
     std::vector<Millis> crashes_;
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -6,6 +6,7 @@
 #include "IncidentDriver.h"
 #include "ReleaseDriver.h"
 #include "StatementJudge.h"
+#include "StrayJudge.h"
 
 #include "runtime/time/BootClock.h"
 
@@ -79,24 +80,49 @@
         + std::to_string(fleet.crashes().size()) + " servers ended";
 }
 
+bool hasLateInBody(const SoakOptions &options)
+{
+    const auto &faults = options.responseFaults;
+    return std::any_of(faults.begin(), faults.end(), [](ResponseFault fault) {
+        return fault == ResponseFault::SecondInNextBody || fault == ResponseFault::RefusalInNextBody
+            || fault == ResponseFault::AnonymousInNextBody;
+    });
+}
+
+/** Has all servers refuse some requests, so that there are refusals to spoil. */
+void refuseSome(const Fleet &fleet)
+{
+    platform::ServerFaultRates rates;
+    rates.refuses = 5;
+    for (const auto &server : fleet.servers)
+        server->setFaultRates(rates);
+}
+
 int runSeed(const SoakOptions &options, StreamFigures &allStreams)
 {
     Fleet fleet(options);
     Callers callers(startFleet(fleet), options.callers, options.seed);
     callers.hasPrompts = options.hasIncidents;
+    callers.hasLargeBodies = hasLateInBody(options);
     callers.start();
     FaultDriver driver(fleet, options.seed);
+    if (!options.responseFaults.empty())
+        fleet.onThread([&fleet] { refuseSome(fleet); });
     CutDriver cuts(fleet, options.seed);
     ReleaseDriver releases(fleet, options.seed);
     IncidentDriver incidents(fleet, callers, options.seed);
     constexpr int stepsOfCalmStop = 5;
     int steps = 0;
+    // A single fault of responses is played alone.
+    const bool hasOneFault = options.responseFaults.size() == 1;
     const auto random = seededRandom(options.seed + 77);
     const Millis end = bootTime() + Millis::seconds(options.seconds);
     while (bootTime() < end) {
         // Stops so rare that some gateways are neither cut nor stopping show what cuts cost.
-        if (!options.hasCuts || !driver.isCalm() || ++steps % stepsOfCalmStop == 0)
+        const bool isRare = options.hasCuts && driver.isCalm();
+        if (!hasOneFault && (!isRare || ++steps % stepsOfCalmStop == 0))
             driver.step();
+        fleet.notePeaks();
         driver.reap();
         if (options.hasCuts)
             cuts.step();
@@ -112,8 +138,11 @@
     const Millis withdrawnAt = driver.withdraw();
     sleepFor(Millis(6500));
     callers.stop();
+    fleet.notePeaks();
+    const std::vector<SpoiltResponse> spoilt = fleet.spoilt();
     std::vector<std::string> broken = fleet.stop();
-    const auto results = callers.results();
+    auto results = callers.results();
+    markEndless(results, spoilt);
     const auto rules = judge(results, fleet.record(), withdrawnAt);
     broken.insert(broken.end(), rules.begin(), rules.end());
     const StreamFigures streams = judgeStreams(
@@ -128,7 +157,9 @@
     broken.insert(broken.end(), driver.complaints().begin(), driver.complaints().end());
     const auto ended = incidents.judge();
     broken.insert(broken.end(), ended.begin(), ended.end());
-    if (driver.isCalm() && !options.hasCuts && !options.hasReleases && !options.hasIncidents) {
+    const bool isSpoilt = !options.responseFaults.empty();
+    if (driver.isCalm() && !options.hasCuts && !options.hasReleases && !options.hasIncidents
+        && !isSpoilt) {
         const auto cut = cutCalls(results);
         broken.insert(broken.end(), cut.begin(), cut.end());
     }
@@ -138,6 +169,10 @@
         broken.insert(broken.end(), worse.begin(), worse.end());
         cutSummary = "; " + cutSummary;
     }
+    if (hasOneFault) {
+        const auto bounds = judgeBounds(results, fleet);
+        broken.insert(broken.end(), bounds.begin(), bounds.end());
+    }
     std::size_t served = 0;
     for (const CallResult &result : results)
         served += result.status == 200 && result.isWhole ? 1 : 0;
@@ -147,6 +182,10 @@
               << results.size() << " requests, " << served << " served, " << broken.size()
               << " promises broken" << (options.hasReleases ? "; " + streams.text() : "")
               << cutSummary << incidentSummary(options, fleet, incidents) << "\n";
+    if (isSpoilt) {
+        std::cout << straySummary(results, spoilt, fleet, broken);
+        writeTimeline(options.directory + "/timeline.log", results, spoilt, fleet.record());
+    }
     for (const std::string &each : options.hasReleases ? streams.lost : std::vector<std::string>())
         std::cout << "  not taken up: " << each << "\n";
     const std::size_t shown = std::min(broken.size(), mostShown);
@@ -238,13 +277,19 @@
         "seeds", "how many", cxxopts::value<int>()->default_value("1"))(
         "seconds", "of faults for each", cxxopts::value<int>()->default_value("15"))(
         "instances", "gateways", cxxopts::value<int>()->default_value("3"))(
-        "callers", "at the same time", cxxopts::value<int>()->default_value("12"))(
+        "servers", "behind all gateways; 0: as many as the other options need",
+        cxxopts::value<int>()->default_value("0"))("callers", "at the same time",
+                                                   cxxopts::value<int>()->default_value("12"))(
         "cuts", "gateways lose the path to all servers for some seconds, besides the other faults")(
         "releases", "servers are replaced by others with another version of their software")(
         "incidents",
         "one part of prompts crashes servers, most new connections go to one gateway, and "
         "responses "
-        "end with their connections")(
+        "end with their connections")("stray-responses",
+                                      "responses come twice, cut short or without end, besides the "
+                                      "other faults; with the name of "
+                                      "one such fault it is played alone",
+                                      cxxopts::value<std::string>()->implicit_value("all"))(
         "flood", "no faults: the same load with logs read, and with logs that nobody reads")(
         "keep", "directory for settings and logs; default: one that goes when all is well",
         cxxopts::value<std::string>());
@@ -263,12 +308,21 @@
         soak.hasCuts = arguments.count("cuts") > 0 && soak.instances > 1;
         soak.hasReleases = arguments.count("releases") > 0;
         soak.hasIncidents = arguments.count("incidents") > 0;
+        if (arguments.count("stray-responses") > 0) {
+            const auto faults = responseFaultsNamed(arguments["stray-responses"].as<std::string>());
+            if (!faults)
+                throw std::runtime_error("no such fault of responses");
+            soak.responseFaults = *faults;
+            soak.servers = 6;
+        }
         constexpr int serversInReleases = 6;
         constexpr int serversInIncidents = 9;
         if (soak.hasIncidents)
             soak.servers = serversInIncidents;
         if (soak.hasReleases)
             soak.servers = serversInReleases;
+        if (arguments["servers"].as<int>() > 0)
+            soak.servers = arguments["servers"].as<int>();
         const std::string base = arguments.count("keep") > 0
             ? arguments["keep"].as<std::string>()
             : (std::filesystem::temp_directory_path() / ("soak-" + std::to_string(getpid())))
