Upstream tests: the scripted upstream responds to the request that it reads

The script answered whatever came next on the first connection as request "b". A pool that sends "b" over another connection, as it should for calls without identity, then had "c" answered with the response to "b", and the test failed on sound code. The checks are the same.

--- a/modules/net/testing/SecondResponseTrial.h
+++ b/modules/net/testing/SecondResponseTrial.h
@@ -250,9 +250,12 @@
             connection.socket.send(repeated());
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
-        if (connection.read().text.empty())
+        const ReceivedRequest request = connection.read();
+        if (request.text.empty())
             return;
-        const auto [begin, end] = halves(next_, "b");
+        // Request "b" may have been sent over another connection.
+        const std::string id = request.header("X-Name");
+        const auto [begin, end] = halves(id == "b" ? next_ : plain(), id);
         if (moment_ == Moment::BetweenChunks) {
             connection.socket.send(begin + repeated());
             connection.socket.send(end);
