Exchanges: query numbers go on from one start to the next

An instance that was started again at its address could take a late reply to a query of the process before as that to one of its own: queries for records, quotas and prompts being prefilled were numbered from 1 at each start, and replies are told by sender and number. A caller's stream could go on by the record of another stream, and a customer's request run by another one's grant; the announcements of prefills shared their identities with those of the process before. Found by reading: links are sealed and ordered, but bytes that the kernel of an ended process still sends once a path heals can reach a peer after the new link, and its reply takes the new link.

The test of unexpected prefill replies takes the number from the query, and its replies have the right size.

--- a/modules/keepers/keepers.h
+++ b/modules/keepers/keepers.h
@@ -10,4 +10,5 @@
     Depends on core, ports.
 */
 
+#include "keepers/numbers/QueryNumbers.h"
 #include "keepers/ranking/OwnerRanking.h"
--- a/modules/keyedrecords/exchange/RecordExchange.cpp
+++ b/modules/keyedrecords/exchange/RecordExchange.cpp
@@ -1,6 +1,7 @@
 #include "keyedrecords/exchange/RecordExchange.h"
 
 #include "core/guards/Guards.h"
+#include "keepers/numbers/QueryNumbers.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,7 +19,8 @@
 } // namespace
 
 RecordExchange::RecordExchange(PeerTransport transport, Clock clock, std::size_t copies)
-    : transport_(std::move(transport)), clock_(std::move(clock)), copies_(copies)
+    : transport_(std::move(transport)), clock_(std::move(clock)), copies_(copies),
+      nextNumber_(firstQueryNumber(clock_))
 { }
 
 void RecordExchange::setPeers(std::vector<OwnerCandidate> peers)
--- a/modules/keyedrecords/exchange/RecordExchange.h
+++ b/modules/keyedrecords/exchange/RecordExchange.h
@@ -188,7 +188,7 @@
     std::map<std::uint64_t, Publication> publications_;
     std::unordered_map<PeerAddress, Outbox> outboxes_;
     std::map<std::uint64_t, Query> queries_;
-    std::uint64_t nextNumber_ = 1;
+    std::uint64_t nextNumber_;
     RecordStats stats_;
 };
 
--- a/modules/keyedrecords/exchange/RecordExchange_test.cpp
+++ b/modules/keyedrecords/exchange/RecordExchange_test.cpp
@@ -172,3 +172,21 @@
     // The owners of the second round.
     CHECK(found == static_cast<int>(RecordExchange::defaultCopies));
 }
+
+// Guards against a reply that is for the process that ran at this address before.
+TEST_CASE("a reply to a query of an earlier start is not that to a later one")
+{
+    RecordCluster cluster(2, 2, 7);
+    cluster.at(1).remember(1, 1001);
+    cluster.frozen.insert(1);
+    cluster.at(0).lookUp(1, 1, [](const RecordOutcome &) {});
+    cluster.advance(Millis(20));
+    cluster.start(0);
+    std::optional<RecordOutcome> outcome;
+    cluster.at(0).lookUp(2, 1, [&outcome](const RecordOutcome &reply) { outcome = reply; });
+    cluster.frozen.clear();
+    cluster.advance(Millis(100));
+    REQUIRE(outcome);
+    CHECK(outcome->result == RecordLookUp::Missing);
+    CHECK(outcome->value == 0);
+}
--- a/modules/quotas/exchange/QuotaExchange.cpp
+++ b/modules/quotas/exchange/QuotaExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/guards/Guards.h"
 #include "core/hash/StableHash.h"
+#include "keepers/numbers/QueryNumbers.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,7 +26,8 @@
 } // namespace
 
 QuotaExchange::QuotaExchange(QuotaTolerance tolerance, PeerTransport transport, Clock clock)
-    : transport_(std::move(transport)), clock_(std::move(clock)), ledger_(tolerance)
+    : transport_(std::move(transport)), clock_(std::move(clock)), ledger_(tolerance),
+      nextNumber_(firstQueryNumber(clock_))
 {
     ledger_.setOwnershipStartedAt(clock_.now());
 }
--- a/modules/quotas/exchange/QuotaExchange.h
+++ b/modules/quotas/exchange/QuotaExchange.h
@@ -169,7 +169,7 @@
     std::map<std::uint64_t, LateReply> lateReplies_;
     /** What may be granted locally without a query, by customer. */
     std::unordered_map<std::string, TokenBucket> localBuckets_;
-    std::uint64_t nextNumber_ = 1;
+    std::uint64_t nextNumber_;
     QuotaExchangeStats stats_;
 };
 
--- a/modules/quotas/exchange/QuotaExchange_test.cpp
+++ b/modules/quotas/exchange/QuotaExchange_test.cpp
@@ -213,3 +213,40 @@
         CHECK(results == std::vector<QuotaResult>{row.result});
     }
 }
+
+// Guards against a grant for the process that ran at this address before, and for another customer.
+TEST_CASE("a reply to a query of an earlier start is not that to a later one")
+{
+    Millis now(1000);
+    std::vector<std::string> sent;
+    const auto started = [&] {
+        const PeerTransport transport{
+            [&sent](const PeerAddress &, const std::string &frame) { sent.push_back(frame); }};
+        auto exchange =
+            std::make_unique<QuotaExchange>(tolerance, transport, Clock([&now] { return now; }));
+        exchange->setQuotas(usualQuotas);
+        exchange->setPeers(FrameNetwork::peersOf(0, 24));
+        return exchange;
+    };
+    std::vector<QuotaResult> results;
+    const auto acquire = [&results](QuotaExchange &exchange) {
+        exchange.acquire(north, 20000, [&results](const QuotaOutcome &outcome) {
+            results.push_back(outcome.result);
+        });
+    };
+    const auto first = started();
+    acquire(*first);
+    REQUIRE(sent.size() == 1);
+    const auto query = std::get<QuotaQuery>(*decodeQuotaMessage(sent[0]));
+    now = now + Millis(20);
+    const auto second = started();
+    acquire(*second);
+    REQUIRE(sent.size() == 2);
+    const std::string reply = encodeQuotaMessage(QuotaReply{query.number, true, 0, 0});
+    for (int i = 1; i < 24; ++i)
+        CHECK(second->handleFrame(FrameNetwork::nameOf(i), reply));
+    CHECK(results.empty());
+    for (int i = 1; i < 24; ++i)
+        CHECK(first->handleFrame(FrameNetwork::nameOf(i), reply));
+    CHECK(results == std::vector<QuotaResult>{QuotaResult::Granted});
+}
--- a/modules/readingbooks/exchange/PrefillExchange.cpp
+++ b/modules/readingbooks/exchange/PrefillExchange.cpp
@@ -1,12 +1,15 @@
 #include "readingbooks/exchange/PrefillExchange.h"
 
+#include "keepers/numbers/QueryNumbers.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace cuminrail {
 
 PrefillExchange::PrefillExchange(std::string self, PeerTransport transport, Clock clock)
-    : self_(std::move(self)), transport_(std::move(transport)), clock_(std::move(clock))
+    : self_(std::move(self)), transport_(std::move(transport)), clock_(std::move(clock)),
+      nextNumber_(firstQueryNumber(clock_))
 { }
 
 PrefillTracker &PrefillExchange::trackerOf(EngineKey engine)
--- a/modules/readingbooks/exchange/PrefillExchange.h
+++ b/modules/readingbooks/exchange/PrefillExchange.h
@@ -130,7 +130,7 @@
     Millis ownersChangedAt_;
     std::unordered_map<EngineKey, TrackedEngine> trackers_;
     std::map<std::uint64_t, Pending> pending_;
-    std::uint64_t nextNumber_ = 1;
+    std::uint64_t nextNumber_;
     Millis nextDropAt_;
     PrefillExchangeStats stats_;
 };
--- a/modules/readingbooks/exchange/PrefillExchange_test.cpp
+++ b/modules/readingbooks/exchange/PrefillExchange_test.cpp
@@ -40,6 +40,10 @@
     {
         PeerTransport transport;
         transport.send = [this, i](const PeerAddress &to, const std::string &frame) {
+            if (const auto message = decodePrefillMessage(frame)) {
+                if (const auto *query = std::get_if<PrefillQuery>(&*message))
+                    lastQuery = *query;
+            }
             if (dead.count(name(i)) > 0 || dead.count(to) > 0 || (random_() % 100) < lossPercent)
                 return;
             const int copies = (random_() % 100) < duplicatePercent ? 2 : 1;
@@ -96,6 +100,8 @@
     static std::string name(int i) { return "10.0.0." + std::to_string(i + 1) + ":7000"; }
 
     Millis now = Millis(100000);
+    /** The last query that any instance sent. */
+    PrefillQuery lastQuery;
     std::set<std::string> dead;
     unsigned lossPercent = 0;
     unsigned duplicatePercent = 0;
@@ -274,21 +280,47 @@
     network.dead.insert(other);
     network.at(0).query(chainOf(1, 2), {std::begin(engines), std::end(engines)},
                         [&](const PrefillExchange::Estimates &) { ++completions; });
-    CHECK(network.at(0).handleFrame(other, encodePrefillMessage(PrefillReply{1, {}})));
-    CHECK(network.at(0).handleFrame("10.9.9.9:1",
-                                    encodePrefillMessage(PrefillReply{1, {{1, 1, 0, true}}})));
-    CHECK(network.at(0).handleFrame(other,
-                                    encodePrefillMessage(PrefillReply{77, {{1, 1, 0, true}}})));
+    const std::uint64_t number = network.lastQuery.number;
+    const std::vector<PrefillEstimate> estimates(network.lastQuery.engines.size(), {1, 1, 0, true});
+    REQUIRE_FALSE(estimates.empty());
+    const auto reply = [&](std::uint64_t to, const std::vector<PrefillEstimate> &given) {
+        return encodePrefillMessage(PrefillReply{to, given});
+    };
+    CHECK(network.at(0).handleFrame(other, reply(number, {})));
+    CHECK(network.at(0).handleFrame("10.9.9.9:1", reply(number, estimates)));
+    CHECK(network.at(0).handleFrame(other, reply(number + 76, estimates)));
     CHECK(completions == 0);
     network.advance(PrefillExchange::replyTimeout);
     CHECK(completions == 1);
-    CHECK(
-        network.at(0).handleFrame(other, encodePrefillMessage(PrefillReply{1, {{1, 1, 0, true}}})));
+    CHECK(network.at(0).handleFrame(other, reply(number, estimates)));
     CHECK(completions == 1);
     CHECK_FALSE(network.at(0).handleFrame(other, "nonsense"));
     CHECK(network.at(0).stats().framesRefused == 1);
 }
 
+// Guards against estimates for the process that ran at this address before.
+TEST_CASE("a reply to a query of an earlier start is not that to a later one")
+{
+    Network network(2);
+    const std::string other = Network::name(1);
+    network.dead.insert(other);
+    int completions = 0;
+    const auto query = [&] {
+        network.at(0).query(chainOf(1, 2), {std::begin(engines), std::end(engines)},
+                            [&](const PrefillExchange::Estimates &) { ++completions; });
+        return network.lastQuery;
+    };
+    const PrefillQuery first = query();
+    network.advance(Millis(5));
+    network.start(0);
+    network.setPeersOf(0, 2);
+    query();
+    const PrefillReply reply{first.number,
+                             std::vector<PrefillEstimate>(first.engines.size(), {1, 1, 0, true})};
+    CHECK(network.at(0).handleFrame(other, encodePrefillMessage(reply)));
+    CHECK(completions == 0);
+}
+
 // Guards against trackers of lost engines that pile up in memory.
 TEST_CASE("idle trackers are dropped")
 {
