Quarantine: a trial granted by an owner that was replaced is returned

Requests that hold a suspected part are tried one at a time over all instances, as an owner grants. An instance whose owner was slow asked the next one, and took the grants of both: the late one began a second trial beside the first, which may cost one more upstream. It gives the late grant back now.

Measured: the new case failed before (nothing returned, a second trial taken), passes now; the rest of test_quarantine as before, its two known red cases included.

--- a/modules/quarantine/trials/TrialLane.cpp
+++ b/modules/quarantine/trials/TrialLane.cpp
@@ -79,9 +79,13 @@
 {
     owners_.recordReply(owner);
     const auto asked = questions_.find(content);
-    if (asked != questions_.end() && asked->second.owner == owner)
+    const bool wasReplaced = asked != questions_.end() && asked->second.owner != owner;
+    if (asked != questions_.end() && !wasReplaced)
         asked->second.isAnswered = true;
-    if (isGranted)
+    // Another owner has been asked since, and its trial may be under way.
+    if (isGranted && wasReplaced)
+        hooks_.finished(owner, content);
+    else if (isGranted)
         granted_[content] = {owner, clock_.now() + grantLifetime};
 }
 
