Soak: the rest of a cut response comes at once or after a pause

A response that was cut short was always followed by the second one in the same write, so a gateway that looks at what is left in its buffer could tell. Half of them now come some milliseconds later. The summary states for how long bytes without end were read.

--- a/modules/standin/proxy/ResponsePlan.cpp
+++ b/modules/standin/proxy/ResponsePlan.cpp
@@ -53,18 +53,26 @@
     }
 }
 
+/** Returns the rest of a plan that begins with a part of a response. */
+ResponsePlan cutAfter(const std::string &part, const std::string &second, std::uint64_t random)
+{
+    if (random % 2 == 0)
+        return {part + second, {}, LateMoment::Never, {}, {}, false};
+    return {part, second, LateMoment::AfterPause, {}, {}, false};
+}
+
 ResponsePlan cutStream(ResponseFault fault, const std::string &response, std::uint64_t random)
 {
     const auto chunks = chunksOf(response);
     if (chunks.empty())
-        return {response + response, {}, LateMoment::Never, {}, {}, false};
-    const auto [begin, end] = chunks[random % chunks.size()];
+        return cutAfter(response, response, random);
+    const auto [begin, end] = chunks[random / 2 % chunks.size()];
     const std::size_t data = response.find("\r\n", begin) + 2;
     const std::string half = response.substr(data, (end - data) / 2);
     const std::string part = fault == ResponseFault::CutInEvent
         ? chunk(half)
         : response.substr(begin, data - begin) + half;
-    return {response.substr(0, begin) + part + response, {}, LateMoment::Never, {}, {}, false};
+    return cutAfter(response.substr(0, begin) + part, response, random);
 }
 
 ResponsePlan endless(ResponseFault fault, const std::string &response)
@@ -133,14 +141,9 @@
     return {response, response, when, {}, {}, false};
 }
 
-ResponsePlan cutBody(const std::string &response, std::size_t missing)
+ResponsePlan cutBody(const std::string &response, std::size_t missing, std::uint64_t random)
 {
-    return {response.substr(0, response.size() - missing) + response,
-            {},
-            LateMoment::Never,
-            {},
-            {},
-            false};
+    return cutAfter(response.substr(0, response.size() - missing), response, random);
 }
 
 } // namespace
@@ -183,11 +186,11 @@
                 {},
                 true};
     case ResponseFault::CutByOne:
-        return cutBody(response, 1);
+        return cutBody(response, 1, random);
     case ResponseFault::CutByFew:
-        return cutBody(response, fewBytes);
+        return cutBody(response, fewBytes, random);
     case ResponseFault::CutByHalf:
-        return cutBody(response, body.size() / 2);
+        return cutBody(response, body.size() / 2, random);
     case ResponseFault::CutInEvent:
     case ResponseFault::CutInChunk:
         return cutStream(fault, response, random);
--- a/modules/standin/proxy/ResponsePlan.h
+++ b/modules/standin/proxy/ResponsePlan.h
@@ -9,7 +9,15 @@
 namespace cuminrail {
 
 /** When the second response is sent. */
-enum class LateMoment : std::uint8_t { Never, WhileIdle, BeforeNext, InNextBody, OfResent };
+enum class LateMoment : std::uint8_t {
+    Never,
+    WhileIdle,
+    BeforeNext,
+    InNextBody,
+    OfResent,
+    /** A little later, though the first one is not whole. */
+    AfterPause,
+};
 
 /** What is sent in place of a response. */
 struct ResponsePlan
--- a/modules/standin/proxy/ResponsePlan_test.cpp
+++ b/modules/standin/proxy/ResponsePlan_test.cpp
@@ -23,6 +23,7 @@
     std::string body;
     std::string identity;
     LateMoment when;
+    std::uint64_t random = 0;
 };
 
 } // namespace
@@ -43,13 +44,15 @@
         {ResponseFault::CutByOne, plain, "012345678H", "r1", LateMoment::Never},
         {ResponseFault::CutByFew, plain, "01234HTTP/", "r1", LateMoment::Never},
         {ResponseFault::CutByHalf, plain, "01234HTTP/", "r1", LateMoment::Never},
+        {ResponseFault::CutByHalf, plain, "01234", "r1", LateMoment::AfterPause, 1},
+        {ResponseFault::CutInEvent, stream, "id: 1\nid:", "r1", LateMoment::AfterPause, 3},
         {ResponseFault::CutInChunk, stream, "id:HTT", "r1", LateMoment::Never},
         {ResponseFault::CutInEvent, stream, "id:", "r1", LateMoment::Never},
     };
     for (const FaultCase &row : cases) {
         CAPTURE(responseFaultNames.name(row.fault));
         REQUIRE(canSpoil(row.fault, row.response));
-        const ResponsePlan plan = planFor(row.fault, row.response, 0);
+        const ResponsePlan plan = planFor(row.fault, row.response, row.random);
         const std::size_t length = messageLength(plan.now);
         CHECK(bodyOf(plan.now.substr(0, length == 0 ? plan.now.size() : length)) == row.body);
         CHECK(headerValue(plan.now, "Request-Id") == row.identity);
--- a/modules/standin/proxy/ResponseRepeater.cpp
+++ b/modules/standin/proxy/ResponseRepeater.cpp
@@ -22,6 +22,12 @@
 constexpr std::int64_t longestIdle = 40;
 constexpr std::size_t burstBytes = 16384;
 
+/** Whether a second response comes after a while, unless a request comes before. */
+bool isTimed(LateMoment when)
+{
+    return when == LateMoment::WhileIdle || when == LateMoment::AfterPause;
+}
+
 } // namespace
 
 struct ResponseRepeater::Link
@@ -103,30 +109,36 @@
         link->response.clear();
     }
     link->request.append(link->up.data(), size);
-    if (link->plan.when == LateMoment::WhileIdle)
+    if (isTimed(link->plan.when))
         link->plan = {};
-    const bool hasHead = headLength(link->request) > 0;
-    const bool isWhole = messageLength(link->request) > 0;
-    const std::string lastId = link->requestId;
-    if (hasHead)
+    if (headLength(link->request) > 0)
         link->requestId = headerValue(link->request, "Request-Id");
-    const bool isResent = hasHead && spoilt_.size() > link->lateIndex
-        && spoilt_[link->lateIndex].requestId == link->requestId;
-    const bool isInBody = hasHead && !isWhole;
-    const LateMoment when = link->plan.when;
-    const bool isLateDue = (when == LateMoment::BeforeNext && isWhole)
-        || (when == LateMoment::InNextBody && isInBody)
-        || (when == LateMoment::OfResent && isWhole && isResent);
+    const bool isWhole = messageLength(link->request) > 0;
+    const bool isLateDue = isSecondDue(*link, isWhole);
     if (isWhole)
         link->request.clear();
     if (!isLateDue)
         return forwardRequest(link, size);
     sendLate(link);
-    if (!isInBody)
+    if (isWhole)
         return forwardRequest(link, size);
     after(link, bodyPause, [this, link, size] { forwardRequest(link, size); });
 }
 
+bool ResponseRepeater::isSecondDue(const Link &link, bool isRequestWhole) const
+{
+    switch (link.plan.when) {
+    case LateMoment::BeforeNext:
+        return isRequestWhole;
+    case LateMoment::InNextBody:
+        return !isRequestWhole && headLength(link.request) > 0;
+    case LateMoment::OfResent:
+        return isRequestWhole && spoilt_[link.lateIndex].requestId == link.requestId;
+    default:
+        return false;
+    }
+}
+
 void ResponseRepeater::forwardRequest(const LinkPointer &link, std::size_t size)
 {
     boost::asio::async_write(link->server, boost::asio::buffer(link->up, size),
@@ -186,11 +198,11 @@
     if (!link->plan.unit.empty())
         link->endlessIndex = link->lateIndex;
     write(link, link->plan.now);
-    if (link->plan.when != LateMoment::WhileIdle)
+    if (!isTimed(link->plan.when))
         return;
     const Millis idle(1 + static_cast<std::int64_t>(random_() % longestIdle));
     after(link, idle, [this, link] {
-        if (link->plan.when == LateMoment::WhileIdle)
+        if (isTimed(link->plan.when))
             sendLate(link);
     });
 }
@@ -199,7 +211,7 @@
 {
     SpoiltResponse &spoilt = spoilt_[link->lateIndex];
     spoilt.lateAt = bootTime();
-    if (link->plan.when != LateMoment::WhileIdle)
+    if (!isTimed(link->plan.when))
         spoilt.nextRequestId = link->requestId;
     link->plan.when = LateMoment::Never;
     write(link, std::exchange(link->plan.late, {}));
--- a/modules/standin/proxy/ResponseRepeater.h
+++ b/modules/standin/proxy/ResponseRepeater.h
@@ -64,6 +64,8 @@
     void accept();
     void readRequest(const LinkPointer &link);
     void onRequest(const LinkPointer &link, std::size_t size);
+    /** Whether the moment of the second response has come, as part of a request was read. */
+    bool isSecondDue(const Link &link, bool isRequestWhole) const;
     void forwardRequest(const LinkPointer &link, std::size_t size);
     void readResponse(const LinkPointer &link);
     void onResponse(const LinkPointer &link, std::size_t size);
--- a/programs/cuminrail-soak/StrayJudge.cpp
+++ b/programs/cuminrail-soak/StrayJudge.cpp
@@ -76,6 +76,12 @@
         ++count;
         late += each.lateAt ? 1 : 0;
     }
+    Millis longestEndless;
+    for (const SpoiltResponse &each : spoilt) {
+        if (each.closedAt)
+            longestEndless = std::max(longestEndless, *each.closedAt - each.at,
+                                      [](Millis a, Millis b) { return a < b; });
+    }
     std::map<std::string, int> sorts;
     for (const std::string &each : broken)
         ++sorts[sortOf(each)];
@@ -94,6 +100,8 @@
     text << "  failed";
     for (const auto &[status, count] : failures)
         text << " " << status << ": " << count << ";";
+    if (longestEndless > Millis())
+        text << "\n  bytes without end were read for at most " << longestEndless.count() << " ms";
     text << "\n  peak memory";
     for (const auto &gateway : fleet.gateways)
         text << " " << gateway->peakMegabytes();
@@ -135,7 +143,7 @@
             lines.emplace(*each.lateAt,
                           "link sends second response to " + each.requestId + ", "
                               + (each.nextRequestId.empty()
-                                     ? "while idle"
+                                     ? "after a pause"
                                      : "at the time of " + each.nextRequestId));
         if (each.closedAt)
             lines.emplace(*each.closedAt, "gateway closes on " + each.requestId);
