Event reader: each part of an event is searched once

While an upstream sent one long event in small parts, all other callers of the gateway waited: its event loop was busy for seconds.

Cause: with each part the reader copied and searched all of the event that had arrived, so the time grew with the square of the length.

Only the new bytes are searched now, with the four before them that may belong to the end of the event. What is buffered is copied once for each event that becomes whole.

--- a/modules/net/http/SseReader.cpp
+++ b/modules/net/http/SseReader.cpp
@@ -1,5 +1,6 @@
 #include "net/http/SseReader.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cuminrail {
@@ -8,6 +9,7 @@
 
 constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view eventEndCrLf = "\r\n\r\n";
+constexpr std::size_t maxEventEnd = eventEndCrLf.size();
 
 /** Returns the length of the first complete event, or 0. */
 std::size_t firstEventLength(std::string_view bytes)
@@ -43,13 +45,18 @@
         const std::size_t used = parseEvents(bytes);
         partial_.assign(bytes.substr(used));
     } else {
+        // Only the new bytes are searched, with those before them that may belong to an event's
+        // end: an event may arrive in very many parts.
+        const std::size_t searched = partial_.size() - std::min(partial_.size(), maxEventEnd);
         partial_.append(bytes);
+        if (firstEventLength(std::string_view(partial_).substr(searched)) == 0)
+            return isWithinLimit();
         const std::string joined = std::move(partial_);
         partial_.clear();
         const std::size_t used = parseEvents(joined);
         partial_.assign(joined, used, std::string::npos);
     }
-    return partial_.size() <= maxEventBytes;
+    return isWithinLimit();
 }
 
 std::size_t SseReader::parseEvents(std::string_view bytes)
--- a/modules/net/http/SseReader.h
+++ b/modules/net/http/SseReader.h
@@ -49,6 +49,7 @@
 private:
     std::size_t parseEvents(std::string_view bytes);
     void parseEvent(std::string_view bytes);
+    bool isWithinLimit() const { return partial_.size() <= maxEventBytes; }
 
     std::function<void(const SseEvent &)> onEvent_;
     std::string partial_;
--- a/modules/net/http/SseReader_test.cpp
+++ b/modules/net/http/SseReader_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+
 using namespace cuminrail;
 
 namespace {
@@ -70,3 +72,21 @@
         CHECK(isAccepted == row.isAccepted);
     }
 }
+
+// Guards against readers that look through all of a long event again for each of its parts.
+TEST_CASE("a long event in small parts is read in time proportional to its length")
+{
+    std::size_t length = 0;
+    SseReader reader([&length](const SseEvent &event) { length = event.data.size(); });
+    constexpr std::size_t parts = SseReader::maxEventBytes / 4 - 16;
+    reader.feed("data: ");
+    const auto begun = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < parts; ++i)
+        reader.feed("more");
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    reader.feed("\r");
+    reader.feed("\n\r");
+    reader.feed("\n");
+    CHECK(length == parts * 4);
+    CHECK(took.count() < 2);
+}
