--- a/modules/net/http/SseReader.cpp
+++ b/modules/net/http/SseReader.cpp
@@ -1,5 +1,6 @@
 #include "net/http/SseReader.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cuminrail {
@@ -8,6 +9,7 @@
 
 constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view eventEndCrLf = "\r\n\r\n";
+constexpr std::size_t maxEventEnd = eventEndCrLf.size();
 
 /** Returns the length of the first complete event, or 0. */
 std::size_t firstEventLength(std::string_view bytes)
@@ -43,13 +45,18 @@
         const std::size_t used = parseEvents(bytes);
         partial_.assign(bytes.substr(used));
     } else {
+        // Only the new bytes are searched, with those before them that may belong to an event's
+        // end: an event may arrive in very many parts.
+        const std::size_t searched = partial_.size() - std::min(partial_.size(), maxEventEnd);
         partial_.append(bytes);
+        if (firstEventLength(std::string_view(partial_).substr(searched)) == 0)
+            return isWithinLimit();
         const std::string joined = std::move(partial_);
         partial_.clear();
         const std::size_t used = parseEvents(joined);
         partial_.assign(joined, used, std::string::npos);
     }
-    return partial_.size() <= maxEventBytes;
+    return isWithinLimit();
 }
 
 std::size_t SseReader::parseEvents(std::string_view bytes)
@@ -68,14 +75,17 @@
 {
     SseEvent event;
     event.bytes = bytes;
+    bool hasData = false;
     std::size_t begin = 0;
     while (begin < bytes.size()) {
         const auto end = bytes.find('\n', begin);
         std::string_view line = bytes.substr(begin, end - begin);
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
-        if (const auto data = valueOf(line, "data"))
+        if (const auto data = valueOf(line, "data")) {
             event.data = *data;
+            hasData = true;
+        }
         if (const auto id = valueOf(line, "id")) {
             std::uint64_t number = 0;
             const auto parsed = std::from_chars(id->data(), id->data() + id->size(), number);
@@ -84,6 +94,11 @@
         }
         begin = end + 1;
     }
+    if (!hasData && !event.number) {
+        eventlessBytes_ += bytes.size();
+        return;
+    }
+    eventlessBytes_ = 0;
     onEvent_(event);
 }
 
