A response is its request's by an identity that its connection carried once, and ends where no other begins

Callers got another response, or one that was not whole, while upstreams answered twice.

Cause: what shows that a response is its request's was left to each caller of the pool. A refusal was believed without an identity on a connection that had carried others; calls without an identity shared connections with requests; an identity that was sent twice over one connection proved the second response by the first; and the length in a head was taken for the end of the response whatever followed.

One rule now, in the connection, for all that use it. A response is its request's if it bears an identity that was sent once on this connection, or if the connection has carried no other request. So a request without an identity gets a connection that has carried nothing (releases, queries of other instances, the users' store, engine reports), a request that is sent again gets one that has not carried it, and a connection is kept only after a response that bore its identity. HEAD has a connection to itself: only its request tells where its response ends. A response with the identity of an earlier request of the connection is read over, and the request's own is waited for. All else ends the attempt as one that may have run; the upstream counts as failing, not as down.

A body in which a status line and the identity of a request of this connection follow each other holds another response; so does one at whose end a status line begins that goes on behind it. The attempt ends as spliced, before any of it is passed on.

--- a/modules/gateway/control/PeerConfigurationFetcher.cpp
+++ b/modules/gateway/control/PeerConfigurationFetcher.cpp
@@ -39,6 +39,7 @@
     request.address = address;
     request.wire = "GET /peer/configuration?after=" + std::to_string(context_.index->version())
         + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+    request.identityHeader.clear();
     request.isEchoRequired = false;
     request.timeouts = {queryTimeout, queryTimeout, queryTimeout, queryTimeout * 2};
     request.maxBodyBytes = maxConfigurationBytes;
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -40,7 +40,10 @@
         return confirmResponse(end);
     if (isWhole)
         return responseCompleted(end);
-    attemptFailed(end, AttemptSign::Broken);
+    // An upstream that mixes its responses up is not down: it responds.
+    const bool isMixedUp =
+        end.kind == UpstreamEndKind::WrongIdentity || end.kind == UpstreamEndKind::Spliced;
+    attemptFailed(end, isMixedUp ? AttemptSign::Failure : AttemptSign::Broken);
 }
 
 bool RequestRelay::goesOnWithResponse()
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -139,6 +139,7 @@
     UpstreamRequest request;
     request.address = prefill.address;
     request.wire = context_.wire.encodeHandleRelease(cacheHandle_, prefill);
+    request.identityHeader.clear();
     request.isEchoRequired = false;
     request.timeouts.connect = connectTimeout;
     request.timeouts.firstByte = Millis::seconds(1);
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -93,7 +93,8 @@
         context_.wire.encodeRequest(exchange_->head(), exchange_->body(), inbound_, fields);
     request.requestId = inbound_.id;
     request.identityHeader = context_.wire.identityHeader;
-    // Refusals need not echo the identity header; onHead() requires it of all other responses.
+    // A refusal on a connection of its own need not echo the identity; onHead() requires it of all
+    // other responses.
     request.isEchoRequired = false;
     request.isHead = exchange_->head().method == "HEAD";
     request.allowsEndByClose = true;
--- /dev/null
+++ b/modules/net/upstream/SentIdentities.cpp
@@ -0,0 +1,23 @@
+#include "net/upstream/SentIdentities.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace cuminrail {
+
+void SentIdentities::add(std::string_view identity)
+{
+    const std::uint64_t hash = std::hash<std::string_view>()(identity);
+    if (hashes_.size() < capacity)
+        return hashes_.push_back(hash);
+    hashes_[oldest_] = hash;
+    oldest_ = (oldest_ + 1) % capacity;
+}
+
+bool SentIdentities::contains(std::string_view identity) const
+{
+    const std::uint64_t hash = std::hash<std::string_view>()(identity);
+    return std::find(hashes_.begin(), hashes_.end(), hash) != hashes_.end();
+}
+
+} // namespace cuminrail
--- a/modules/net/upstream/StrayResponse.h
+++ b/modules/net/upstream/StrayResponse.h
@@ -18,13 +18,16 @@
     OtherIdentity,
     /** A head without an identity, on a connection that has carried other requests. */
     NoIdentity,
+    /** A head inside the body of a response. */
+    InsideBody,
 };
 
-inline constexpr NameTable<StrayPlace, 4> strayPlaceNames{{{
+inline constexpr NameTable<StrayPlace, 5> strayPlaceNames{{{
     {StrayPlace::Idle, "idle"},
     {StrayPlace::AfterResponse, "after-response"},
     {StrayPlace::OtherIdentity, "other-identity"},
     {StrayPlace::NoIdentity, "no-identity"},
+    {StrayPlace::InsideBody, "inside-body"},
 }}};
 
 /** Bytes of an upstream that are not, or may not be, the response to a connection's request. */
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -42,9 +42,15 @@
     std::string wire;
     /** Expected value of the response's identity header. */
     std::string requestId;
-    /** The header in which an upstream echoes the request's identity. */
+    /**
+        The header in which an upstream echoes the request's identity. Empty for a request that
+        carries none: it gets a connection that has carried no other request.
+    */
     std::string identityHeader = "X-Request-Id";
-    /** True for engines, which guarantee the echo; services may omit the header. */
+    /**
+        True for engines, which guarantee the echo. Without it a response may omit the identity if
+        its connection has carried no other request.
+    */
     bool isEchoRequired = true;
     /** A response to HEAD has no body. */
     bool isHead = false;
@@ -72,12 +78,14 @@
     Silent,
     /** The bytes are not a valid response. */
     Malformed,
-    /** The response belongs to another request. */
+    /** The response belongs to another request, or does not show that it belongs to this one. */
     WrongIdentity,
+    /** Another response begins inside the body: the upstream sent the first one short. */
+    Spliced,
     Cancelled,
 };
 
-inline constexpr NameTable<UpstreamEndKind, 8> upstreamEndKindNames{{{
+inline constexpr NameTable<UpstreamEndKind, 9> upstreamEndKindNames{{{
     {UpstreamEndKind::Complete, "complete"},
     {UpstreamEndKind::ConnectFailed, "connect-failed"},
     {UpstreamEndKind::ConnectTimeout, "connect-timeout"},
@@ -85,6 +93,7 @@
     {UpstreamEndKind::Silent, "silent"},
     {UpstreamEndKind::Malformed, "malformed"},
     {UpstreamEndKind::WrongIdentity, "wrong-identity"},
+    {UpstreamEndKind::Spliced, "spliced"},
     {UpstreamEndKind::Cancelled, "cancelled"},
 }}};
 
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -52,13 +52,16 @@
     hooks_ = std::move(hooks);
     sent_ = 0;
     endsAt_ = pool_.deadlines_.now() + request_.timeouts.total;
-    if (!request_.isProbe)
-        ++requests_;
+    strayBytes_ = 0;
     isPaused_ = false;
     newParser();
     const bool isOpen = state_ == State::Idle;
     state_ = isOpen ? State::Sending : State::Connecting;
     deadline_.setAfter(isOpen ? request_.timeouts.stall : request_.timeouts.connect);
+    if (!request_.isProbe)
+        ++requests_;
+    if (!request_.identityHeader.empty())
+        sentIdentities_.add(request_.requestId);
     if (!isOpen)
         return connect();
     send();
@@ -71,11 +74,12 @@
     limits.headBytes = pool_.limits_.responseHeadBytes;
     limits.bodyBytes = request_.maxBodyBytes;
     isHeadAccepted_ = false;
+    isStray_ = false;
+    isSpliced_ = false;
+    isSettling_ = false;
+    embedded_.reset();
     parser_ = std::make_unique<HttpParser>(HttpParser::Kind::Response, limits,
-                                           [this](std::string_view data) {
-                                               if (hooks_.onBody)
-                                                   hooks_.onBody(data);
-                                           });
+                                           [this](std::string_view data) { onBody(data); });
     if (request_.isHead)
         parser_->expectNoBody();
     if (request_.allowsEndByClose)
@@ -208,8 +212,13 @@
             pool_.noteIdleLost();
         return;
     }
+    if (isSettling_) {
+        input_.append(chunk_.data(), size);
+        return complete(error.failed());
+    }
     if (error == boost::asio::error::eof && state_ == State::Receiving) {
-        parser_->handleEof();
+        if (!isStray_)
+            parser_->handleEof();
         isDelimitedByClose_ = parser_->isDone() && isHeadAccepted_;
         if (isDelimitedByClose_)
             return end(UpstreamEndKind::Complete, {});
@@ -235,6 +244,8 @@
         if (state_ != State::Receiving || attempt != attempt_)
             return;
         input_.erase(0, used);
+        if (isSpliced_)
+            return end(UpstreamEndKind::Spliced, {address_, "another response inside the body"});
         if (parser_->problem())
             return end(UpstreamEndKind::Malformed, parser_->problem()->reason);
         if (used > 0)
@@ -247,6 +258,11 @@
                 return end(UpstreamEndKind::Malformed, {address_, "too many interim responses"});
             continue;
         }
+        if (isStray_) {
+            if (!readOverStray(used))
+                return;
+            continue;
+        }
         if (parser_->isDone())
             return complete();
         if (used == 0 && input_.size() > pool_.limits_.responseHeadBytes)
@@ -257,50 +273,16 @@
     }
 }
 
-bool UpstreamConnection::acceptHead()
-{
-    HttpHead &head = parser_->head();
-    if (head.status >= 100 && head.status < 200) {
-        if (head.status == 101) {
-            end(UpstreamEndKind::Malformed,
-                {address_, "switches protocols without a request to do so"});
-            return false;
-        }
-        newParser();
-        return true;
-    }
-    // A late response to an earlier request, or one that the upstream mixed up with another
-    // caller's, is complete and well-formed. Only its identity shows that it belongs to another
-    // request.
-    const std::string *echo = head.find(request_.identityHeader);
-    const bool isIdentityValid = echo == nullptr
-        ? !request_.isEchoRequired
-        : head.count(request_.identityHeader) == 1 && *echo == request_.requestId;
-    if (!isIdentityValid)
-        noteStray(StrayPlace::OtherIdentity, input_.size());
-    else if (echo == nullptr && requests_ > 1)
-        noteStray(StrayPlace::NoIdentity, input_.size());
-    if (!isIdentityValid && guardEnabled(Guard::AnswerIdentityChecked)) {
-        end(UpstreamEndKind::WrongIdentity, {address_, "response belongs to another request"});
-        return false;
-    }
-    isHeadAccepted_ = true;
-    if (isCutAt(SendPoint::AfterResponseHead)) {
-        end(UpstreamEndKind::Broken, {address_, "cut after the response's head"});
-        return false;
-    }
-    const auto attempt = attempt_;
-    if (hooks_.onHead)
-        hooks_.onHead(head);
-    return attempt == attempt_ && state_ == State::Receiving;
-}
-
-void UpstreamConnection::complete()
+void UpstreamConnection::complete(bool isSettled)
 {
+    if (settleEnd(isSettled))
+        return;
     if (!input_.empty())
         noteStray(StrayPlace::AfterResponse, input_.size());
     const bool isClean = input_.empty() || !guardEnabled(Guard::DoubtfulConnectionDropped);
-    const bool isReusable = isClean && parser_->isKeepAlive() && !isCutAt(SendPoint::BeforeReuse);
+    // Only its request tells where a response to HEAD ends, so a late one could not be read over.
+    const bool isReusable = isClean && isIdentified_ && !request_.isHead && parser_->isKeepAlive()
+        && !isCutAt(SendPoint::BeforeReuse);
     if (!isReusable)
         return end(UpstreamEndKind::Complete, {});
     keepIdle(idleTimeout());
@@ -311,6 +293,7 @@
     const UpstreamHooks hooks = std::move(hooks_);
     hooks_ = {};
     state_ = State::Idle;
+    isSettling_ = false;
     idleSince_ = pool_.deadlines_.now();
     ++attempt_;
     isPaused_ = false;
@@ -360,6 +343,8 @@
     const auto self = shared_from_this();
     if (state_ == State::Idle)
         return close();
+    if (isSettling_)
+        return complete(true);
     const bool isOver = pool_.deadlines_.now() >= endsAt_;
     if (isPaused_ && !isOver)
         return deadline_.setAt(endsAt_);
@@ -424,22 +409,6 @@
     pool_.removeConnection(self);
 }
 
-void UpstreamConnection::noteStray(StrayPlace place, std::size_t bytes)
-{
-    StrayResponse stray;
-    stray.place = place;
-    stray.address = address_;
-    stray.expected = request_.requestId;
-    stray.requests = requests_;
-    stray.bytes = bytes;
-    if (place == StrayPlace::OtherIdentity || place == StrayPlace::NoIdentity) {
-        const std::string *found = parser_->head().find(request_.identityHeader);
-        stray.found = found == nullptr ? std::string() : *found;
-        stray.status = parser_->head().status;
-    }
-    pool_.noteStray(stray);
-}
-
 void UpstreamConnection::expectWithin(Millis span)
 {
     deadline_.setAt(std::min(pool_.deadlines_.now() + span, endsAt_));
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "net/http/EmbeddedHead.h"
 #include "net/http/HttpParser.h"
+#include "net/upstream/SentIdentities.h"
 #include "net/upstream/UpstreamPool.h"
 
 #include <array>
@@ -28,6 +30,8 @@
     Verdict verdictSoFar() const;
     /** Returns the number of the attempt in progress; incremented when an attempt ends. */
     std::uint64_t attempt() const { return attempt_; }
+    /** Returns whether a response to this request could be told from late ones to others. */
+    bool canTellResponseOf(const UpstreamRequest &request) const;
     /** Returns true if an idle connection was closed or has received unexpected bytes. */
     bool isStale();
     /** Returns true if the other end has not answered a keep-alive probe in time. */
@@ -37,6 +41,8 @@
 
 private:
     enum class State : std::uint8_t { New, Connecting, Sending, Receiving, Idle, Closed };
+    /** Whose response a head begins. */
+    enum class Owner : std::uint8_t { Request, EarlierRequest, Unknown };
 
     void connect();
     void onConnected(const boost::system::error_code &error);
@@ -48,9 +54,22 @@
     void onRead(const boost::system::error_code &error, std::size_t size);
     void parse();
     bool acceptHead();
+    /** Handles an interim response; returns whether the connection goes on. */
+    bool skipInterim();
+    Owner ownerOf(const HttpHead &head) const;
+    /** Returns whether a response that is not the request's can be read over. */
+    bool canDiscard(const HttpHead &head) const;
+    void onBody(std::string_view data);
+    /** Reads over bytes of an earlier request's response; returns whether to parse on now. */
+    bool readOverStray(std::size_t size);
+    /**
+        Handles the end of a body whose last bytes may be the beginning of another response: waits
+        for a moment whether it goes on. Returns whether the attempt goes on or has ended.
+    */
+    bool settleEnd(bool isTimeOver);
     Millis idleTimeout() const;
     void newParser();
-    void complete();
+    void complete(bool isSettled = false);
     /** Ends the attempt as complete and keeps the connection for later ones. */
     void keepIdle(Millis timeout);
     void end(UpstreamEndKind kind, Reason reason);
@@ -70,10 +89,20 @@
     std::size_t sent_ = 0;
     /** Requests that the connection has carried, the one in progress included. */
     std::size_t requests_ = 0;
+    SentIdentities sentIdentities_;
     std::unique_ptr<HttpParser> parser_;
+    std::optional<EmbeddedHead> embedded_;
+    bool isSpliced_ = false;
+    /** The response is complete, unless its last bytes turn out to be another one's. */
+    bool isSettling_ = false;
     bool isHeadAccepted_ = false;
     /** Interim responses to the request in progress. */
     std::size_t interimResponses_ = 0;
+    /** The response states the request's identity. */
+    bool isIdentified_ = false;
+    /** The response is an earlier request's, and read over. */
+    bool isStray_ = false;
+    std::size_t strayBytes_ = 0;
     bool isDelimitedByClose_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -83,13 +83,19 @@
 {
     for (;;) {
         const auto found = idle_.find(request.address);
-        if (found == idle_.end() || found->second.empty())
+        if (found == idle_.end())
             return nullptr;
+        auto &idle = found->second;
         // A middlebox is least likely to have dropped the most recently used connection.
-        Connection connection = found->second.back();
-        found->second.pop_back();
-        // An engine's response is recognised by its identity. A service's may have none, so the
-        // socket is checked for bytes of a late response.
+        const auto chosen =
+            std::find_if(idle.rbegin(), idle.rend(), [&](const Connection &connection) {
+                return connection->canTellResponseOf(request);
+            });
+        if (chosen == idle.rend())
+            return nullptr;
+        Connection connection = *chosen;
+        idle.erase(std::next(chosen).base());
+        // Bytes of a late response that are here already need not be sorted out afterwards.
         const bool isIdleTooLong = deadlines_.now() - connection->idleSince() > request.maxIdleTime;
         if (!isIdleTooLong && (request.isEchoRequired || !connection->isStale()))
             return connection;
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -65,9 +65,10 @@
 /**
     Connections of one thread to engines and services, each used by one request at a time.
 
-    A connection is reused only after a complete, well-framed response with the right identity and
-    no bytes after it. Anything else closes it, since later bytes on such a connection could be
-    mistaken for the next caller's response.
+    A response is its request's if it bears an identity that was sent once on its connection, or if
+    the connection has carried no other request. A connection is reused only after a complete,
+    well-framed response that bore its identity, with no bytes after it. Anything else closes it,
+    since later bytes on such a connection could be mistaken for the next caller's response.
 */
 class UpstreamPool
 {
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -115,6 +115,8 @@
     request.address = call.address;
     request.requestId = options_.instance + "-" + std::to_string(++numbers_);
     request.wire = toWire(call, request.requestId);
+    if (!options_.namesItself)
+        request.identityHeader.clear();
     request.isEchoRequired = false;
     request.needsFreshConnection = call.notAfter.has_value();
     request.timeouts.connect = options_.connectTimeout;
