--- a/extras/soak.sh
+++ b/extras/soak.sh
@@ -2,7 +2,8 @@
 # Runs the soak by hand: every seed that once failed, then SEEDS fresh ones (default 50), four at a
 # time. Prints what each run found; exits with 1 if any promise was broken.
 #   extras/soak.sh [BUILD [SEEDS [FIRST [OPTIONS]]]]
-# OPTIONS go to each run: "--cuts --instances 4" cuts gateways from all servers besides.
+# OPTIONS go to each run: "--cuts --instances 4" cuts gateways from all servers besides,
+# "--stray-responses" spoils responses, "--stray-responses=KIND" does so alone and in one way.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
--- a/programs/cuminrail-soak/StrayJudge.cpp
+++ b/programs/cuminrail-soak/StrayJudge.cpp
@@ -51,13 +51,19 @@
         result.hadNoEnd = ids.count(result.id) > 0;
 }
 
-std::vector<std::string> judgeBounds(const std::vector<CallResult> &results, const Fleet &fleet)
+std::vector<std::string> judgeDeadlines(const std::vector<CallResult> &results)
 {
     std::vector<std::string> broken;
     for (const CallResult &result : results) {
         if (result.wasSent && result.tookMillis > double(callPatience.count()) + endSlackMillis)
             broken.push_back(result.id + ": no end by its deadline");
     }
+    return broken;
+}
+
+std::vector<std::string> judgeMemory(const Fleet &fleet)
+{
+    std::vector<std::string> broken;
     for (const auto &gateway : fleet.gateways) {
         if (gateway->peakMegabytes() > memoryLimitMegabytes)
             broken.push_back("a gateway: memory over its limit at the peak, "
--- a/programs/cuminrail-soak/StrayJudge.h
+++ b/programs/cuminrail-soak/StrayJudge.h
@@ -15,11 +15,11 @@
 /** Marks the requests whose response had no end. */
 void markEndless(std::vector<CallResult> &results, const std::vector<SpoiltResponse> &spoilt);
 
-/**
-    Returns which requests didn't end by their deadline and which gateways needed more memory than
-    their settings allow; one line each.
-*/
-std::vector<std::string> judgeBounds(const std::vector<CallResult> &results, const Fleet &fleet);
+/** Returns which requests didn't end by their deadline, one line each. */
+std::vector<std::string> judgeDeadlines(const std::vector<CallResult> &results);
+
+/** Returns which gateways needed more memory than their settings allow, one line each. */
+std::vector<std::string> judgeMemory(const Fleet &fleet);
 
 /** Returns how many responses were spoilt, how many requests failed, and what is broken by sort. */
 std::string straySummary(const std::vector<CallResult> &results,
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -170,8 +170,12 @@
         cutSummary = "; " + cutSummary;
     }
     if (hasOneFault) {
-        const auto bounds = judgeBounds(results, fleet);
-        broken.insert(broken.end(), bounds.begin(), bounds.end());
+        const auto late = judgeDeadlines(results);
+        broken.insert(broken.end(), late.begin(), late.end());
+    }
+    if (isSpoilt) {
+        const auto large = judgeMemory(fleet);
+        broken.insert(broken.end(), large.begin(), large.end());
     }
     std::size_t served = 0;
     for (const CallResult &result : results)
