--- a/modules/standin/proxy/ResponseFault.h
+++ b/modules/standin/proxy/ResponseFault.h
@@ -6,7 +6,7 @@
 
 namespace cuminrail {
 
-/** How a response is spoilt on its way from a server, framing aside whole or not. */
+/** How a response is spoilt on its way from a server. */
 enum class ResponseFault : std::uint8_t {
     /** A success comes twice: the second directly behind the first. */
     SecondAtOnce,
