Tests: the caller of a completion whose response never comes outlives the instance's wait

The instance may go on waiting for the own response after a late one of another call; one script never sends it, and the test's caller gave up first. A shorter time-out of the first byte ends it; what is checked is the same.

--- a/modules/instance/request/LateResponses_test.cpp
+++ b/modules/instance/request/LateResponses_test.cpp
@@ -121,6 +121,8 @@
     InstanceConfig config = testConfig();
     // Both requests share the pool of one worker.
     config.threads = 1;
+    // An instance may go on waiting for the own response, which one of the scripts never sends.
+    config.firstByteTimeout = Millis::seconds(1);
     using Addresses = std::vector<std::string>;
     const Addresses none;
     const Addresses one = {upstream.address()};
