--- a/modules/instance/request/LateResponses_test.cpp
+++ b/modules/instance/request/LateResponses_test.cpp
@@ -201,6 +201,7 @@
     ScriptedUpstream second(failingEngine);
     InstanceConfig config = testConfig();
     config.threads = 1;
+    config.firstByteTimeout = Millis::seconds(1);
     RunningInstance running(testSettings({first.address(), second.address()}, {}), config);
     for (int round = 0; round < 3; ++round) {
         CAPTURE(round);
