--- a/modules/instance/request/LateResponses_test.cpp
+++ b/modules/instance/request/LateResponses_test.cpp
@@ -121,6 +121,8 @@
     InstanceConfig config = testConfig();
     // Both requests share the pool of one worker.
     config.threads = 1;
+    // An instance may go on waiting for the own response, which one of the scripts never sends.
+    config.firstByteTimeout = Millis::seconds(1);
     using Addresses = std::vector<std::string>;
     const Addresses none;
     const Addresses one = {upstream.address()};
@@ -199,6 +201,7 @@
     ScriptedUpstream second(failingEngine);
     InstanceConfig config = testConfig();
     config.threads = 1;
+    config.firstByteTimeout = Millis::seconds(1);
     RunningInstance running(testSettings({first.address(), second.address()}, {}), config);
     for (int round = 0; round < 3; ++round) {
         CAPTURE(round);
