Upstream connections: no second response ends unexamined, and strays have limits

While a response to an earlier request was read over, chunk extensions and trailers without an end took 67 MB, and responses without a body prolonged the call for as long as they came. After 64 requests an identity was forgotten.

Cause: only a known identity counted as another response, the end of a connection was not examined at all, the wait at a body's end was cut short by a caller that paused and passed over by the connection's end, and the branch for responses that are read over came before the limits.

Now a whole head without an identity inside a body counts if anything follows the body's end, or if only the connection's end shows where the body ends; a body that ends inside a head with its connection is not whole. The wait takes 300 ms, 100 ms if only the last byte is in doubt, and goes on while the caller pauses. Responses that are read over are held to the limits of all others, to eight, and to one time by which the request's own must begin. A connection that has carried 256 identities is not kept.

--- a/modules/net/http/EmbeddedHead.cpp
+++ b/modules/net/http/EmbeddedHead.cpp
@@ -87,8 +87,15 @@
     return false;
 }
 
+bool EmbeddedHead::endsInHead() const
+{
+    return isStatusLine(pending_);
+}
+
 EmbeddedHead::Behind EmbeddedHead::examineBehind(std::string_view bytes) const
 {
+    if (hasBareHead_)
+        return bytes.empty() ? Behind::Unknown : Behind::Head;
     const std::string joined = pending_ + std::string(bytes);
     Behind result = Behind::NoHead;
     for (auto at = findStart(joined, 0); at < pending_.size(); at = findStart(joined, at + 1)) {
@@ -115,21 +122,24 @@
 EmbeddedHead::Match EmbeddedHead::matchFields(std::string_view lines)
 {
     std::string_view line;
+    bool isBare = true;
     while (takeLine(lines, line)) {
-        if (line.find(':') == std::string_view::npos)
+        hasBareHead_ = hasBareHead_ || (line.empty() && isBare);
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos)
             return Match::None;
-        if (isIdentityField(line))
+        if (!sameHeaderName(line.substr(0, colon), identityHeader_))
+            continue;
+        if (isKnownIdentity(line.substr(colon + 1)))
             return Match::Found;
+        isBare = false;
     }
     return Match::Incomplete;
 }
 
-bool EmbeddedHead::isIdentityField(std::string_view line)
+bool EmbeddedHead::isKnownIdentity(std::string_view text)
 {
-    const auto colon = line.find(':');
-    if (!sameHeaderName(line.substr(0, colon), identityHeader_))
-        return false;
-    const std::string_view value = withoutBlanks(line.substr(colon + 1));
+    const std::string_view value = withoutBlanks(text);
     if (!isKnown_(value))
         return false;
     identity_ = value;
--- a/modules/net/http/EmbeddedHead.h
+++ b/modules/net/http/EmbeddedHead.h
@@ -29,15 +29,21 @@
     /** Examines the next bytes of a body. Returns true once a head was found in it. */
     bool feed(std::string_view bytes);
 
-    /** Returns true if the last bytes of the body may be the beginning of a head. */
-    bool isPending() const { return !pending_.empty(); }
+    /** Returns how many of the body's last bytes may be the beginning of a head. */
+    std::size_t pendingBytes() const { return pending_.size(); }
+
+    /** Returns whether the body holds a whole head that states no identity. */
+    bool hasBareHead() const { return hasBareHead_; }
+
+    /** Returns whether the body ends inside a head, its status line being whole. */
+    bool endsInHead() const;
 
     /** What bytes behind the end of a body show of a head that may have begun in it. */
     enum class Behind : std::uint8_t { NoHead, Unknown, Head };
 
     /**
-        Examines all bytes behind the body's end. A status line that begins in the body and goes on
-        behind it is another response's, with or without an identity.
+        Examines all bytes behind the body's end. A response that begins in the body and goes on
+        behind it is another one, with or without an identity.
     */
     Behind examineBehind(std::string_view bytes) const;
 
@@ -50,7 +56,7 @@
     /** Examines whether pending_ begins with a head of a known request. */
     Match match();
     Match matchFields(std::string_view lines);
-    bool isIdentityField(std::string_view line);
+    bool isKnownIdentity(std::string_view text);
     /** Drops the bytes of pending_ before the next place at which a head may begin. */
     void dropUntilNextStart(std::size_t from);
 
@@ -59,6 +65,7 @@
     /** From the first byte at which a head may begin to the end of what was examined. */
     std::string pending_;
     std::string identity_;
+    bool hasBareHead_ = false;
 };
 
 } // namespace cuminrail
--- a/modules/net/testing/PoolClient.h
+++ b/modules/net/testing/PoolClient.h
@@ -68,6 +68,21 @@
         return *result;
     }
 
+    /** Makes a call whose response is read no further once a part of its body has arrived. */
+    UpstreamEnd callPaused(const UpstreamRequest &request)
+    {
+        auto ended = std::make_shared<std::promise<UpstreamEnd>>();
+        auto call = std::make_shared<UpstreamCall>();
+        UpstreamHooks hooks;
+        hooks.onBody = [call](std::string_view) { call->pause(); };
+        hooks.onEnd = [ended](const UpstreamEnd &end) { ended->set_value(end); };
+        auto future = ended->get_future();
+        thread_.post([this, request, hooks, call] { *call = pool_->start(request, hooks); });
+        REQUIRE(future.wait_for(std::chrono::seconds(testTimeoutSeconds))
+                == std::future_status::ready);
+        return future.get();
+    }
+
     void cutAt(SendPoint point)
     {
         thread_.run([&] {
--- a/modules/net/upstream/SentIdentities.cpp
+++ b/modules/net/upstream/SentIdentities.cpp
@@ -7,11 +7,7 @@
 
 void SentIdentities::add(std::string_view identity)
 {
-    const std::uint64_t hash = std::hash<std::string_view>()(identity);
-    if (hashes_.size() < capacity)
-        return hashes_.push_back(hash);
-    hashes_[oldest_] = hash;
-    oldest_ = (oldest_ + 1) % capacity;
+    hashes_.push_back(std::hash<std::string_view>()(identity));
 }
 
 bool SentIdentities::contains(std::string_view identity) const
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -2,14 +2,10 @@
 
 #include "core/guards/Guards.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace cuminrail::detail {
 
@@ -18,26 +14,6 @@
 /** More interim responses than this to one request are no response. */
 constexpr std::size_t maxInterimResponses = 8;
 
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    unsigned port = 0;
-    const char *const end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    if (error || parsed.ptr != end || port == 0 || port > 65535)
-        return std::nullopt;
-    return boost::asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
-void setTcpOption(TcpSocket &socket, int name, int value)
-{
-    setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
-}
-
 } // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamPool &pool, std::string address)
@@ -52,16 +28,18 @@
     hooks_ = std::move(hooks);
     sent_ = 0;
     endsAt_ = pool_.deadlines_.now() + request_.timeouts.total;
+    strays_ = 0;
     strayBytes_ = 0;
     isPaused_ = false;
     newParser();
     const bool isOpen = state_ == State::Idle;
     state_ = isOpen ? State::Sending : State::Connecting;
     deadline_.setAfter(isOpen ? request_.timeouts.stall : request_.timeouts.connect);
-    if (!request_.isProbe)
+    if (!request_.isProbe) {
         ++requests_;
-    if (!request_.identityHeader.empty())
-        sentIdentities_.add(request_.requestId);
+        if (!request_.identityHeader.empty())
+            sentIdentities_.add(request_.requestId);
+    }
     if (!isOpen)
         return connect();
     send();
@@ -86,55 +64,6 @@
         parser_->allowCloseDelimited();
 }
 
-void UpstreamConnection::connect()
-{
-    const auto endpoint = parseEndpoint(address_);
-    const bool isCut = isCutAt(SendPoint::BeforeConnect);
-    if (!endpoint || isCut) {
-        boost::asio::post(pool_.io_, [self = shared_from_this(), attempt = attempt_] {
-            if (attempt == self->attempt_)
-                self->end(UpstreamEndKind::ConnectFailed, {self->address_, "cannot connect"});
-        });
-        return;
-    }
-    socket_.async_connect(*endpoint,
-                          [self = shared_from_this()](const boost::system::error_code &error) {
-                              self->onConnected(error);
-                          });
-}
-
-void UpstreamConnection::onConnected(const boost::system::error_code &error)
-{
-    if (state_ != State::Connecting)
-        return;
-    if (error)
-        return end(UpstreamEndKind::ConnectFailed, {address_, error.message()});
-    applySocketOptions();
-    if (hooks_.onConnected)
-        hooks_.onConnected();
-    if (request_.isProbe)
-        return keepIdle(pool_.limits_.idleTimeout);
-    state_ = State::Sending;
-    expectWithin(request_.timeouts.stall);
-    send();
-    read();
-}
-
-void UpstreamConnection::applySocketOptions()
-{
-    boost::system::error_code ignored;
-    socket_.non_blocking(true, ignored);
-    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    socket_.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-    // By default TCP detects an unresponsive peer after a quarter of an hour, and on idle
-    // connections after two hours. A middlebox that dropped the connection's state sends neither
-    // FIN nor RST.
-    const UpstreamPoolLimits &limits = pool_.limits_;
-    setTcpOption(socket_, TCP_KEEPIDLE, static_cast<int>(limits.probeAfter.count() / 1000));
-    setTcpOption(socket_, TCP_KEEPINTVL, static_cast<int>(limits.probeEvery.count() / 1000));
-    setTcpOption(socket_, TCP_USER_TIMEOUT, static_cast<int>(limits.unacknowledged.count()));
-}
-
 void UpstreamConnection::send()
 {
     if (isCutAt(SendPoint::BeforeFirstByte)) {
@@ -187,7 +116,7 @@
 
 void UpstreamConnection::read()
 {
-    if (isReading_ || isPaused_ || state_ == State::Closed)
+    if (isReading_ || (isPaused_ && !isSettling_) || state_ == State::Closed)
         return;
     isReading_ = true;
     socket_.async_read_some(
@@ -214,12 +143,19 @@
     }
     if (isSettling_) {
         input_.append(chunk_.data(), size);
-        return complete(error.failed());
+        if (!error)
+            return complete();
+        if (!settleEnd(true))
+            end(UpstreamEndKind::Complete, {});
+        return;
     }
     if (error == boost::asio::error::eof && state_ == State::Receiving) {
         if (!isStray_)
             parser_->handleEof();
         isDelimitedByClose_ = parser_->isDone() && isHeadAccepted_;
+        if (isDelimitedByClose_ && embedded_
+            && (embedded_->hasBareHead() || embedded_->endsInHead()))
+            return endSpliced();
         if (isDelimitedByClose_)
             return end(UpstreamEndKind::Complete, {});
     }
@@ -258,6 +194,9 @@
                 return end(UpstreamEndKind::Malformed, {address_, "too many interim responses"});
             continue;
         }
+        if (used == 0 && !parser_->isDone() && input_.size() > pool_.limits_.responseHeadBytes)
+            return end(UpstreamEndKind::Malformed,
+                       {address_, "a part of the response is too long"});
         if (isStray_) {
             if (!readOverStray(used))
                 return;
@@ -265,9 +204,6 @@
         }
         if (parser_->isDone())
             return complete();
-        if (used == 0 && input_.size() > pool_.limits_.responseHeadBytes)
-            return end(UpstreamEndKind::Malformed,
-                       {address_, "a part of the response is too long"});
         if (used == 0 || input_.empty())
             return read();
     }
@@ -281,8 +217,8 @@
         noteStray(StrayPlace::AfterResponse, input_.size());
     const bool isClean = input_.empty() || !guardEnabled(Guard::DoubtfulConnectionDropped);
     // Only its request tells where a response to HEAD ends, so a late one could not be read over.
-    const bool isReusable = isClean && isIdentified_ && !request_.isHead && parser_->isKeepAlive()
-        && !isCutAt(SendPoint::BeforeReuse);
+    const bool isReusable = isClean && isIdentified_ && !request_.isHead
+        && !sentIdentities_.isFull() && parser_->isKeepAlive() && !isCutAt(SendPoint::BeforeReuse);
     if (!isReusable)
         return end(UpstreamEndKind::Complete, {});
     keepIdle(idleTimeout());
@@ -355,29 +291,13 @@
         {address_, isOver ? "not complete in time" : "no progress within the time-out"});
 }
 
-bool UpstreamConnection::isStale()
-{
-    char byte = 0;
-    const auto peeked = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-bool UpstreamConnection::isUnanswered()
-{
-    constexpr Millis replyTime(200);
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-        return false;
-    const Millis sinceReply(static_cast<std::int64_t>(info.tcpi_last_ack_recv));
-    return info.tcpi_probes > 0 && sinceReply > pool_.limits_.probeAfter + replyTime;
-}
-
 void UpstreamConnection::resume()
 {
     if (!isPaused_)
         return;
     isPaused_ = false;
+    if (isSettling_)
+        return;
     expectWithin(request_.timeouts.stall);
     read();
 }
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -59,7 +59,9 @@
     Owner ownerOf(const HttpHead &head) const;
     /** Returns whether a response that is not the request's can be read over. */
     bool canDiscard(const HttpHead &head) const;
+    void beginStray();
     void onBody(std::string_view data);
+    void endSpliced();
     /** Reads over bytes of an earlier request's response; returns whether to parse on now. */
     bool readOverStray(std::size_t size);
     /**
@@ -102,7 +104,11 @@
     bool isIdentified_ = false;
     /** The response is an earlier request's, and read over. */
     bool isStray_ = false;
+    /** Responses of earlier requests that were read over for the request in progress. */
+    std::size_t strays_ = 0;
     std::size_t strayBytes_ = 0;
+    /** By then the request's own response must begin, once another one was read over. */
+    Millis ownDueAt_;
     bool isDelimitedByClose_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/modules/net/upstream/UpstreamResponse.cpp
+++ b/modules/net/upstream/UpstreamResponse.cpp
@@ -9,8 +9,11 @@
 
 /** Most bytes of earlier requests' responses that are read over while a response is awaited. */
 constexpr std::size_t maxStrayBytes = 256 * 1024;
+constexpr std::size_t maxStrays = 8;
 /** How long the rest of a second response may take whose beginning completed the first one. */
-constexpr Millis settleTime = Millis(100);
+constexpr Millis settleTime = Millis(300);
+/** The same if only the last byte may be another response's: honest bodies end like that, too. */
+constexpr Millis shortSettleTime = Millis(100);
 
 } // namespace
 
@@ -46,8 +49,10 @@
         embedded_.emplace(request_.identityHeader, [this](std::string_view identity) {
             return sentIdentities_.contains(identity);
         });
-    if (isStray_)
-        return true;
+    if (isStray_) {
+        beginStray();
+        return state_ == State::Receiving;
+    }
     if (isCutAt(SendPoint::AfterResponseHead)) {
         end(UpstreamEndKind::Broken, {address_, "cut after the response's head"});
         return false;
@@ -99,6 +104,14 @@
         hooks_.onBody(data);
 }
 
+void UpstreamConnection::beginStray()
+{
+    if (++strays_ == 1)
+        ownDueAt_ = pool_.deadlines_.now() + request_.timeouts.firstByte;
+    if (strays_ > maxStrays)
+        end(UpstreamEndKind::WrongIdentity, {address_, "too many responses to earlier requests"});
+}
+
 bool UpstreamConnection::readOverStray(std::size_t size)
 {
     strayBytes_ += size;
@@ -109,7 +122,7 @@
     }
     if (parser_->isDone()) {
         newParser();
-        expectWithin(request_.timeouts.firstByte);
+        deadline_.setAt(std::min(ownDueAt_, endsAt_));
         return true;
     }
     if (size > 0 && !input_.empty())
@@ -118,20 +131,28 @@
     return false;
 }
 
+void UpstreamConnection::endSpliced()
+{
+    noteStray(StrayPlace::InsideBody, input_.size());
+    end(UpstreamEndKind::Spliced, {address_, "another response begins in the body"});
+}
+
 bool UpstreamConnection::settleEnd(bool isTimeOver)
 {
-    if (!embedded_ || !embedded_->isPending())
+    const bool isDoubtful =
+        embedded_ && (embedded_->pendingBytes() > 0 || embedded_->hasBareHead());
+    if (!isDoubtful)
         return false;
     const EmbeddedHead::Behind behind = embedded_->examineBehind(input_);
     if (behind == EmbeddedHead::Behind::Head) {
-        noteStray(StrayPlace::InsideBody, input_.size());
-        end(UpstreamEndKind::Spliced, {address_, "another response begins in the body"});
+        endSpliced();
         return true;
     }
     if (behind == EmbeddedHead::Behind::NoHead || isTimeOver)
         return false;
+    const bool isLastByteAlone = embedded_->pendingBytes() == 1 && !embedded_->hasBareHead();
     if (!std::exchange(isSettling_, true))
-        expectWithin(settleTime);
+        expectWithin(isLastByteAlone ? shortSettleTime : settleTime);
     read();
     return true;
 }
