Upstream connections: every part of a response has a limit in bytes and in time

Calls of a gateway without a caller's deadline did not end while an upstream sent bytes: to the store (get, list, watch), to engines, to another instance for its configuration, and for the release of a cache. Memory grew with what could not be parsed yet.

Cause: each byte received counted as progress, so the time-outs never expired; what the parser had not consumed was kept without a limit but in a head; interim responses were not counted, and a body had no limit in the connection.

The connection now keeps these for all its users: - Progress is a whole part: some of the body, or a line or group of lines around it. More bytes of a part that has begun don't count. - What has not been parsed yet may be as long as a head. - A request gets eight interim responses at most. - A call may state a total time and the longest body. Both are set for calls of the platform, to other instances and for releases.

A connection whose call ends so is closed. No timer and no allocation is added for a part received: a deadline is a store.

--- a/modules/gateway/control/PeerConfigurationFetcher.cpp
+++ b/modules/gateway/control/PeerConfigurationFetcher.cpp
@@ -40,15 +40,13 @@
     request.wire = "GET /peer/configuration?after=" + std::to_string(context_.index->version())
         + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
     request.isEchoRequired = false;
-    request.timeouts = {queryTimeout, queryTimeout, queryTimeout};
+    request.timeouts = {queryTimeout, queryTimeout, queryTimeout, queryTimeout * 2};
+    request.maxBodyBytes = maxConfigurationBytes;
     const auto text = std::make_shared<std::string>();
     const auto status = std::make_shared<int>(0);
     UpstreamHooks hooks;
     hooks.onHead = [status](const HttpHead &head) { *status = head.status; };
-    hooks.onBody = [text](std::string_view data) {
-        if (text->size() + data.size() <= maxConfigurationBytes)
-            text->append(data);
-    };
+    hooks.onBody = [text](std::string_view data) { text->append(data); };
     hooks.onEnd = [this, text, status](const UpstreamEnd &end) {
         if (end.kind == UpstreamEndKind::Complete && *status == 200)
             onNewer_(*text);
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -11,6 +11,8 @@
 constexpr Millis minPrefillTimeout = Millis(1500);
 /** Estimates may miss other instances' prompts, so a prefill may take a multiple of them. */
 constexpr std::int64_t prefillTimeoutFactor = 3;
+/** The response to the release of a cache is not read for its body. */
+constexpr std::uint64_t maxReleaseResponseBytes = 64 * 1024;
 
 } // namespace
 
@@ -141,6 +143,8 @@
     request.timeouts.connect = connectTimeout;
     request.timeouts.firstByte = Millis::seconds(1);
     request.timeouts.stall = Millis::seconds(1);
+    request.timeouts.total = Millis::seconds(2);
+    request.maxBodyBytes = maxReleaseResponseBytes;
     UpstreamHooks hooks;
     hooks.onHead = [&context = context_, upstream = attempt_.choice->prefill](HttpHead &head) {
         recordStatements(context, *upstream, context.wire.decodeResponse(head));
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -18,13 +18,16 @@
 class UpstreamConnection;
 }
 
-/** Maximum times without progress of an upstream. */
+/**
+    Maximum times without progress of an upstream. Progress is a whole part of the response: some
+    bytes of its body, or one line or group of lines around it.
+*/
 struct UpstreamTimeouts
 {
     Millis connect = Millis::seconds(1);
     /** From the request's last byte to the response's first byte. */
     Millis firstByte = Millis::seconds(30);
-    /** Between bytes sent of the request, and between bytes received of the response. */
+    /** Between bytes sent of the request, and between parts received of the response. */
     Millis stall = Millis::seconds(10);
     /** For the whole call, however much progress it makes. */
     Millis total = Millis::never();
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -5,9 +5,9 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
-#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -15,6 +15,9 @@
 
 namespace {
 
+/** More interim responses than this to one request are no response. */
+constexpr std::size_t maxInterimResponses = 8;
+
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -48,6 +51,7 @@
     request_ = std::move(request);
     hooks_ = std::move(hooks);
     sent_ = 0;
+    endsAt_ = pool_.deadlines_.now() + request_.timeouts.total;
     if (!request_.isProbe)
         ++requests_;
     isPaused_ = false;
@@ -65,7 +69,7 @@
 {
     HttpLimits limits;
     limits.headBytes = pool_.limits_.responseHeadBytes;
-    limits.bodyBytes = std::numeric_limits<std::uint64_t>::max();
+    limits.bodyBytes = request_.maxBodyBytes;
     isHeadAccepted_ = false;
     parser_ = std::make_unique<HttpParser>(HttpParser::Kind::Response, limits,
                                            [this](std::string_view data) {
@@ -107,7 +111,7 @@
     if (request_.isProbe)
         return keepIdle(pool_.limits_.idleTimeout);
     state_ = State::Sending;
-    deadline_.setAfter(request_.timeouts.stall);
+    expectWithin(request_.timeouts.stall);
     send();
     read();
 }
@@ -143,7 +147,7 @@
     if (error || sent_ < request_.wire.size())
         return writeSome(request_.wire.size() - sent_);
     state_ = State::Receiving;
-    deadline_.setAfter(request_.timeouts.firstByte);
+    expectWithin(request_.timeouts.firstByte);
 }
 
 void UpstreamConnection::writeSome(std::size_t maxBytes)
@@ -163,7 +167,7 @@
     sent_ += size;
     if (error)
         return end(UpstreamEndKind::Broken, {address_, error.message()});
-    deadline_.setAfter(request_.timeouts.stall);
+    expectWithin(request_.timeouts.stall);
     if (sent_ < request_.wire.size()) {
         if (isCutAt(SendPoint::AfterPart))
             return end(UpstreamEndKind::Broken, {address_, "cut while sending"});
@@ -172,7 +176,7 @@
     if (isCutAt(SendPoint::AfterLastByte))
         return end(UpstreamEndKind::Broken, {address_, "cut after sending"});
     state_ = State::Receiving;
-    deadline_.setAfter(request_.timeouts.firstByte);
+    expectWithin(request_.timeouts.firstByte);
     if (!input_.empty())
         parse();
 }
@@ -212,8 +216,10 @@
     }
     if (error)
         return end(UpstreamEndKind::Broken, {address_, error.message()});
+    // More bytes of a part that has begun, such as a line, are no progress until the part is whole.
+    if (input_.empty())
+        expectWithin(request_.timeouts.stall);
     input_.append(chunk_.data(), size);
-    deadline_.setAfter(request_.timeouts.stall);
     if (state_ == State::Receiving)
         parse();
     else if (input_.size() < chunk_.size())
@@ -231,13 +237,21 @@
         input_.erase(0, used);
         if (parser_->problem())
             return end(UpstreamEndKind::Malformed, parser_->problem()->reason);
+        if (used > 0)
+            expectWithin(request_.timeouts.stall);
         if (parser_->isHeadDone() && !isHeadAccepted_) {
             if (!acceptHead())
                 return;
+            interimResponses_ = isHeadAccepted_ ? 0 : interimResponses_ + 1;
+            if (interimResponses_ > maxInterimResponses)
+                return end(UpstreamEndKind::Malformed, {address_, "too many interim responses"});
             continue;
         }
         if (parser_->isDone())
             return complete();
+        if (used == 0 && input_.size() > pool_.limits_.responseHeadBytes)
+            return end(UpstreamEndKind::Malformed,
+                       {address_, "a part of the response is too long"});
         if (used == 0 || input_.empty())
             return read();
     }
@@ -346,12 +360,14 @@
     const auto self = shared_from_this();
     if (state_ == State::Idle)
         return close();
-    if (isPaused_)
-        return;
+    const bool isOver = pool_.deadlines_.now() >= endsAt_;
+    if (isPaused_ && !isOver)
+        return deadline_.setAt(endsAt_);
     if (state_ == State::Connecting)
         return end(UpstreamEndKind::ConnectTimeout,
                    {address_, "no connection within the time-out"});
-    end(UpstreamEndKind::Silent, {address_, "no progress within the time-out"});
+    end(UpstreamEndKind::Silent,
+        {address_, isOver ? "not complete in time" : "no progress within the time-out"});
 }
 
 bool UpstreamConnection::isStale()
@@ -377,7 +393,7 @@
     if (!isPaused_)
         return;
     isPaused_ = false;
-    deadline_.setAfter(request_.timeouts.stall);
+    expectWithin(request_.timeouts.stall);
     read();
 }
 
@@ -424,6 +440,11 @@
     pool_.noteStray(stray);
 }
 
+void UpstreamConnection::expectWithin(Millis span)
+{
+    deadline_.setAt(std::min(pool_.deadlines_.now() + span, endsAt_));
+}
+
 bool UpstreamConnection::isCutAt(SendPoint point)
 {
     return pool_.isCutAt(point, request_);
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -55,6 +55,8 @@
     void keepIdle(Millis timeout);
     void end(UpstreamEndKind kind, Reason reason);
     void onStalled();
+    /** Ends the attempt unless it makes progress within this time. */
+    void expectWithin(Millis span);
     bool isCutAt(SendPoint point);
     void noteStray(StrayPlace place, std::size_t bytes);
 
@@ -70,12 +72,16 @@
     std::size_t requests_ = 0;
     std::unique_ptr<HttpParser> parser_;
     bool isHeadAccepted_ = false;
+    /** Interim responses to the request in progress. */
+    std::size_t interimResponses_ = 0;
     bool isDelimitedByClose_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
     std::array<char, 16 * 1024> chunk_;
     std::string input_;
     Millis idleSince_;
+    /** The attempt is ended then, whatever progress it makes. */
+    Millis endsAt_ = Millis::never();
     Deadline deadline_;
 };
 
--- a/modules/platform/client/PlatformClient.cpp
+++ b/modules/platform/client/PlatformClient.cpp
@@ -25,6 +25,12 @@
     return limits;
 }
 
+/** Whether a call is one to an engine: these are many, and their answers short. */
+bool isToEngine(PlatformCallKind kind)
+{
+    return kind == PlatformCallKind::EngineState || kind == PlatformCallKind::EngineOrder;
+}
+
 UpstreamPoolLimits authorityLimits()
 {
     UpstreamPoolLimits limits;
@@ -114,6 +120,9 @@
     request.timeouts.connect = options_.connectTimeout;
     request.timeouts.firstByte = options_.answerTimeout + call.extraWait;
     request.timeouts.stall = options_.answerTimeout;
+    request.timeouts.total = options_.connectTimeout + call.extraWait + options_.answerTimeout * 2;
+    request.maxBodyBytes =
+        isToEngine(call.kind) ? options_.maxEngineAnswerBytes : options_.maxAnswerBytes;
     return request;
 }
 
@@ -179,15 +188,7 @@
         pending->answer.status = head.status;
         pending->answer.headers = head.headers;
     };
-    hooks.onBody = [this, pending](std::string_view data) {
-        // Giving up drops the hooks, which are all that refers to the call.
-        const auto held = pending;
-        if (held->isOver)
-            return;
-        held->answer.body.append(data);
-        if (held->answer.body.size() > options_.maxAnswerBytes)
-            held->giveUp({"answer", "too long"});
-    };
+    hooks.onBody = [pending](std::string_view data) { pending->answer.body.append(data); };
     hooks.onEnd = [pending](const UpstreamEnd &end) {
         if (end.kind != UpstreamEndKind::Complete)
             pending->answer = PlatformAnswer{0, {}, {}, end.verdict, end.lastReason};
--- a/modules/platform/client/PlatformClient.h
+++ b/modules/platform/client/PlatformClient.h
@@ -18,10 +18,12 @@
     /** False for platforms that know neither that header nor the call's identity. */
     bool namesItself = true;
     Millis connectTimeout{1000};
-    /** Without progress for so long a call counts as lost. */
+    /** Without progress for so long, or begun and not whole for so long, a call counts as lost. */
     Millis answerTimeout = Millis::seconds(3);
     /** Longer answers are dropped as malformed. */
     std::size_t maxAnswerBytes = 64U << 20U;
+    /** The same for answers of engines. */
+    std::size_t maxEngineAnswerBytes = 256U << 10U;
 };
 
 /**
@@ -79,7 +81,7 @@
 
     UpstreamRequest toRequest(const PlatformCall &call);
     std::string toWire(const PlatformCall &call, const std::string &requestId) const;
-    UpstreamHooks makeHooks(const std::shared_ptr<Pending> &pending);
+    static UpstreamHooks makeHooks(const std::shared_ptr<Pending> &pending);
     void startUnderAuthority(UpstreamRequest request, const std::shared_ptr<Pending> &pending,
                              Millis notAfter);
     bool isAuthorityOver(const UpstreamRequest &request) const;
