Relay: a response that cannot become one is ended at once and tried elsewhere

Callers waited until their deadlines, and got 504 or a broken stream, while an upstream sent bytes without an end; repeatable requests were not tried elsewhere. 24 such bodies at a time made an instance grow by 379 MB; its limit is 260 MB.

Cause: an attempt that was known to be invalid was read to its end. No time-out ran once a head had come but the one between bytes. Each body could take 16 MB, whatever others took. Comments counted as events of a stream.

- An attempt that is known to be invalid, not the rest of the caller's stream, or too long is cut off and goes on like a failed attempt that may have run: another upstream if the route may be repeated, otherwise 502.
- The timer of silence goes on after the head: until a stream's next event, with the time after which a stream that sends nothing is given up, or until the end of another response.
It stops while a slow caller is being waited for.
That the upstream responds to others excuses it only before the head.
- Comments are no events and are dropped; a stream may send 1 MB without an event.
- Bodies that are buffered take an eighth of the memory together; 64 KB of each are free, so that usual ones are not displaced.
- A prefill's response may have 256 KB, and a body that is not needed 64 KB.

All other limits are unchanged.

--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** Responses other than streams are buffered whole, so that a truncated one becomes an error. */
-constexpr std::size_t maxBufferedBytes = 16U << 20U;
+/** A body that is not needed is read up to here, so that its connection can be used again. */
+constexpr std::size_t maxIgnoredBytes = 64U << 10U;
 /** Two thirds of the tightest latency goal: a retry can still be on time, and load may change. */
 constexpr Millis minRetryAfter = Millis(250);
 /** Callers' retries are spread at least over this time. */
@@ -29,8 +29,8 @@
         head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
     if (!attempt_.isInvalid)
         recordStatements(context_, *upstream, attempt_.traits);
-    if (attempt_.isPrefill)
-        return;
+    if (attempt_.isPrefill && !attempt_.isInvalid)
+        return silenceTimer_.setAfter(prefillSilenceTimeout());
     attempt_.headAt = context_.now();
     const bool isSuccess = head.status >= 200 && head.status < 300;
     // A success that the upstream does not vouch for may come from another server at its address.
@@ -38,9 +38,12 @@
     if (isSuccess && !attempt_.traits.isVouchedFor)
         attempt_.isInvalid = true;
     if (attempt_.isInvalid)
-        return;
+        return rejectResponse("not the upstream's own response to the request");
     acceptHead(head.status, context_.wire.callerHeaders(head),
                isSuccess && route_->kind == RouteKind::Stream);
+    if (!attempt_.mismatch.empty() && !attempt_.traits.isRefusedUnrun)
+        return cutResponse({UpstreamEndKind::Complete, Verdict::Ran, {}});
+    silenceTimer_.setAfter(attempt_.isStreaming ? streamTimeout() : silenceTimeout());
 }
 
 void RequestRelay::acceptHead(int status, std::vector<HttpHeader> headers, bool isStream)
@@ -56,18 +59,53 @@
 
 void RequestRelay::onBody(std::string_view data)
 {
-    if (hasEnded_ || attempt_.isInvalid || attempt_.traits.isRefusedUnrun
-        || !attempt_.mismatch.empty())
-        return;
-    if (!attempt_.isStreaming) {
-        if (attempt_.body.size() + data.size() <= maxBufferedBytes)
-            attempt_.body.append(data);
-        else
-            attempt_.isInvalid = true;
+    if (hasEnded_ || attempt_.isInvalid)
         return;
-    }
-    if (!sseReader_.feed(data))
+    if (!takeBody(data))
         attempt_.isInvalid = true;
+    // What a carrier passes on has been checked there.
+    if (attempt_.isInvalid && !hasEnded_ && call_.isActive())
+        rejectResponse("malformed or too long");
+}
+
+bool RequestRelay::takeBody(std::string_view data)
+{
+    if (attempt_.traits.isRefusedUnrun || !attempt_.mismatch.empty()) {
+        attempt_.ignoredBytes += data.size();
+        return attempt_.ignoredBytes <= maxIgnoredBytes || !call_.isActive();
+    }
+    return attempt_.isStreaming ? sseReader_.feed(data) : bufferBody(data);
+}
+
+bool RequestRelay::bufferBody(std::string_view data)
+{
+    // Responses other than streams are buffered whole, so that a truncated one becomes an error.
+    std::string &body = attempt_.body;
+    const std::size_t size = body.size() + data.size();
+    if (size > ResponseBudget::maxResponseBytes)
+        return false;
+    if (size > body.capacity()) {
+        const std::size_t doubled = std::min(body.capacity() * 2, ResponseBudget::maxResponseBytes);
+        const std::size_t capacity = std::max(size, doubled);
+        if (!attempt_.bodyShare.growTo(context_.responses, capacity))
+            return false;
+        body.reserve(capacity);
+    }
+    body.append(data);
+    return true;
+}
+
+void RequestRelay::cutResponse(const UpstreamEnd &end)
+{
+    // The attempt's hooks may be all that refers to this request.
+    const auto self = shared_from_this();
+    call_.cancel();
+    onEnd(end);
+}
+
+void RequestRelay::rejectResponse(const std::string &why)
+{
+    cutResponse({UpstreamEndKind::Malformed, Verdict::MayHaveRun, {target()->entry.address, why}});
 }
 
 void RequestRelay::onEvent(const SseEvent &event)
@@ -79,6 +117,8 @@
     if (attempt_.isInvalid)
         return;
     attempt_.mustShowPosition = false;
+    if (call_.isActive() && !isHoldingEvents_)
+        silenceTimer_.setAfter(streamTimeout());
     if (event.number)
         attempt_.lastEvent = std::max(attempt_.lastEvent.value_or(0), *event.number);
     notePrefillDone();
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -171,6 +171,7 @@
 {
     if (handedCall_)
         context_.carriage->outgoing().pause(*handedCall_);
+    silenceTimer_.clear();
     call_.pause();
 }
 
@@ -178,6 +179,8 @@
 {
     if (handedCall_)
         context_.carriage->outgoing().resume(*handedCall_);
+    if (call_.isActive())
+        silenceTimer_.setAfter(streamTimeout());
     call_.resume();
 }
 
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -13,6 +13,7 @@
 #include "gateway/carriage/RequestCarriage.h"
 #include "gateway/path/PathProber.h"
 #include "gateway/request/RelayCounters.h"
+#include "gateway/request/ResponseBudget.h"
 #include "net/upstream/UpstreamPool.h"
 #include "quarantine/quarantine.h"
 #include "quotas/quotas.h"
@@ -78,6 +79,8 @@
     /** Differs between instances, see LeastLoaded. */
     std::uint64_t spreadKey = StableHash().add(settings.name).value();
     RetryAllowance retries;
+    /** An eighth of the memory. */
+    ResponseBudget responses{std::size_t{settings.memoryMb} * 1024 * 1024 / 8};
     /** Whether new connections reach the upstreams. */
     PathProber path;
     RelayCounters counters;
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -19,6 +19,9 @@
 */
 constexpr Millis minStreamTimeout = Millis(2500);
 
+/** A prefill's response states a handle. */
+constexpr std::uint64_t maxPrefillResponseBytes = 256 * 1024;
+
 bool isStreamRoute(const Route &route)
 {
     return route.kind == RouteKind::Stream;
@@ -60,6 +63,11 @@
     return std::max(route_->goal, remaining * 2 / 5);
 }
 
+Millis RequestRelay::streamTimeout() const
+{
+    return std::max(minStreamTimeout, route_->gapGoal * 4);
+}
+
 void RequestRelay::sendRun(std::string cacheSource)
 {
     attempt_.isPrefill = false;
@@ -95,8 +103,12 @@
     request.timeouts.firstByte = fields.timeLeft + Millis::seconds(1);
     request.timeouts.stall = timeout;
     silenceTimer_.setAfter(timeout);
-    if (isStreamRoute(*route_) && !attempt_.isPrefill)
-        request.timeouts.stall = std::max(minStreamTimeout, route_->gapGoal * 4);
+    if (attempt_.isPrefill)
+        request.maxBodyBytes = maxPrefillResponseBytes;
+    else if (isStreamRoute(*route_))
+        request.timeouts.stall = streamTimeout();
+    else
+        request.maxBodyBytes = ResponseBudget::maxResponseBytes;
     const bool isNewAttempt = attempt_.isPrefill || !attempt_.isCounted;
     if (isNewAttempt) {
         attempt_.isCounted = true;
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -227,19 +227,19 @@
     if (hasEnded_ || !call_.isActive())
         return;
     const UpstreamPointer &upstream = target();
+    const bool hasBegun = attempt_.status != 0;
     // An upstream that responds to other requests is busy, not dead. Sent elsewhere, this request
     // would lose its place in the queue and the work already done, just when capacity is scarce.
     const Millis window = attempt_.isPrefill ? prefillProgressWindow : progressWindow;
-    if (context_.health.hasProgressed(upstream->entry.id, window, context_.now())) {
+    if (!hasBegun && context_.health.hasProgressed(upstream->entry.id, window, context_.now())) {
         silenceTimer_.setAfter(progressWindow);
         return;
     }
-    const auto self = shared_from_this();
-    context_.path.requestSilent();
-    const Verdict verdict = call_.verdictSoFar();
-    call_.cancel();
-    onEnd(UpstreamEnd{
-        UpstreamEndKind::Silent, verdict, {upstream->entry.address, "no answer in time"}});
+    if (!hasBegun)
+        context_.path.requestSilent();
+    cutResponse({UpstreamEndKind::Silent,
+                 call_.verdictSoFar(),
+                 {upstream->entry.address, "no answer in time"}});
 }
 
 void RequestRelay::onCallerDisconnected()
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -62,6 +62,9 @@
         ResponseTraits traits;
         std::vector<HttpHeader> headers;
         std::string body;
+        ResponseShare bodyShare;
+        /** Of a body that is not needed. */
+        std::size_t ignoredBytes = 0;
         bool isStreaming = false;
         /** The stream goes on after events that the caller has, and none of these responses' events
             has shown yet where. */
@@ -210,9 +213,17 @@
     /** Returns how long an upstream may show no sign of a response before it counts as silent. */
     Millis silenceTimeout() const;
     Millis prefillSilenceTimeout() const;
+    /** Returns how long a stream may go on without an event, after which another may resume it. */
+    Millis streamTimeout() const;
 
     void onHead(HttpHead &head);
     void onBody(std::string_view data);
+    /** Keeps a part of the response. Returns false if it is not one or is too long. */
+    bool takeBody(std::string_view data);
+    bool bufferBody(std::string_view data);
+    /** Ends the attempt without waiting for the rest of its response. */
+    void cutResponse(const UpstreamEnd &end);
+    void rejectResponse(const std::string &why);
     void onEvent(const SseEvent &event);
     /** Passes an event on to the caller, unless it has it. */
     void passEvent(const SseEvent &event);
@@ -299,7 +310,10 @@
     Millis arrivedAt_;
     Millis deadlineAt_;
     Deadline deadlineTimer_;
-    /** Runs until the response begins; on expiry another upstream may be tried. */
+    /**
+        Runs until the response begins, then until a stream's next event or the end of another
+        response; on expiry another upstream may be tried.
+    */
     Deadline silenceTimer_;
     /** Runs while the prompt is deferred; on expiry placement is tried again. */
     Deadline deferralTimer_;
--- a/modules/net/http/SseReader.cpp
+++ b/modules/net/http/SseReader.cpp
@@ -75,14 +75,17 @@
 {
     SseEvent event;
     event.bytes = bytes;
+    bool hasData = false;
     std::size_t begin = 0;
     while (begin < bytes.size()) {
         const auto end = bytes.find('\n', begin);
         std::string_view line = bytes.substr(begin, end - begin);
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
-        if (const auto data = valueOf(line, "data"))
+        if (const auto data = valueOf(line, "data")) {
             event.data = *data;
+            hasData = true;
+        }
         if (const auto id = valueOf(line, "id")) {
             std::uint64_t number = 0;
             const auto parsed = std::from_chars(id->data(), id->data() + id->size(), number);
@@ -91,6 +94,11 @@
         }
         begin = end + 1;
     }
+    if (!hasData && !event.number) {
+        eventlessBytes_ += bytes.size();
+        return;
+    }
+    eventlessBytes_ = 0;
     onEvent_(event);
 }
 
--- a/modules/net/http/SseReader.h
+++ b/modules/net/http/SseReader.h
@@ -24,6 +24,8 @@
 /**
     Splits a byte stream into complete server-sent events.
 
+    Blocks with neither data nor a number, such as comments, are dropped.
+
     Only complete events are forwarded to a caller. If the upstream's connection breaks within an
     event, the stream can be resumed at that event's number, and the caller never sees a partial
     event.
@@ -37,11 +39,18 @@
     /** The hook is called for each complete event; its views are valid during the call only. */
     explicit SseReader(std::function<void(const SseEvent &)> onEvent);
 
-    /** Parses received bytes. Returns false when an event is longer than maxEventBytes. */
+    /**
+        Parses received bytes. Returns false when more than maxEventBytes came without an event: a
+        longer one, or comments.
+    */
     bool feed(std::string_view bytes);
 
     /** Discards an incomplete event before the stream is resumed. */
-    void discardPartial() { partial_.clear(); }
+    void discardPartial()
+    {
+        partial_.clear();
+        eventlessBytes_ = 0;
+    }
 
     /** Returns true when bytes of an incomplete event are buffered. */
     bool hasPartial() const { return !partial_.empty(); }
@@ -49,10 +58,12 @@
 private:
     std::size_t parseEvents(std::string_view bytes);
     void parseEvent(std::string_view bytes);
-    bool isWithinLimit() const { return partial_.size() <= maxEventBytes; }
+    bool isWithinLimit() const { return eventlessBytes_ + partial_.size() <= maxEventBytes; }
 
     std::function<void(const SseEvent &)> onEvent_;
     std::string partial_;
+    /** Bytes of comments and the like since the last event. */
+    std::size_t eventlessBytes_ = 0;
 };
 
 } // namespace cuminrail
