Soak: a gateway that is cut is refused by the proxy that it calls

The soak's own fault: what spoils responses stood before the proxy that refuses connections and accepted them all, so that gateways reached servers that answered nothing. It stands behind that proxy now where paths are cut. The stand-ins' refusals are told by their status.

--- a/modules/standin/proxy/ResponsePlan.cpp
+++ b/modules/standin/proxy/ResponsePlan.cpp
@@ -152,7 +152,7 @@
 {
     const std::string_view status = head.substr(0, 12).substr(9);
     if (isRefusalFault(fault))
-        return status == "503" && !headerValue(head, "Not-Executed").empty();
+        return status == "503";
     const bool isStream = headerValue(head, "Content-Type") == "text/event-stream";
     const bool needsStream = fault == ResponseFault::CutInEvent
         || fault == ResponseFault::CutInChunk || fault >= ResponseFault::EndlessComments;
--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -163,9 +163,15 @@
     std::map<std::string, std::string> addresses;
     std::vector<std::unique_ptr<FaultProxy>> proxies;
     for (const auto &server : servers) {
-        proxies.push_back(std::make_unique<FaultProxy>(thread_, server->port()));
+        // Where paths are cut, the proxy that refuses connections must be the one that is called.
+        const bool isRepeaterBehind = options_.hasCuts;
+        const std::size_t index = proxies.size();
+        const std::uint16_t target =
+            isRepeaterBehind ? addPath(proxies_.size(), index, server->port()) : server->port();
+        proxies.push_back(std::make_unique<FaultProxy>(thread_, target));
+        const std::uint16_t proxy = proxies.back()->port();
         addresses[loopback(server->port())] =
-            loopback(addPath(proxies_.size(), proxies.size(), *proxies.back()));
+            loopback(isRepeaterBehind ? proxy : addPath(proxies_.size(), index, proxy));
     }
     proxies_.push_back(std::move(proxies));
     const std::uint16_t view = store->addView([addresses](std::string body) {
@@ -178,14 +184,14 @@
     storeProxies.push_back(std::make_unique<FaultProxy>(thread_, view));
 }
 
-std::uint16_t Fleet::addPath(std::size_t gateway, std::size_t server, const FaultProxy &proxy)
+std::uint16_t Fleet::addPath(std::size_t gateway, std::size_t server, std::uint16_t target)
 {
     if (options_.responseFaults.empty())
-        return proxy.port();
+        return target;
     ResponseFaultRates rates;
     rates.faults = options_.responseFaults;
     repeaters_.push_back(std::make_unique<ResponseRepeater>(
-        spoiling_, proxy.port(), std::move(rates),
+        spoiling_, target, std::move(rates),
         seededRandom(options_.seed * 10000 + gateway * 100 + server)));
     return repeaters_.back()->port();
 }
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -186,8 +186,8 @@
     bool isOther(std::size_t gateway) const;
     void list(std::size_t index);
     void crash(std::size_t index);
-    /** Returns where a gateway reaches a server: its proxy, or what spoils responses before it. */
-    std::uint16_t addPath(std::size_t gateway, std::size_t server, const FaultProxy &proxy);
+    /** Returns the port of what spoils a server's responses before the target, or the target. */
+    std::uint16_t addPath(std::size_t gateway, std::size_t server, std::uint16_t target);
     /** Makes the proxies through which a gateway reaches the servers and the store. */
     void makeProxies();
 
