--- a/modules/standin/proxy/ResponseFault.h
+++ b/modules/standin/proxy/ResponseFault.h
@@ -40,6 +40,15 @@
     CutInEvent,
     /** A stream stops within a chunk, which the second one fills up. */
     CutInChunk,
+    /** A refusal of another request, without its identity, between an interim response and the
+        request's own. */
+    AnonymousAfterInterim,
+    /** The same when the connection opens, before any request. */
+    AnonymousOnConnect,
+    /** The same, and the connection's requests are not passed on. */
+    AnonymousOnConnectUnserved,
+    /** In place of a success, a status that promises "not run", without the server's statement. */
+    UnstatedRefusal,
     /** Bytes until the other end closes; as fast as it takes them, or slowly. */
     EndlessHead,
     EndlessHeadSlowly,
@@ -57,7 +66,7 @@
     EndlessCommentsSlowly,
 };
 
-inline constexpr NameTable<ResponseFault, 34> responseFaultNames{{{
+inline constexpr NameTable<ResponseFault, 38> responseFaultNames{{{
     {ResponseFault::SecondAtOnce, "second-at-once"},
     {ResponseFault::SecondWhileIdle, "second-while-idle"},
     {ResponseFault::SecondBeforeNext, "second-before-next"},
@@ -78,6 +87,10 @@
     {ResponseFault::CutByHalf, "cut-by-half"},
     {ResponseFault::CutInEvent, "cut-in-event"},
     {ResponseFault::CutInChunk, "cut-in-chunk"},
+    {ResponseFault::AnonymousAfterInterim, "anonymous-after-interim"},
+    {ResponseFault::AnonymousOnConnect, "anonymous-on-connect"},
+    {ResponseFault::AnonymousOnConnectUnserved, "anonymous-on-connect-unserved"},
+    {ResponseFault::UnstatedRefusal, "unstated-refusal"},
     {ResponseFault::EndlessHead, "endless-head"},
     {ResponseFault::EndlessHeadSlowly, "endless-head-slowly"},
     {ResponseFault::EndlessHeadLine, "endless-head-line"},
@@ -100,6 +113,13 @@
     return fault >= ResponseFault::RefusalAtOnce && fault <= ResponseFault::RefusalOfResent;
 }
 
+/** Whether it comes before any request of its connection. */
+inline bool isOnConnect(ResponseFault fault)
+{
+    return fault == ResponseFault::AnonymousOnConnect
+        || fault == ResponseFault::AnonymousOnConnectUnserved;
+}
+
 /** Whether the bytes have no end. */
 inline bool isEndless(ResponseFault fault)
 {
--- a/modules/standin/proxy/ResponsePlan.cpp
+++ b/modules/standin/proxy/ResponsePlan.cpp
@@ -146,11 +146,28 @@
     return cutAfter(response.substr(0, response.size() - missing), response, random);
 }
 
+/** Returns a response with the identity alone, whose status promises that nothing was run. */
+std::string unstatedRefusal(const std::string &response, std::uint64_t random)
+{
+    constexpr std::array<const char *, 3> statuses{"503 Service Unavailable",
+                                                   "429 Too Many Requests", "408 Request Timeout"};
+    return std::string("HTTP/1.1 ") + statuses[random % statuses.size()] + "\r\nRequest-Id: "
+        + headerValue(response, "Request-Id") + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
+std::string anonymous(const std::string &response)
+{
+    const std::string head = response.substr(0, headLength(response));
+    return withoutHeader(head, "Request-Id") + response.substr(head.size());
+}
+
 bool canSpoil(ResponseFault fault, std::string_view head)
 {
     const std::string_view status = head.substr(0, 12).substr(9);
+    if (isOnConnect(fault))
+        return false;
     if (isRefusalFault(fault))
         return status == "503";
     const bool isStream = headerValue(head, "Content-Type") == "text/event-stream";
@@ -161,7 +178,8 @@
     return status == "200" && (isStream ? !needsPlain : !needsStream);
 }
 
-ResponsePlan planFor(ResponseFault fault, const std::string &response, std::uint64_t random)
+ResponsePlan planFor(ResponseFault fault, const std::string &response, std::uint64_t random,
+                     const std::string &refusal)
 {
     if (isEndless(fault))
         return endless(fault, response);
@@ -169,13 +187,21 @@
     const std::string body = response.substr(head.size());
     switch (fault) {
     case ResponseFault::Anonymous:
-        return {withoutHeader(head, "Request-Id") + body, {}, LateMoment::Never, {}, {}, false};
+        return {anonymous(response), {}, LateMoment::Never, {}, {}, false};
+    case ResponseFault::AnonymousAfterInterim:
+        return {"HTTP/1.1 102 Processing\r\n\r\n" + refusal + response,
+                {},
+                LateMoment::Never,
+                {},
+                {},
+                false};
+    case ResponseFault::UnstatedRefusal:
+        return {unstatedRefusal(response, random), {}, LateMoment::Never, {}, {}, false};
     case ResponseFault::AnonymousAtOnce:
     case ResponseFault::AnonymousWhileIdle:
     case ResponseFault::AnonymousBeforeNext:
     case ResponseFault::AnonymousInNextBody:
-        return repeated(withoutHeader(head, "Request-Id") + body,
-                        momentOf(fault, ResponseFault::AnonymousAtOnce));
+        return repeated(anonymous(response), momentOf(fault, ResponseFault::AnonymousAtOnce));
     case ResponseFault::RefusalOfResent:
         return repeated(response, LateMoment::OfResent);
     case ResponseFault::SecondBeforeClose:
--- a/modules/standin/proxy/ResponsePlan.h
+++ b/modules/standin/proxy/ResponsePlan.h
@@ -35,8 +35,16 @@
 /** Whether a response with this head can be spoilt so. */
 bool canSpoil(ResponseFault fault, std::string_view head);
 
-/** Returns what is sent in place of a whole response; a random number selects the place of a cut.
- */
-ResponsePlan planFor(ResponseFault fault, const std::string &response, std::uint64_t random);
+/** Returns a response without its identity. */
+std::string anonymous(const std::string &response);
+
+/**
+    Returns what is sent in place of a whole response.
+
+    @param random   selects the place of a cut, or a status
+    @param refusal  another request's, without its identity; for the faults that need one
+*/
+ResponsePlan planFor(ResponseFault fault, const std::string &response, std::uint64_t random,
+                     const std::string &refusal = {});
 
 } // namespace cuminrail
--- a/modules/standin/proxy/ResponsePlan_test.cpp
+++ b/modules/standin/proxy/ResponsePlan_test.cpp
@@ -81,3 +81,25 @@
         CHECK(messageLength(bytes) == 0);
     }
 }
+
+// Guards against stand-ins that spoil nothing: the false refusal must not be the request's own.
+TEST_CASE("a false refusal states no identity, or not that nothing was run")
+{
+    const std::string stated = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r2\r\n"
+                               "X-Unrun: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string nameless = anonymous(stated);
+    CHECK(headerValue(nameless, "Request-Id").empty());
+    CHECK(headerValue(nameless, "X-Unrun") == "1");
+    REQUIRE(canSpoil(ResponseFault::AnonymousAfterInterim, plain));
+    const ResponsePlan interim = planFor(ResponseFault::AnonymousAfterInterim, plain, 0, nameless);
+    CHECK(interim.now == "HTTP/1.1 102 Processing\r\n\r\n" + nameless + plain);
+    CHECK_FALSE(canSpoil(ResponseFault::AnonymousOnConnect, plain));
+    std::uint64_t random = 0;
+    for (const char *status : {"503", "429", "408"}) {
+        CAPTURE(std::string(status));
+        const std::string response = planFor(ResponseFault::UnstatedRefusal, plain, random++).now;
+        CHECK(response.substr(9, 3) == status);
+        CHECK(headerValue(response, "Request-Id") == "r1");
+        CHECK(messageLength(response) == response.size());
+    }
+}
--- a/modules/standin/proxy/ResponseRepeater.cpp
+++ b/modules/standin/proxy/ResponseRepeater.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -50,6 +51,10 @@
     /** Where the response is recorded whose second one is still to come. */
     std::size_t lateIndex = 0;
     std::optional<std::size_t> endlessIndex;
+    /** Where it is recorded what came before the connection's first request. */
+    std::optional<std::size_t> greetingIndex;
+    /** Requests are read and not passed on. */
+    bool isUnserved = false;
     std::string output;
     bool isWriting = false;
     bool closesWhenWritten = false;
@@ -84,12 +89,27 @@
         link->server.async_connect(target, [this, link](const boost::system::error_code &failed) {
             if (failed)
                 return end(link);
+            greet(link);
             readRequest(link);
             readResponse(link);
         });
     });
 }
 
+void ResponseRepeater::greet(const LinkPointer &link)
+{
+    const bool canGreet = std::any_of(rates_.faults.begin(), rates_.faults.end(), isOnConnect);
+    if (!canGreet || refusal_.empty())
+        return;
+    const ResponseFault fault = rates_.faults[random_() % rates_.faults.size()];
+    if (!isOnConnect(fault) || random_() % 100 >= rates_.connectionPercent)
+        return;
+    link->isUnserved = fault == ResponseFault::AnonymousOnConnectUnserved;
+    link->greetingIndex = spoilt_.size();
+    spoilt_.push_back({bootTime(), fault, {}, {}, {}, {}});
+    write(link, refusal_);
+}
+
 void ResponseRepeater::readRequest(const LinkPointer &link)
 {
     link->caller.async_read_some(
@@ -113,6 +133,8 @@
         link->plan = {};
     if (headLength(link->request) > 0)
         link->requestId = headerValue(link->request, "Request-Id");
+    if (link->greetingIndex && !link->requestId.empty())
+        spoilt_[*std::exchange(link->greetingIndex, std::nullopt)].requestId = link->requestId;
     const bool isWhole = messageLength(link->request) > 0;
     const bool isLateDue = isSecondDue(*link, isWhole);
     if (isWhole)
@@ -141,6 +163,8 @@
 
 void ResponseRepeater::forwardRequest(const LinkPointer &link, std::size_t size)
 {
+    if (link->isUnserved)
+        return readRequest(link);
     boost::asio::async_write(link->server, boost::asio::buffer(link->up, size),
                              [this, link](const boost::system::error_code &error, std::size_t) {
                                  if (error)
@@ -169,6 +193,9 @@
     if (!link->isDrawn && headLength(link->response) > 0) {
         link->isDrawn = true;
         link->fault = draw(link->response);
+        const bool isRefusal = canSpoil(ResponseFault::Anonymous, link->response);
+        if (isRefusal && messageLength(link->response) == link->response.size())
+            refusal_ = anonymous(link->response);
     }
     if (link->fault && messageLength(link->response) > 0)
         spoil(link);
@@ -183,15 +210,21 @@
     const unsigned percent = isRefusalFault(fault) ? 100
         : isEndless(fault)                         ? rates_.endlessPercent
                                                    : rates_.percent;
-    const bool isSpoilt = random_() % 100 < percent && canSpoil(fault, head);
+    const bool isSpoilt =
+        random_() % 100 < percent && canSpoil(fault, head) && !lacksRefusal(fault);
     return isSpoilt ? std::optional(fault) : std::nullopt;
 }
 
+bool ResponseRepeater::lacksRefusal(ResponseFault fault) const
+{
+    return fault == ResponseFault::AnonymousAfterInterim && refusal_.empty();
+}
+
 void ResponseRepeater::spoil(const LinkPointer &link)
 {
     const ResponseFault fault = *std::exchange(link->fault, std::nullopt);
     const std::string response = std::exchange(link->response, {});
-    link->plan = planFor(fault, response, random_());
+    link->plan = planFor(fault, response, random_(), refusal_);
     link->lateIndex = spoilt_.size();
     spoilt_.push_back({bootTime(), fault, link->requestId, {}, {}, {}});
     link->closesWhenWritten = link->plan.closes;
--- a/modules/standin/proxy/ResponseRepeater.h
+++ b/modules/standin/proxy/ResponseRepeater.h
@@ -37,6 +37,8 @@
     /** Percent of the responses that have an end and are no refusals; refusals are all spoilt. */
     unsigned percent = 10;
     unsigned endlessPercent = 2;
+    /** Percent of the connections, for faults that come when one opens. */
+    unsigned connectionPercent = 30;
 };
 
 /**
@@ -62,6 +64,8 @@
     using LinkPointer = std::shared_ptr<Link>;
 
     void accept();
+    /** Sends what comes before any request, if anything does. */
+    void greet(const LinkPointer &link);
     void readRequest(const LinkPointer &link);
     void onRequest(const LinkPointer &link, std::size_t size);
     /** Whether the moment of the second response has come, as part of a request was read. */
@@ -72,6 +76,8 @@
     /** Returns the fault for a response with this head, if any. */
     std::optional<ResponseFault> draw(const std::string &head);
     void spoil(const LinkPointer &link);
+    /** Whether a fault needs another request's refusal, and none has been seen yet. */
+    bool lacksRefusal(ResponseFault fault) const;
     void sendLate(const LinkPointer &link);
     void write(const LinkPointer &link, const std::string &bytes);
     void onWritten(const LinkPointer &link);
@@ -86,6 +92,8 @@
     Tcp::acceptor acceptor_;
     std::set<LinkPointer> links_;
     std::vector<SpoiltResponse> spoilt_;
+    /** The last refusal, without its identity. */
+    std::string refusal_;
 };
 
 } // namespace cuminrail
