Log: what shows that an attempt did not run, whether its response stated the identity, and cancelled attempts

Callers saw requests run twice, and no log could tell why an attempt was taken for not run: its line said "not-run" without a ground, and an attempt that was cancelled (deadline, caller gone, called back) left no line, so that an upstream which had the request was not named.

attempt-ended has `proof` (none, nothing-written, upstream-statement, prefill-only) and `identity` (stated, none); a cancelled attempt leaves a line with end=cancelled. No decision changes: the proof is computed where the decision was made before.

--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -25,8 +25,8 @@
     context_.path.progressed();
     attempt_.status = head.status;
     attempt_.traits = context_.wire.decodeResponse(head);
-    attempt_.isInvalid =
-        head.find(context_.wire.identityHeader) == nullptr && !attempt_.traits.isRefusedUnrun;
+    attempt_.isIdentified = head.find(context_.wire.identityHeader) != nullptr;
+    attempt_.isInvalid = !attempt_.isIdentified && !attempt_.traits.isRefusedUnrun;
     if (!attempt_.isInvalid)
         recordStatements(context_, *upstream, attempt_.traits);
     if (attempt_.isPrefill && !attempt_.isInvalid)
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -191,10 +191,14 @@
         handedCall_.reset();
         return true;
     }
-    const bool mayRun =
-        call_.isActive() && call_.verdictSoFar() != Verdict::NotRun && !attempt_.isPrefill;
+    if (!call_.isActive())
+        return false;
+    const UpstreamEnd cancelled{UpstreamEndKind::Cancelled,
+                                call_.verdictSoFar(),
+                                {target()->entry.address, "cancelled by this instance"}};
+    logAttempt(cancelled);
     call_.cancel();
-    return mayRun;
+    return proofOf(cancelled) == NotRunProof::None;
 }
 
 } // namespace cuminrail
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -28,11 +28,27 @@
         runEnded(end);
 }
 
-void RequestRelay::runEnded(const UpstreamEnd &end)
+bool RequestRelay::isWhole(const UpstreamEnd &end) const
 {
-    const bool isWhole = end.kind == UpstreamEndKind::Complete && !attempt_.isInvalid
+    return end.kind == UpstreamEndKind::Complete && !attempt_.isInvalid
         && !(attempt_.isStreaming && sseReader_.hasPartial());
-    if (isWhole && attempt_.traits.isRefusedUnrun)
+}
+
+NotRunProof RequestRelay::proofOf(const UpstreamEnd &end) const
+{
+    AttemptFacts facts;
+    facts.connection = end.verdict;
+    facts.isPrefill = attempt_.isPrefill;
+    facts.isWhole = isWhole(end);
+    facts.isIdentified = attempt_.isIdentified;
+    facts.statesNotExecuted = attempt_.traits.isRefusedUnrun;
+    return notRunProof(facts);
+}
+
+void RequestRelay::runEnded(const UpstreamEnd &end)
+{
+    const bool isWhole = this->isWhole(end);
+    if (proofOf(end) == NotRunProof::UpstreamStatement)
         return onNotExecuted();
     if (isWhole && !goesOnWithResponse())
         return continuationFailed();
--- a/modules/gateway/request/RelayHandOver.cpp
+++ b/modules/gateway/request/RelayHandOver.cpp
@@ -118,6 +118,7 @@
 void RequestRelay::runWithCache()
 {
     attempt_.status = 0;
+    attempt_.isIdentified = false;
     attempt_.traits = {};
     // Upstreams may have ended under its content while the prompt was prefilled.
     if (endIfQuarantined() || isHeld()) {
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -66,8 +66,8 @@
 void RequestRelay::logAttempt(const UpstreamEnd &end) const
 {
     const UpstreamPointer &upstream = target();
-    const Verdict verdict =
-        attempt_.traits.isRefusedUnrun || attempt_.isPrefill ? Verdict::NotRun : end.verdict;
+    const NotRunProof proof = proofOf(end);
+    const Verdict verdict = proof == NotRunProof::None ? end.verdict : Verdict::NotRun;
     Event event{
         &events::attemptEnded,
         {{"request", inbound_.id},
@@ -76,6 +76,8 @@
          {"end", std::string(upstreamEndKindNames.name(end.kind))},
          {"status", std::to_string(attempt_.status)},
          {"verdict", std::string(verdictNames.name(verdict))},
+         {"proof", std::string(notRunProofNames.name(proof))},
+         {"identity", attempt_.isIdentified ? "stated" : "none"},
          {"reason", attempt_.mismatch.empty() ? end.lastReason.toString() : attempt_.mismatch},
          {"response", openResponse_ ? "open" : "none"},
          {"connection_requests", std::to_string(end.connectionRequests)},
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "gateway/request/OpenResponse.h"
 #include "gateway/request/RelayContext.h"
+#include "gateway/request/RunEvidence.h"
 #include "net/http/SseReader.h"
 #include "net/upstream/UpstreamCall.h"
 #include "quarantine/quarantine.h"
@@ -59,6 +60,8 @@
         /** When the response's head arrived. */
         Millis headAt;
         int status = 0;
+        /** The response bears the request's identity. */
+        bool isIdentified = false;
         ResponseTraits traits;
         std::vector<HttpHeader> headers;
         std::string body;
@@ -292,6 +295,10 @@
     Millis callerRetryAfter() const;
     void logPlaced(const UpstreamEntry &upstream) const;
     void logAttempt(const UpstreamEnd &end) const;
+    /** Returns what shows that the attempt did not run the request. */
+    NotRunProof proofOf(const UpstreamEnd &end) const;
+    /** Returns whether the attempt ended with a whole response that can be used. */
+    bool isWhole(const UpstreamEnd &end) const;
     void logEnd(const EventKind &kind, int status, std::optional<GiveUpCause> cause = std::nullopt,
                 const std::string &why = {}) const;
     /** Returns which of the route's latency goals the response missed, or "no". */
