Relay: "not run" is said in one place, by proof alone; a refusal without an identity is none

Callers saw requests that may run once run twice, or refused and run: a refusal of another request, without an identity, came on a connection that had carried nothing else (behind an interim response, or unasked when the connection opened), and was believed. Cause: "not run" was decided where each way out of an attempt ends, and the connection's history was taken for the proof of whose response it is.

notRunProof() decides now, by four proofs: no byte was written; the upstream's whole response states it and bears the request's identity; the carrier says so; a prefill is no run. What a refusal without an identity states of its upstream (pause, limit, leaving) is still read; the attempt may have run.

--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -26,19 +26,20 @@
     attempt_.status = head.status;
     attempt_.traits = context_.wire.decodeResponse(head);
     attempt_.isIdentified = head.find(context_.wire.identityHeader) != nullptr;
-    attempt_.isInvalid = !attempt_.isIdentified && !attempt_.traits.isRefusedUnrun;
-    if (!attempt_.isInvalid)
+    // What a refusal without an identity states of the upstream holds, whoever it was for. Of this
+    // request it proves nothing: it may be another one's, or have been sent before any.
+    if (attempt_.isIdentified || attempt_.traits.isRefusedUnrun)
         recordStatements(context_, *upstream, attempt_.traits);
-    if (attempt_.isPrefill && !attempt_.isInvalid)
+    if (!attempt_.isIdentified)
+        return rejectResponse(UpstreamEndKind::WrongIdentity, "states no identity");
+    if (attempt_.isPrefill)
         return silenceTimer_.setAfter(prefillSilenceTimeout());
     attempt_.headAt = context_.now();
     const bool isSuccess = head.status >= 200 && head.status < 300;
     // A success that the upstream does not vouch for may come from another server at its address.
     // Relayed, the caller would take it for the upstream's response.
     if (isSuccess && !attempt_.traits.isVouchedFor)
-        attempt_.isInvalid = true;
-    if (attempt_.isInvalid)
-        return rejectResponse("not the upstream's own response to the request");
+        return rejectResponse(UpstreamEndKind::Malformed, "not vouched for by the upstream");
     acceptHead(head.status, context_.wire.callerHeaders(head),
                isSuccess && route_->kind == RouteKind::Stream);
     if (!attempt_.mismatch.empty() && !attempt_.traits.isRefusedUnrun)
@@ -65,7 +66,7 @@
         attempt_.isInvalid = true;
     // What a carrier passes on has been checked there.
     if (attempt_.isInvalid && !hasEnded_ && call_.isActive())
-        rejectResponse("malformed or too long");
+        rejectResponse(UpstreamEndKind::Malformed, "malformed or too long");
 }
 
 bool RequestRelay::takeBody(std::string_view data)
@@ -103,9 +104,10 @@
     onEnd(end);
 }
 
-void RequestRelay::rejectResponse(const std::string &why)
+void RequestRelay::rejectResponse(UpstreamEndKind kind, const std::string &why)
 {
-    cutResponse({UpstreamEndKind::Malformed, Verdict::MayHaveRun, {target()->entry.address, why}});
+    attempt_.isInvalid = true;
+    cutResponse({kind, Verdict::MayHaveRun, {target()->entry.address, why}});
 }
 
 void RequestRelay::onEvent(const SseEvent &event)
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -104,6 +104,7 @@
         return giveUp(GiveUpCause::Unreachable, "its head is too large to be carried");
     ++context_.counters.handedOver;
     handedTo_ = carrier;
+    evidence_.attemptStarted();
     if (!wasSent_) {
         wasSent_ = true;
         context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
@@ -133,6 +134,8 @@
     handedCall_.reset();
     if (hasEnded_)
         return;
+    const NotRunProof proof = notRunProof(end.result);
+    evidence_.attemptEnded(proof);
     const bool isPartial = attempt_.isStreaming && sseReader_.hasPartial();
     const bool isWhole = end.result == CarriedResult::Complete && !attempt_.isInvalid && !isPartial;
     if (isWhole && goesOnWithResponse()) {
@@ -144,6 +147,7 @@
     context_.events(Event{&events::carriedAttemptEnded,
                           {{"request", inbound_.id},
                            {"result", std::string(carriedResultNames.name(end.result))},
+                           {"proof", std::string(notRunProofNames.name(proof))},
                            {"reason", reason}}});
     lastProblem_ = reason;
     lastCause_ = GiveUpCause::Unreachable;
@@ -152,7 +156,6 @@
     isFirstSendCounted_ = true;
     if (end.result == CarriedResult::NotRun)
         return refuse(503, GiveUpCause::Refused, end.retryAfter, reason);
-    mayHaveRun_ = true;
     if (end.result == CarriedResult::Overdue)
         return giveUp(GiveUpCause::DeadlineExceeded, reason);
     lastCause_ = GiveUpCause::Broken;
@@ -189,6 +192,7 @@
     if (handedCall_) {
         context_.carriage->outgoing().cancel(*handedCall_);
         handedCall_.reset();
+        evidence_.attemptEnded(NotRunProof::None);
         return true;
     }
     if (!call_.isActive())
@@ -198,7 +202,9 @@
                                 {target()->entry.address, "cancelled by this instance"}};
     logAttempt(cancelled);
     call_.cancel();
-    return proofOf(cancelled) == NotRunProof::None;
+    const NotRunProof proof = proofOf(cancelled);
+    evidence_.attemptEnded(proof);
+    return proof == NotRunProof::None;
 }
 
 } // namespace cuminrail
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -18,6 +18,7 @@
         heldEnd_ = end;
         return;
     }
+    evidence_.attemptEnded(proofOf(end));
     const bool isPlainSuccess = end.kind == UpstreamEndKind::Complete && attempt_.status < 400;
     const bool canGoOn = goesOnWithResponse();
     if (!isPlainSuccess || attempt_.isInvalid || !canGoOn)
@@ -131,12 +132,11 @@
     recordOutcome(sign);
     tried_.insert(attempt_.upstream->entry.id);
     const UpstreamPointer upstream = attempt_.upstream;
-    const bool mayHaveRun = end.verdict != Verdict::NotRun;
+    const bool mayHaveRun = proofOf(end) == NotRunProof::None;
     const bool hasBroken = mayHaveRun && end.kind == UpstreamEndKind::Broken;
     lastCause_ = mayHaveRun ? GiveUpCause::Broken : GiveUpCause::Unreachable;
     if (mayHaveRun) {
         ++sends_;
-        mayHaveRun_ = true;
         // Without a statement of the upstream a run cannot be ruled out. Usage counts it only if
         // the upstream showed that the run began.
         cacheHandle_.clear();
@@ -180,7 +180,6 @@
     notePrefillDone();
     cacheHandle_.clear();
     ++sends_;
-    mayHaveRun_ = true;
     const bool canRetry = isFailure && !isHeld() && route_->kind == RouteKind::Safe
         && sends_ < attemptLimit() && deadlineAt_ - context_.now() > route_->goal / 2;
     if (canRetry && context_.directory.usable(service_).size() > 1
--- a/modules/gateway/request/RelayLog.cpp
+++ b/modules/gateway/request/RelayLog.cpp
@@ -109,7 +109,7 @@
                           const std::string &why) const
 {
     const Verdict verdict = hasStarted_ ? Verdict::Ran
-        : mayHaveRun_                   ? Verdict::MayHaveRun
+        : evidence_.mayHaveRun()        ? Verdict::MayHaveRun
                                         : Verdict::NotRun;
     Event event{
         &kind,
--- a/modules/gateway/request/RelayOutcome.cpp
+++ b/modules/gateway/request/RelayOutcome.cpp
@@ -12,7 +12,7 @@
     if (openResponse_ && !isRest)
         return breakResponseOff(cause);
     // "Not run" must be true, whoever found nothing to send the request to.
-    if (ending == Ending::Refusal && mayHaveRun_)
+    if (ending == Ending::Refusal && evidence_.mayHaveRun())
         return sendFailure(cause);
     switch (ending) {
     case Ending::Response:
@@ -110,7 +110,7 @@
     // What cannot go on later either names no time to come back.
     const bool isFinal = cause == GiveUpCause::StreamGone || cause == GiveUpCause::StreamUnknown;
     const auto retryAfter = isFinal ? std::nullopt : std::optional<Millis>(callerRetryAfter());
-    end(mayHaveRun_ ? Ending::Failure : Ending::Refusal, {cause, why, 503, retryAfter});
+    end(evidence_.mayHaveRun() ? Ending::Failure : Ending::Refusal, {cause, why, 503, retryAfter});
 }
 
 void RequestRelay::noteFirstResponse()
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -109,7 +109,6 @@
     silenceTimer_.clear();
     if (cancelAttempt()) {
         ++sends_;
-        mayHaveRun_ = true;
         lastCause_ = GiveUpCause::Held;
         lastProblem_ = heldReason;
     }
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -93,8 +93,7 @@
         context_.wire.encodeRequest(exchange_->head(), exchange_->body(), inbound_, fields);
     request.requestId = inbound_.id;
     request.identityHeader = context_.wire.identityHeader;
-    // A refusal on a connection of its own need not echo the identity; onHead() requires it of all
-    // other responses.
+    // onHead() requires the identity, after reading what a refusal states of the upstream.
     request.isEchoRequired = false;
     request.isHead = exchange_->head().method == "HEAD";
     request.allowsEndByClose = true;
@@ -128,6 +127,7 @@
     ++context_.counters.sends;
     context_.path.requestSent();
     logPlaced(upstream->entry);
+    evidence_.attemptStarted();
     call_ = context_.pool.start(std::move(request), hooks());
 }
 
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -215,8 +215,7 @@
         return;
     const auto self = shared_from_this();
     ++context_.counters.timeouts;
-    if (cancelAttempt())
-        mayHaveRun_ = true;
+    cancelAttempt();
     releaseCacheHandle();
     closeAttempt();
     giveUp(GiveUpCause::DeadlineExceeded, "the time for it is over");
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -226,7 +226,7 @@
     bool bufferBody(std::string_view data);
     /** Ends the attempt without waiting for the rest of its response. */
     void cutResponse(const UpstreamEnd &end);
-    void rejectResponse(const std::string &why);
+    void rejectResponse(UpstreamEndKind kind, const std::string &why);
     void onEvent(const SseEvent &event);
     /** Passes an event on to the caller, unless it has it. */
     void passEvent(const SseEvent &event);
@@ -357,8 +357,8 @@
     int refusals_ = 0;
     bool wasSent_ = false;
     bool isFirstSendCounted_ = false;
-    /** An upstream may have run the request, so it must no longer be refused as not run. */
-    bool mayHaveRun_ = false;
+    /** Once an upstream may have run the request, it must no longer be refused as not run. */
+    RunEvidence evidence_;
     bool wasDeferred_ = false;
     bool isDeferred_ = false;
     bool hasQueriedEstimates_ = false;
--- a/modules/gateway/request/RunEvidence.cpp
+++ b/modules/gateway/request/RunEvidence.cpp
@@ -8,7 +8,7 @@
         return NotRunProof::PrefillOnly;
     if (facts.connection == Verdict::NotRun)
         return NotRunProof::NothingWritten;
-    if (facts.isWhole && facts.statesNotExecuted)
+    if (facts.isWhole && facts.isIdentified && facts.statesNotExecuted)
         return NotRunProof::UpstreamStatement;
     return NotRunProof::None;
 }
