Relay: a status that promises "not run" is passed on only with the statement, where a run counts

Callers saw 503, 429 and 408 for requests that had run: an upstream's own failure with one of these statuses, its identity and no statement was relayed unchanged, and callers read the status as the promise that nothing ran and come again. Cause: only the gateway's own answers were held to the promise.

Such a response becomes a failure (502) of the gateway on routes that may run once. Where a route may be repeated it is passed on as before: callers repeat those after any failure.

--- a/modules/gateway/GatewayProtocol.h
+++ b/modules/gateway/GatewayProtocol.h
@@ -88,6 +88,8 @@
                               const OutboundFields &)>
         encodeRequest;
     std::function<ResponseTraits(const HttpHead &)> decodeResponse;
+    /** Whether callers read the status as the promise that their request has not run. */
+    std::function<bool(int status)> promisesNotRun;
     std::function<std::vector<HttpHeader>(const HttpHead &)> callerHeaders;
     /** Builds a response that the gateway itself generates. */
     std::function<HttpResponse(int status, const std::string &requestId,
--- a/modules/gateway/request/RelayOutcome.cpp
+++ b/modules/gateway/request/RelayOutcome.cpp
@@ -11,6 +11,13 @@
     const bool isRest = ending == Ending::Response && attempt_.isStreaming;
     if (openResponse_ && !isRest)
         return breakResponseOff(cause);
+    // The caller would take the status for the statement that its request did not run.
+    if (ending == Ending::Response && !route_->isRepeatable()
+        && context_.wire.promisesNotRun(attempt_.status))
+        return sendFailure({GiveUpCause::Broken,
+                            "the upstream answered " + std::to_string(attempt_.status)
+                                + " without stating that it did not run the request",
+                            502, std::nullopt});
     // "Not run" must be true, whoever found nothing to send the request to.
     if (ending == Ending::Refusal && evidence_.mayHaveRun())
         return sendFailure(cause);
