Relay: one pending step for each request; a completion that comes twice or late has no effect

Callers would see a request run twice, with a second `request-placed` and no `attempt-ended` between. Cause: each completion a request waits for (quota, a stream's beginning, an upstream's credit, estimates, the retry timer, an attempt's or carried call's end, a probe) asked only whether the request had ended, so one that came twice, or beside another way to go on, sent it again and replaced the first call.

PendingStep holds the one step a request waits for. Each way to go on begins there and completes there once; a completion that does not match is left out and logged as a fault of this process (220 step-out-of-order). dispatch() refuses to run while a step is pending.

--- a/modules/core/events/EventCatalogue.cpp
+++ b/modules/core/events/EventCatalogue.cpp
@@ -35,6 +35,7 @@
         &quarantineLifted,
         &requestCalledBack,
         &responseOutOfOrder,
+        &stepOutOfOrder,
         // 3xx upstreams
         &upstreamEjected,
         &routingDecision,
--- a/modules/core/events/EventCatalogue.h
+++ b/modules/core/events/EventCatalogue.h
@@ -137,6 +137,10 @@
 inline constexpr EventKind upstreamsListed{
     308, EventLevel::Info, "upstreams-listed",
     "So many more upstreams were listed, changed or removed within a second, without a line each."};
+inline constexpr EventKind stepOutOfOrder{220, EventLevel::Error, "step-out-of-order",
+                                          "A fault of this process: a request was to go on a "
+                                          "second time, or while it waits for something "
+                                          "else. It did not."};
 inline constexpr EventKind pathChanged{
     309, EventLevel::Warning, "upstream-path-changed",
     "Whether new connections from this instance reach any upstream; while they do not, other "
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -109,6 +109,7 @@
       scale_(context_, [this] { return lease_.authority(); }), timer_(environment_.io)
 {
     context_.events = environment_.events;
+    context_.repeatsCompletion = environment_.repeatsCompletion;
     context_.onExecutionStarted = [this](const std::string &customer) { usage_.count(customer); };
     if (settings_.isFirstStart)
         lease_.setFirstStart();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -46,6 +46,8 @@
         ObjectStore store;
         /** Number of log lines dropped since the start. */
         std::function<std::uint64_t()> logLinesDropped;
+        /** For tests: whether the completion of a request's step is called twice. */
+        std::function<bool(RequestStep)> repeatsCompletion = nullptr;
     };
 
     Gateway(InstanceSettings settings, GatewayProtocol wire, Environment environment);
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -101,6 +101,7 @@
     // The attempt's hooks may be all that refers to this request.
     const auto self = shared_from_this();
     call_.cancel();
+    pendingStep_.cancel();
     onEnd(end);
 }
 
--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -67,7 +67,7 @@
         carrierWaitEndsAt_ = context_.now() + maxCarrierWait;
     if (context_.carriage->isSearching() && context_.now() < *carrierWaitEndsAt_) {
         context_.carriage->tick();
-        return deferralTimer_.setAfter(carrierRetryInterval);
+        return dispatchAfter(carrierRetryInterval);
     }
     giveUp(GiveUpCause::Unreachable, "neither an upstream nor an instance that could carry it");
 }
@@ -98,13 +98,21 @@
     CarriedOpen open = carriedOpen();
     handedAttempts_ = static_cast<int>(open.attempts);
     sseReader_.discardPartial();
-    handedCall_ = context_.carriage->outgoing().start(carrier, std::move(open), exchange_->body(),
-                                                      carriedHooks());
-    if (!handedCall_)
-        return giveUp(GiveUpCause::Unreachable, "its head is too large to be carried");
-    ++context_.counters.handedOver;
     handedTo_ = carrier;
     evidence_.attemptStarted();
+    const auto ticket = beginStep(RequestStep::CarriedCall);
+    const auto call = context_.carriage->outgoing().start(carrier, std::move(open),
+                                                          exchange_->body(), carriedHooks(ticket));
+    if (!call) {
+        pendingStep_.cancel();
+        evidence_.attemptEnded(NotRunProof::NothingWritten);
+        return giveUp(GiveUpCause::Unreachable, "its head is too large to be carried");
+    }
+    ++context_.counters.handedOver;
+    // The link may have ended while the request was written to it.
+    if (!pendingStep_.isCurrent(ticket))
+        return;
+    handedCall_ = call;
     if (!wasSent_) {
         wasSent_ = true;
         context_.metrics.firstSent((context_.now() - arrivedAt_).toSeconds());
@@ -115,25 +123,30 @@
                            {"elapsed_ms", std::to_string((context_.now() - arrivedAt_).count())}}});
 }
 
-CarriedCallHooks RequestRelay::carriedHooks()
+CarriedCallHooks RequestRelay::carriedHooks(PendingStep::Ticket ticket)
 {
     const auto self = shared_from_this();
     CarriedCallHooks hooks;
-    hooks.onHead = [self](const CarriedHead &head) {
+    hooks.onHead = [self, ticket](const CarriedHead &head) {
+        if (!self->pendingStep_.isCurrent(ticket))
+            return;
         self->acceptHead(head.status, headersOf(head.fields), head.isStream);
         // The carrier counts the run for usage.
         self->hasStarted_ = true;
     };
-    hooks.onBody = [self](std::string_view data) { self->onBody(data); };
-    hooks.onEnd = [self](const CarriedEnd &end) { self->onCarriedEnd(end); };
+    hooks.onBody = [self, ticket](std::string_view data) {
+        if (self->pendingStep_.isCurrent(ticket))
+            self->onBody(data);
+    };
+    hooks.onEnd = [self, ticket](const CarriedEnd &end) {
+        self->finishStep(RequestStep::CarriedCall, ticket, [&] { self->onCarriedEnd(end); });
+    };
     return hooks;
 }
 
 void RequestRelay::onCarriedEnd(const CarriedEnd &end)
 {
     handedCall_.reset();
-    if (hasEnded_)
-        return;
     const NotRunProof proof = notRunProof(end.result);
     evidence_.attemptEnded(proof);
     const bool isPartial = attempt_.isStreaming && sseReader_.hasPartial();
@@ -192,6 +205,7 @@
     if (handedCall_) {
         context_.carriage->outgoing().cancel(*handedCall_);
         handedCall_.reset();
+        pendingStep_.cancel();
         evidence_.attemptEnded(NotRunProof::None);
         return true;
     }
@@ -202,6 +216,7 @@
                                 {target()->entry.address, "cancelled by this instance"}};
     logAttempt(cancelled);
     call_.cancel();
+    pendingStep_.cancel();
     const NotRunProof proof = proofOf(cancelled);
     evidence_.attemptEnded(proof);
     return proof == NotRunProof::None;
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -13,6 +13,7 @@
 #include "gateway/carriage/RequestCarriage.h"
 #include "gateway/path/PathProber.h"
 #include "gateway/request/RelayCounters.h"
+#include "gateway/request/RequestStep.h"
 #include "gateway/request/ResponseBudget.h"
 #include "net/upstream/UpstreamPool.h"
 #include "quarantine/quarantine.h"
@@ -88,6 +89,8 @@
     /** Called when a request of a customer has begun to run at an upstream; counts usage. */
     std::function<void(const std::string &customer)> onExecutionStarted;
     EventSink events;
+    /** For tests: whether the completion of a step is called twice; null for never. */
+    std::function<bool(RequestStep)> repeatsCompletion;
 };
 
 } // namespace cuminrail
--- a/modules/gateway/request/RelayEnd.cpp
+++ b/modules/gateway/request/RelayEnd.cpp
@@ -86,17 +86,15 @@
 
 void RequestRelay::confirmResponse(const UpstreamEnd &end)
 {
-    checkEnded(attempt_.upstream, [self = shared_from_this(), end](bool hasEnded) {
-        if (self->hasEnded_)
-            return;
-        if (!hasEnded)
-            return self->responseCompleted(end);
-        self->attemptFailed(
-            {UpstreamEndKind::Broken,
-             Verdict::MayHaveRun,
-             {self->attempt_.upstream->entry.address, "the upstream ended with its response"}},
-            AttemptSign::Broken);
-    });
+    checkEnded(attempt_.upstream, awaitStep(RequestStep::UpstreamProbe, [this, end](bool hasEnded) {
+                   if (!hasEnded)
+                       return responseCompleted(end);
+                   attemptFailed(
+                       {UpstreamEndKind::Broken,
+                        Verdict::MayHaveRun,
+                        {attempt_.upstream->entry.address, "the upstream ended with its response"}},
+                       AttemptSign::Broken);
+               }));
 }
 
 void RequestRelay::onNotExecuted()
--- a/modules/gateway/request/RelayLimits.cpp
+++ b/modules/gateway/request/RelayLimits.cpp
@@ -59,10 +59,9 @@
     // engine does the prefill itself.
     const UpstreamIncarnation incarnation = attempt_.upstream->incarnation();
     attempt_ = Attempt();
-    limits.acquire(incarnation, [self = shared_from_this()](const CreditResult &result) {
-        if (!self->hasEnded_)
-            self->onCreditResult(result);
-    });
+    limits.acquire(incarnation,
+                   awaitStep(RequestStep::UpstreamCredit,
+                             [this](const CreditResult &result) { onCreditResult(result); }));
     return true;
 }
 
--- a/modules/gateway/request/RelayOutcome.cpp
+++ b/modules/gateway/request/RelayOutcome.cpp
@@ -129,9 +129,10 @@
 void RequestRelay::endRequest(RequestOutcome outcome)
 {
     hasEnded_ = true;
+    pendingStep_.cancel();
     deadlineTimer_.clear();
     silenceTimer_.clear();
-    deferralTimer_.clear();
+    retryTimer_.clear();
     leaveDeferredQueue();
     trialEnded();
     // A refused request was not run, so its quota is returned. A request that was sent for a caller
--- a/modules/gateway/request/RelayQuarantine.cpp
+++ b/modules/gateway/request/RelayQuarantine.cpp
@@ -92,7 +92,7 @@
         heldSince_ = now;
     if (now - *heldSince_ >= maxHold)
         return giveUp(GiveUpCause::Held, heldReason);
-    deferralTimer_.setAfter(heldRetryInterval);
+    dispatchAfter(heldRetryInterval);
 }
 
 void RequestRelay::onContentsRestricted()
@@ -126,16 +126,19 @@
 
 void RequestRelay::probeUpstream(const UpstreamPointer &upstream, bool dispatchesAfter)
 {
+    std::function<void()> goOn;
+    if (dispatchesAfter)
+        goOn = awaitStep(RequestStep::UpstreamProbe, [this] { dispatch(); });
     checkEnded(upstream,
                [self = shared_from_this(), incarnation = upstream->incarnation(),
-                isTrial = isTrial_, dispatchesAfter](bool hasEnded) {
+                isTrial = isTrial_, goOn](bool hasEnded) {
                    if (hasEnded)
                        self->context_.quarantine->upstreamEnded(self->contents(), incarnation,
                                                                 isTrial);
                    else if (isTrial)
                        self->context_.quarantine->trialEnded(self->contents());
-                   if (dispatchesAfter)
-                       self->dispatch();
+                   if (goOn)
+                       goOn();
                });
 }
 
--- a/modules/gateway/request/RelayQuota.cpp
+++ b/modules/gateway/request/RelayQuota.cpp
@@ -28,18 +28,24 @@
     if (quota == nullptr)
         return dispatch();
     const double cost = quotaCost(*quota);
+    const auto goOn =
+        awaitStep(RequestStep::CustomerQuota,
+                  [this, cost](const QuotaOutcome &outcome) { onQuotaOutcome(outcome, cost); });
     context_.quotas->acquire(customer_, cost,
-                             [self = shared_from_this(), cost](const QuotaOutcome &outcome) {
-                                 self->onQuotaOutcome(outcome, cost);
+                             [self = shared_from_this(), goOn](const QuotaOutcome &outcome) {
+                                 // The deadline passed or the caller left before the quota's owner
+                                 // replied.
+                                 if (self->hasEnded_ && !self->quotaGrant_.isSet()) {
+                                     QuotaGrant unused = outcome.grant;
+                                     return self->context_.quotas->release(unused);
+                                 }
+                                 goOn(outcome);
                              });
 }
 
 void RequestRelay::onQuotaOutcome(const QuotaOutcome &outcome, double cost)
 {
     quotaGrant_ = outcome.grant;
-    // The deadline passed or the caller left before the quota's owner replied.
-    if (hasEnded_)
-        return context_.quotas->release(quotaGrant_);
     if (outcome.result == QuotaResult::Granted)
         return dispatch();
     const auto jitter = static_cast<std::int64_t>(std::hash<std::string>()(inbound_.id)
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -128,17 +128,25 @@
     context_.path.requestSent();
     logPlaced(upstream->entry);
     evidence_.attemptStarted();
-    call_ = context_.pool.start(std::move(request), hooks());
+    call_ = context_.pool.start(std::move(request), hooks(beginStep(RequestStep::UpstreamAttempt)));
 }
 
-UpstreamHooks RequestRelay::hooks()
+UpstreamHooks RequestRelay::hooks(PendingStep::Ticket ticket)
 {
     const auto self = shared_from_this();
     UpstreamHooks hooks;
     hooks.onConnected = [self] { self->context_.path.connected(self->target()->entry); };
-    hooks.onHead = [self](HttpHead &head) { self->onHead(head); };
-    hooks.onBody = [self](std::string_view data) { self->onBody(data); };
-    hooks.onEnd = [self](const UpstreamEnd &end) { self->onEnd(end); };
+    hooks.onHead = [self, ticket](HttpHead &head) {
+        if (self->pendingStep_.isCurrent(ticket))
+            self->onHead(head);
+    };
+    hooks.onBody = [self, ticket](std::string_view data) {
+        if (self->pendingStep_.isCurrent(ticket))
+            self->onBody(data);
+    };
+    hooks.onEnd = [self, ticket](const UpstreamEnd &end) {
+        self->finishStep(RequestStep::UpstreamAttempt, ticket, [&] { self->onEnd(end); });
+    };
     return hooks;
 }
 
--- a/modules/gateway/request/RelayStream.cpp
+++ b/modules/gateway/request/RelayStream.cpp
@@ -33,10 +33,8 @@
     if (origin_ || !lastEventId_ || !isResumable())
         return false;
     context_.origins->resolve({streamKey(), streamId(), *route_},
-                              [self = shared_from_this()](const StreamOrigin &origin) {
-                                  if (!self->hasEnded_)
-                                      self->onOrigin(origin);
-                              });
+                              awaitStep(RequestStep::StreamOrigin,
+                                        [this](const StreamOrigin &origin) { onOrigin(origin); }));
     return true;
 }
 
--- a/modules/gateway/request/RelayWaiting.cpp
+++ b/modules/gateway/request/RelayWaiting.cpp
@@ -58,10 +58,10 @@
     attempt_ = Attempt();
     context_.prefillExchange->query(
         PromptChain::of(*inbound_.prompt), keys,
-        [self = shared_from_this(), engines](const PrefillExchange::Estimates &estimates) {
-            if (!self->hasEnded_)
-                self->onPrefillEstimates(engines, estimates);
-        });
+        awaitStep(RequestStep::PrefillEstimates,
+                  [this, engines](const PrefillExchange::Estimates &estimates) {
+                      onPrefillEstimates(engines, estimates);
+                  }));
     return true;
 }
 
@@ -107,7 +107,7 @@
         context_.deferredPrompts.add(route_->name, arrivedAt_);
     isDeferred_ = true;
     attempt_ = Attempt();
-    deferralTimer_.setAfter(placementRetryInterval);
+    dispatchAfter(placementRetryInterval);
 }
 
 void RequestRelay::leaveDeferredQueue()
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request/RequestRelay.h"
 
 #include "core/events/EventCatalogue.h"
+#include "core/guards/Guards.h"
 
 #include <algorithm>
 
@@ -36,11 +37,11 @@
     : context_(context), exchange_(std::move(exchange)),
       deadlineTimer_(context.deadlines, [this] { onDeadline(); }),
       silenceTimer_(context.deadlines, [this] { onSilence(); }),
-      deferralTimer_(context.deadlines,
-                     [this] {
-                         const auto self = shared_from_this();
-                         dispatch();
-                     }),
+      retryTimer_(context.deadlines,
+                  [this] {
+                      const auto self = shared_from_this();
+                      finishStep(RequestStep::Retry, retryTicket_, [this] { dispatch(); });
+                  }),
       sseReader_([this](const SseEvent &event) { onEvent(event); })
 {
     ++context_.counters.inProgress;
@@ -136,10 +137,42 @@
     urgency_ = std::clamp(defaultUrgency + priority, 0, 9);
 }
 
+PendingStep::Ticket RequestRelay::beginStep(RequestStep step)
+{
+    return pendingStep_.begin(step);
+}
+
+bool RequestRelay::endStep(RequestStep step, PendingStep::Ticket ticket)
+{
+    if (hasEnded_)
+        return false;
+    if (pendingStep_.complete(ticket) || !guardEnabled(Guard::OneStepAtATime))
+        return true;
+    reportOutOfOrder(step);
+    return false;
+}
+
+void RequestRelay::reportOutOfOrder(RequestStep step) const
+{
+    context_.events(Event{&events::stepOutOfOrder,
+                          {{"request", inbound_.id},
+                           {"step", std::string(requestStepNames.name(step))},
+                           {"awaits", std::string(requestStepNames.name(pendingStep_.step()))}}});
+}
+
+void RequestRelay::dispatchAfter(Millis delay)
+{
+    retryTicket_ = beginStep(RequestStep::Retry);
+    retryTimer_.setAfter(delay);
+}
+
 void RequestRelay::dispatch()
 {
     if (hasEnded_)
         return;
+    // Another way to go on is open already, and would send the request as well.
+    if (pendingStep_.isPending() && guardEnabled(Guard::OneStepAtATime))
+        return reportOutOfOrder(RequestStep::None);
     attempt_ = Attempt();
     if (endIfQuarantined())
         return;
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "gateway/request/OpenResponse.h"
 #include "gateway/request/RelayContext.h"
+#include "gateway/request/RequestStep.h"
 #include "gateway/request/RunEvidence.h"
 #include "net/http/SseReader.h"
 #include "net/upstream/UpstreamCall.h"
@@ -96,6 +97,32 @@
         std::optional<std::uint64_t> number;
     };
 
+    /** Begins what the request waits for next. */
+    PendingStep::Ticket beginStep(RequestStep step);
+    /** Ends a step; returns false, after reporting it, if the request does not wait for it. */
+    bool endStep(RequestStep step, PendingStep::Ticket ticket);
+    /** Goes on with the request, if this is the completion that it waits for. */
+    template<typename Handler>
+    void finishStep(RequestStep step, PendingStep::Ticket ticket, const Handler &goOn)
+    {
+        const bool isRepeated = context_.repeatsCompletion && context_.repeatsCompletion(step);
+        for (int i = 0; i < (isRepeated ? 2 : 1); ++i) {
+            if (endStep(step, ticket))
+                goOn();
+        }
+    }
+    /** Begins a step and returns its completion, which goes on with the request. */
+    template<typename Handler>
+    auto awaitStep(RequestStep step, Handler goOn)
+    {
+        return [self = shared_from_this(), step, ticket = beginStep(step),
+                goOn = std::move(goOn)](const auto &...outcome) {
+            self->finishStep(step, ticket, [&] { goOn(outcome...); });
+        };
+    }
+    void reportOutOfOrder(RequestStep step) const;
+    /** Tries again to choose an upstream or a carrier after this time. */
+    void dispatchAfter(Millis delay);
     /** Returns the upstream to which the current attempt is sent. */
     const UpstreamPointer &target() const
     {
@@ -140,7 +167,7 @@
     void carry();
     void handTo(const PeerAddress &carrier);
     CarriedOpen carriedOpen() const;
-    CarriedCallHooks carriedHooks();
+    CarriedCallHooks carriedHooks(PendingStep::Ticket ticket);
     void onCarriedEnd(const CarriedEnd &end);
     /** Stops the upstream or carrier that responds faster than the caller reads. */
     void pauseResponse();
@@ -209,7 +236,7 @@
     void sendPrefill();
     void sendRun(std::string cacheSource);
     void send(const UpstreamPointer &upstream, const OutboundFields &fields, Millis timeout);
-    UpstreamHooks hooks();
+    UpstreamHooks hooks(PendingStep::Ticket ticket);
     OutboundFields outbound(const UpstreamEntry &upstream) const;
     /** Returns the scheduling urgency sent to the engine: 0 is the most urgent, 9 the least. */
     int urgency() const;
@@ -322,8 +349,11 @@
         response; on expiry another upstream may be tried.
     */
     Deadline silenceTimer_;
-    /** Runs while the prompt is deferred; on expiry placement is tried again. */
-    Deadline deferralTimer_;
+    /** On expiry it is tried again to choose an upstream or a carrier. */
+    Deadline retryTimer_;
+
+    PendingStep pendingStep_;
+    PendingStep::Ticket retryTicket_ = 0;
 
     /** Set if the caller is connected to another instance. */
     std::shared_ptr<CarriedExchange> carried_;
