Carriage: a call is opened once over its link, and a carrier that has begun a response can't decline it

A caller would see its request run twice: an open message without a body that came a second time after its call had ended ran the request again, and "declined" or "not run" behind a response's head was believed, so that another carrier got the request. The links' seals let neither through between two sound instances (a frame twice ends the link); nothing behind them would have noticed.

IncomingCalls takes call numbers of a peer in rising order, until its link ends. OutgoingCalls takes such an end for a lost call, which may have run.

--- a/modules/carriage/calls/CarriedCalls_test.cpp
+++ b/modules/carriage/calls/CarriedCalls_test.cpp
@@ -262,3 +262,44 @@
         CHECK(pair.outgoing.size() == 0);
     }
 }
+
+// Guards against a second run by an open message that comes again, early or late.
+TEST_CASE("a request whose open message comes again is run once")
+{
+    for (const bool hasEnded : {false, true}) {
+        CAPTURE(hasEnded);
+        CarriagePair pair;
+        pair.start("");
+        const auto first = pair.frames.front();
+        pair.run();
+        REQUIRE(pair.arrived.size() == 1);
+        if (hasEnded) {
+            pair.arrived[0]->sendHead(200, {}, false);
+            pair.arrived[0]->finish(complete());
+        }
+        pair.frames.push_back(first);
+        pair.run();
+        CHECK(pair.arrived.size() == 1);
+        pair.start("y");
+        pair.run();
+        CHECK(pair.arrived.size() == 2);
+    }
+}
+
+// Guards against "not run" from a carrier whose upstream has begun to respond.
+TEST_CASE("a carrier that began a response cannot decline the request")
+{
+    for (const CarriedResult result : {CarriedResult::Declined, CarriedResult::NotRun}) {
+        CAPTURE(carriedResultNames.name(result));
+        CarriagePair pair;
+        const CarriedCallId call = pair.start("x");
+        pair.run();
+        CarriedEnd end;
+        end.call = call;
+        end.result = result;
+        pair.outgoing.handle("carrier", CarriedHead{call, 200, true, {}});
+        pair.outgoing.handle("carrier", end);
+        REQUIRE(pair.ends.size() == 1);
+        CHECK(pair.ends[0].result == CarriedResult::Lost);
+    }
+}
--- a/modules/carriage/calls/IncomingCalls.cpp
+++ b/modules/carriage/calls/IncomingCalls.cpp
@@ -148,9 +148,19 @@
     hooks_.transport.send(from, encodeCarriage(end));
 }
 
+bool IncomingCalls::isNew(const PeerAddress &from, CarriedCallId call)
+{
+    const auto newest = newestCalls_.find(from);
+    // Numbers go up and may wrap around.
+    if (newest != newestCalls_.end() && static_cast<std::int64_t>(call - newest->second) <= 0)
+        return false;
+    newestCalls_[from] = call;
+    return true;
+}
+
 void IncomingCalls::open(const PeerAddress &from, const CarriedOpen &open)
 {
-    if (find(from, open.call) != nullptr)
+    if (!isNew(from, open.call))
         return;
     const std::string refusal = hooks_.refusal();
     if (!refusal.empty())
@@ -190,6 +200,7 @@
 
 void IncomingCalls::linkClosed(const PeerAddress &from)
 {
+    newestCalls_.erase(from);
     std::vector<std::shared_ptr<IncomingCall>> abandoned;
     for (auto each = calls_.lower_bound({from, 0}); each != calls_.end(); ++each) {
         if (each->first.first != from)
--- a/modules/carriage/calls/IncomingCalls.h
+++ b/modules/carriage/calls/IncomingCalls.h
@@ -110,6 +110,8 @@
     friend class IncomingCall;
     using Key = std::pair<PeerAddress, CarriedCallId>;
 
+    /** Returns whether a call was not opened before over the peer's link. */
+    bool isNew(const PeerAddress &from, CarriedCallId call);
     void open(const PeerAddress &from, const CarriedOpen &open);
     void receive(const PeerAddress &from, const CarriedChunk &chunk);
     void startIfComplete(const std::shared_ptr<IncomingCall> &call);
@@ -120,6 +122,8 @@
     Bounds bounds_;
     Hooks hooks_;
     std::map<Key, std::shared_ptr<IncomingCall>> calls_;
+    /** The last call that was opened over each peer's link. */
+    std::map<PeerAddress, CarriedCallId> newestCalls_;
     std::uint64_t bodyBytes_ = 0;
 };
 
--- a/modules/carriage/calls/OutgoingCalls.cpp
+++ b/modules/carriage/calls/OutgoingCalls.cpp
@@ -137,6 +137,10 @@
     const bool isWhole = call->hasHead && end.bytes == call->received;
     if (end.result == CarriedResult::Complete && !isWhole)
         return lose(end.call, "a part of the response was lost on the way");
+    const bool saysNotRun =
+        end.result == CarriedResult::Declined || end.result == CarriedResult::NotRun;
+    if (saysNotRun && call->hasHead)
+        return lose(end.call, "the carrier began a response and then declined");
     const auto onEnd = std::move(call->hooks.onEnd);
     calls_.erase(end.call);
     if (onEnd)
