Upstream connections: a request whose write is under way may have run

A duty or an order to an engine would be taken as without effect though the engine has it: the verdict counted only bytes whose write had been reported, while asio hands a write to the kernel at once and reports it later. A time-out or the end of a lease in between said "not run" (calls under authority are always written so; requests only where the socket's buffer is full).

verdictSoFar() says "may have run" from the start of a write until its completion shows otherwise.

--- a/modules/net/testing/PoolClient.h
+++ b/modules/net/testing/PoolClient.h
@@ -83,6 +83,27 @@
         return future.get();
     }
 
+    /** Returns the verdict of a call right after its connection was made, before it is told that
+        its write is done, and cancels it. */
+    Verdict verdictWhileWriting(const UpstreamRequest &request)
+    {
+        auto verdict = std::make_shared<std::promise<Verdict>>();
+        auto call = std::make_shared<UpstreamCall>();
+        UpstreamHooks hooks;
+        hooks.onConnected = [this, verdict, call] {
+            // Runs before the completion of the write that follows the hook.
+            thread_.post([verdict, call] {
+                verdict->set_value(call->verdictSoFar());
+                call->cancel();
+            });
+        };
+        auto future = verdict->get_future();
+        thread_.post([this, request, hooks, call] { *call = pool_->start(request, hooks); });
+        REQUIRE(future.wait_for(std::chrono::seconds(testTimeoutSeconds))
+                == std::future_status::ready);
+        return future.get();
+    }
+
     void cutAt(SendPoint point)
     {
         thread_.run([&] {
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -27,6 +27,7 @@
     request_ = std::move(request);
     hooks_ = std::move(hooks);
     sent_ = 0;
+    isWriting_ = false;
     endsAt_ = pool_.deadlines_.now() + request_.timeouts.total;
     strays_ = 0;
     strayBytes_ = 0;
@@ -85,6 +86,7 @@
 
 void UpstreamConnection::writeSome(std::size_t maxBytes)
 {
+    isWriting_ = true;
     socket_.async_write_some(boost::asio::buffer(request_.wire.data() + sent_, maxBytes),
                              [self = shared_from_this(), attempt = attempt_](
                                  const boost::system::error_code &error, std::size_t size) {
@@ -95,6 +97,7 @@
 
 void UpstreamConnection::onSent(const boost::system::error_code &error, std::size_t size)
 {
+    isWriting_ = false;
     if (state_ != State::Sending)
         return;
     sent_ += size;
@@ -271,7 +274,8 @@
 
 Verdict UpstreamConnection::verdictSoFar() const
 {
-    return sent_ == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
+    // The kernel may have taken bytes of a write that has not been reported yet.
+    return sent_ == 0 && !isWriting_ ? Verdict::NotRun : Verdict::MayHaveRun;
 }
 
 void UpstreamConnection::onStalled()
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -89,6 +89,8 @@
     UpstreamRequest request_;
     UpstreamHooks hooks_;
     std::size_t sent_ = 0;
+    /** A write was started and its completion is still to come. */
+    bool isWriting_ = false;
     /** Requests that the connection has carried, the one in progress included. */
     std::size_t requests_ = 0;
     SentIdentities sentIdentities_;
--- a/modules/net/upstream/UpstreamPool_test.cpp
+++ b/modules/net/upstream/UpstreamPool_test.cpp
@@ -63,6 +63,17 @@
     }
 }
 
+// Guards against "not run" for bytes that the kernel took and whose write is reported later.
+TEST_CASE("the verdict of an attempt in the middle of a write is not not-run")
+{
+    ScriptedUpstream upstream(respondToAll);
+    PoolClient client;
+    // With a fault hook requests are written asynchronously.
+    client.cutAt(SendPoint::BeforeReuse);
+    CHECK(client.verdictWhileWriting(PoolClient::request(upstream.address(), "x"))
+          == Verdict::MayHaveRun);
+}
+
 TEST_CASE("a refused connection gives the verdict not-run")
 {
     PoolClient client;
