--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -43,6 +43,8 @@
     bool hasIncidents = false;
     /** How responses are spoilt on their way; none by default. */
     std::vector<ResponseFault> responseFaults;
+    /** Percent of requests that servers refuse beside spoilt responses. */
+    int refusals = 5;
     /** The gateways write their logs to a pipe that nobody reads. */
     bool isLogUnread = false;
 };
--- a/programs/cuminrail-soak/main.cpp
+++ b/programs/cuminrail-soak/main.cpp
@@ -90,10 +90,10 @@
 }
 
 /** Has all servers refuse some requests, so that there are refusals to spoil. */
-void refuseSome(const Fleet &fleet)
+void refuseSome(const Fleet &fleet, int percent)
 {
     platform::ServerFaultRates rates;
-    rates.refuses = 5;
+    rates.refuses = percent;
     for (const auto &server : fleet.servers)
         server->setFaultRates(rates);
 }
@@ -107,7 +107,7 @@
     callers.start();
     FaultDriver driver(fleet, options.seed);
     if (!options.responseFaults.empty())
-        fleet.onThread([&fleet] { refuseSome(fleet); });
+        fleet.onThread([&fleet, &options] { refuseSome(fleet, options.refusals); });
     CutDriver cuts(fleet, options.seed);
     ReleaseDriver releases(fleet, options.seed);
     IncidentDriver incidents(fleet, callers, options.seed);
@@ -294,6 +294,8 @@
                                       "other faults; with the name of "
                                       "one such fault it is played alone",
                                       cxxopts::value<std::string>()->implicit_value("all"))(
+        "refusals", "percent of requests that servers refuse beside spoilt responses",
+        cxxopts::value<int>()->default_value("5"))(
         "flood", "no faults: the same load with logs read, and with logs that nobody reads")(
         "keep", "directory for settings and logs; default: one that goes when all is well",
         cxxopts::value<std::string>());
@@ -309,6 +311,9 @@
         soak.seconds = arguments["seconds"].as<int>();
         soak.instances = arguments["instances"].as<int>();
         soak.callers = arguments["callers"].as<int>();
+        soak.refusals = arguments["refusals"].as<int>();
+        if (soak.refusals < 0 || soak.refusals > 100)
+            throw std::runtime_error("--refusals takes a percentage");
         soak.hasCuts = arguments.count("cuts") > 0 && soak.instances > 1;
         soak.hasReleases = arguments.count("releases") > 0;
         soak.hasIncidents = arguments.count("incidents") > 0;
