--- a/modules/gateway/request/RelayCarried.cpp
+++ b/modules/gateway/request/RelayCarried.cpp
@@ -100,7 +100,7 @@
     sseReader_.discardPartial();
     handedTo_ = carrier;
     evidence_.attemptStarted();
-    const auto ticket = beginStep(RequestStep::CarriedCall);
+    const auto ticket = pendingStep_.begin(RequestStep::CarriedCall);
     const auto call = context_.carriage->outgoing().start(carrier, std::move(open),
                                                           exchange_->body(), carriedHooks(ticket));
     if (!call) {
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -128,7 +128,8 @@
     context_.path.requestSent();
     logPlaced(upstream->entry);
     evidence_.attemptStarted();
-    call_ = context_.pool.start(std::move(request), hooks(beginStep(RequestStep::UpstreamAttempt)));
+    call_ = context_.pool.start(std::move(request),
+                                hooks(pendingStep_.begin(RequestStep::UpstreamAttempt)));
 }
 
 UpstreamHooks RequestRelay::hooks(PendingStep::Ticket ticket)
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -137,11 +137,6 @@
     urgency_ = std::clamp(defaultUrgency + priority, 0, 9);
 }
 
-PendingStep::Ticket RequestRelay::beginStep(RequestStep step)
-{
-    return pendingStep_.begin(step);
-}
-
 bool RequestRelay::endStep(RequestStep step, PendingStep::Ticket ticket)
 {
     if (hasEnded_)
@@ -162,7 +157,7 @@
 
 void RequestRelay::dispatchAfter(Millis delay)
 {
-    retryTicket_ = beginStep(RequestStep::Retry);
+    retryTicket_ = pendingStep_.begin(RequestStep::Retry);
     retryTimer_.setAfter(delay);
 }
 
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/request/OpenResponse.h"
+#include "gateway/request/RelayAttempt.h"
 #include "gateway/request/RelayContext.h"
 #include "gateway/request/RequestStep.h"
 #include "gateway/request/RunEvidence.h"
@@ -45,41 +46,7 @@
     /** Failed connection attempts before giving up; the request was not sent on any of them. */
     static constexpr int maxConnectFailures = 4;
 
-    /** One send to one upstream, with the response received so far. */
-    struct Attempt
-    {
-        UpstreamPointer upstream;
-        /** Set for prompts. */
-        std::optional<EngineChoice> choice;
-        /** A prefill engine computes the prompt's KV cache for the engine that will decode. */
-        bool isPrefill = false;
-        /** The engine has processed the prompt. */
-        bool isPrefillDone = false;
-        /** Counted in this instance's estimate of the upstream's load. */
-        bool isCounted = false;
-        Millis sentAt;
-        /** When the response's head arrived. */
-        Millis headAt;
-        int status = 0;
-        /** The response bears the request's identity. */
-        bool isIdentified = false;
-        ResponseTraits traits;
-        std::vector<HttpHeader> headers;
-        std::string body;
-        ResponseShare bodyShare;
-        /** Of a body that is not needed. */
-        std::size_t ignoredBytes = 0;
-        bool isStreaming = false;
-        /** The stream goes on after events that the caller has, and none of these responses' events
-            has shown yet where. */
-        bool mustShowPosition = false;
-        /** The highest number of its events. */
-        std::optional<std::uint64_t> lastEvent;
-        /** The response is not the upstream's own, malformed or too large: it is not relayed. */
-        bool isInvalid = false;
-        /** Why the response is not the rest of the one that the caller has begun to receive. */
-        std::string mismatch;
-    };
+    using Attempt = RelayAttempt;
 
     /** Events of a stream that the caller received, over all attempts. */
     struct StreamProgress
@@ -97,8 +64,6 @@
         std::optional<std::uint64_t> number;
     };
 
-    /** Begins what the request waits for next. */
-    PendingStep::Ticket beginStep(RequestStep step);
     /** Ends a step; returns false, after reporting it, if the request does not wait for it. */
     bool endStep(RequestStep step, PendingStep::Ticket ticket);
     /** Goes on with the request, if this is the completion that it waits for. */
@@ -115,11 +80,12 @@
     template<typename Handler>
     auto awaitStep(RequestStep step, Handler goOn)
     {
-        return [self = shared_from_this(), step, ticket = beginStep(step),
+        return [self = shared_from_this(), step, ticket = pendingStep_.begin(step),
                 goOn = std::move(goOn)](const auto &...outcome) {
             self->finishStep(step, ticket, [&] { goOn(outcome...); });
         };
     }
+    /** Logs that the request was to go on with a step that it does not wait for. */
     void reportOutOfOrder(RequestStep step) const;
     /** Tries again to choose an upstream or a carrier after this time. */
     void dispatchAfter(Millis delay);
