--- a/modules/gateway/request/RunEvidence_test.cpp
+++ b/modules/gateway/request/RunEvidence_test.cpp
@@ -32,8 +32,9 @@
 // Guards against "not run" from a carrier that lost the request or may have sent it.
 TEST_CASE("of a carrier's ends only two prove that a request did not run")
 {
-    for (const auto &[result, name] : carriedResultNames.entries) {
-        CAPTURE(name);
+    for (const auto &entry : carriedResultNames.entries) {
+        const CarriedResult result = entry.first;
+        CAPTURE(entry.second);
         const bool isProof = result == CarriedResult::Declined || result == CarriedResult::NotRun;
         CHECK((notRunProof(result) == NotRunProof::CarrierStatement) == isProof);
     }
