Carriage: an open message that a later one overtook is run

A caller would wait until its deadline: took the numbers of a peer's calls in rising order, so a message that came late over a link that is being replaced, or from a new process of the peer whose numbers begin lower while the old link still counts, was dropped without an answer.

A call is a repeat if it goes on, or was the last one opened over the peer's links. Older ones are kept out by the links' seals alone, as before.

Failed before, pass now: test_carriage "an open message that a later one overtook is run" (1 of 564); "a request whose open message comes again is run once" passes as before.

--- a/modules/carriage/calls/CarriedCalls_test.cpp
+++ b/modules/carriage/calls/CarriedCalls_test.cpp
@@ -303,3 +303,14 @@
         CHECK(pair.ends[0].result == CarriedResult::Lost);
     }
 }
+
+// Guards against a request that is dropped because its open message was overtaken by a later one.
+TEST_CASE("an open message that a later one overtook is run")
+{
+    CarriagePair pair;
+    pair.start("");
+    pair.start("");
+    std::swap(pair.frames[0], pair.frames[1]);
+    pair.run();
+    CHECK(pair.arrived.size() == 2);
+}
--- a/modules/carriage/calls/IncomingCalls.cpp
+++ b/modules/carriage/calls/IncomingCalls.cpp
@@ -150,12 +150,12 @@
 
 bool IncomingCalls::isNew(const PeerAddress &from, CarriedCallId call)
 {
-    const auto newest = newestCalls_.find(from);
-    // Numbers go up and may wrap around.
-    if (newest != newestCalls_.end() && static_cast<std::int64_t>(call - newest->second) <= 0)
-        return false;
+    // A lower number is no repeat: it may come late over a link that is being replaced, or from a
+    // new process of the peer, whose numbers begin anywhere.
+    const auto last = newestCalls_.find(from);
+    const bool isLast = last != newestCalls_.end() && last->second == call;
     newestCalls_[from] = call;
-    return true;
+    return !isLast && find(from, call) == nullptr;
 }
 
 void IncomingCalls::open(const PeerAddress &from, const CarriedOpen &open)
