--- a/programs/cuminrail-soak/Fleet.cpp
+++ b/programs/cuminrail-soak/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "Fleet.h"
 
 #include "net/testing/FreePorts.h"
+#include "platform/testing/ProcessUsage.h"
 #include "platform/testing/StandinDeclarations.h"
 #include "runtime/time/BootClock.h"
 
@@ -72,21 +73,12 @@
     std::array<int, 2> unread{-1, -1};
     if (isLogUnread && pipe(unread.data()) != 0)
         throw std::runtime_error("no pipe for a log");
-    pid_ = fork();
-    if (pid_ != 0) {
-        ::close(unread[1]);
-        ::close(std::exchange(unreadLog_, unread[0]));
-        return;
-    }
     const int output = isLogUnread
         ? unread[1]
         : open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    for (int descriptor = STDERR_FILENO + 1; descriptor < 4096; ++descriptor)
-        ::close(descriptor);
-    execl(program_.c_str(), program_.c_str(), "--settings", path.c_str(), nullptr);
-    _exit(127);
+    process_.start({program_, {"--settings", path}, output, 0});
+    ::close(output);
+    ::close(std::exchange(unreadLog_, unread[0]));
 }
 
 void GatewayProcess::signal(int number)
@@ -96,37 +88,30 @@
         stoppedAt_.push_back(termAt_);
     }
     signalledAt_.push_back(bootTime());
-    if (pid_ > 0)
-        kill(pid_, number);
+    process_.signal(number);
 }
 
 void GatewayProcess::notePeak()
 {
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string line; pid_ > 0 && std::getline(status, line);) {
-        if (line.rfind("VmHWM:", 0) == 0)
-            peakKilobytes_ = std::max(peakKilobytes_, std::atol(line.c_str() + 6));
-    }
+    peakKilobytes_ = std::max(peakKilobytes_, platform::statusKilobytes(process_.pid(), "VmHWM"));
 }
 
 bool GatewayProcess::hasEnded()
 {
-    if (pid_ <= 0)
+    if (!process_.isRunning())
         return true;
-    int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) != pid_)
+    const std::optional<int> end = process_.collectEnd();
+    if (!end)
         return false;
+    const int status = *end;
     const bool wasKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL && isKillExpected_;
     const bool isOrderly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
     // A stop can be asked for before the program's main() has begun; it has nothing to finish then.
     const bool isStillborn =
         WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM && termAt_ - startedAt_ < startUp;
     if (!wasKilled && !isOrderly && !isStillborn) {
-        complaint_ = name_ + " ended by itself: "
-            + (WIFSIGNALED(status) ? std::string("signal ") + strsignal(WTERMSIG(status))
-                                   : "exit code " + std::to_string(WEXITSTATUS(status)));
+        complaint_ = name_ + " ended by itself: " + platform::describeEnd(status);
     }
-    pid_ = -1;
     return true;
 }
 
--- a/programs/cuminrail-soak/Fleet.h
+++ b/programs/cuminrail-soak/Fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "StatementJudge.h"
+#include "platform/testing/ChildProcess.h"
 #include "platform/testing/StandinServer.h"
 #include "platform/testing/StandinStore.h"
 #include "runtime/time/BootClock.h"
@@ -10,7 +11,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace cuminrail::soak {
@@ -82,7 +82,7 @@
     void signal(int number);
     /** Collects the end if there is one. Returns false while the process runs. */
     bool hasEnded();
-    bool isRunning() const { return pid_ > 0; }
+    bool isRunning() const { return process_.isRunning(); }
     /** Set when the process ended in a way that nobody asked for. */
     const std::string &complaint() const { return complaint_; }
     void expectKill() { isKillExpected_ = true; }
@@ -104,7 +104,7 @@
     std::string program_;
     std::string directory_;
     std::string name_;
-    pid_t pid_ = -1;
+    platform::ChildProcess process_;
     bool isKillExpected_ = false;
     /** The reading end of a log that stays unread. */
     int unreadLog_ = -1;
