HTTP parser: framing has a bound, and trailers are dropped

Callers saw: a process that ended for want of memory while clients sent trailers, a chunk's extension or the digits of its size without an end, or that was busy for as long as a client sent chunks of one byte with 12 KB of extension each. Headers in a trailer reached the upstream as if they stood in the head, and "Connection: Request-Id" there took the request's own identity away.

Cause: Beast's limits count the head and the body; what it cannot finish stays in the connection's input, and it reports trailers as fields, after the head was checked.

Why this works: the parser counts what is neither head nor body, with what waits for its rest: at most 16 KB and 16 bytes for each byte of the body (one-byte chunks need 5, with padded sizes 12), for requests and responses alike; the check that upstream connections had of their own is gone. Fields behind the head are ignored, and whether the connection goes on is decided at the head.

--- a/modules/net/http/HttpParser.cpp
+++ b/modules/net/http/HttpParser.cpp
@@ -76,6 +76,9 @@
     }
     void on_field_impl(http::field, BeastString name, BeastString value, ErrorCode &) override
     {
+        // Beast reports trailers as fields, too.
+        if (isHeadChecked)
+            return;
         head.headers.push_back(
             {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
@@ -131,20 +134,25 @@
 
 } // namespace
 
-HttpParser::HttpParser(Kind kind, const HttpLimits &limits, BodyHook onBody)
+HttpParser::HttpParser(Kind kind, const HttpLimits &limits, BodyHook onBody) : limits_(limits)
 {
     if (kind == Kind::Request)
         impl_ = std::make_unique<BeastImpl<true>>(limits);
     else
         impl_ = std::make_unique<BeastImpl<false>>(limits);
-    impl_->onBody = std::move(onBody);
+    impl_->onBody = [this, hook = std::move(onBody)](std::string_view data) {
+        bodyBytes_ += data.size();
+        hook(data);
+    };
 }
 
 HttpParser::~HttpParser() = default;
 
 std::size_t HttpParser::feed(std::string_view bytes)
 {
-    if (impl_->isHeadChecked && mustWaitForChunk(bytes.size()))
+    const std::uint64_t bodyBefore = bodyBytes_;
+    const bool isBody = impl_->isHeadChecked;
+    if (isBody && mustWaitForChunk(bytes.size()))
         return 0;
     std::size_t used = 0;
     while (used < bytes.size() && !isDone() && !impl_->problem) {
@@ -157,17 +165,14 @@
             break;
         }
         if (isHeadDone() && !impl_->isHeadChecked) {
-            impl_->isHeadChecked = true;
-            impl_->problem = lengthProblem(impl_->head);
-            if (!impl_->problem && impl_->isCloseDelimited() && !isCloseDelimitedAllowed_)
-                impl_->problem =
-                    HttpProblem{HttpProblemKind::CloseDelimited,
-                                {"message", "neither length nor chunked coding delimits the body"}};
-            impl_->parseBodyEagerly();
-            return used;
+            checkHead();
+            break;
         }
     }
-    hasBodyBegun_ = hasBodyBegun_ || (impl_->isHeadChecked && used > 0);
+    if (isBody) {
+        framingBytes_ += used - (bodyBytes_ - bodyBefore);
+        checkFraming(isDone() ? 0 : bytes.size() - used);
+    }
     return used;
 }
 
@@ -175,7 +180,28 @@
 {
     // Beast ends the process by an assertion if it is called again with less after "0\r\n".
     constexpr std::size_t shortestChunks = std::string_view("0\r\n\r\n").size();
-    return impl_->isChunked() && !hasBodyBegun_ && available < shortestChunks;
+    return impl_->isChunked() && framingBytes_ == 0 && available < shortestChunks;
+}
+
+void HttpParser::checkHead()
+{
+    impl_->isHeadChecked = true;
+    isKeepAlive_ = impl_->isKeepAlive();
+    impl_->problem = lengthProblem(impl_->head);
+    if (!impl_->problem && impl_->isCloseDelimited() && !isCloseDelimitedAllowed_)
+        impl_->problem =
+            HttpProblem{HttpProblemKind::CloseDelimited,
+                        {"message", "neither length nor chunked coding delimits the body"}};
+    impl_->parseBodyEagerly();
+}
+
+void HttpParser::checkFraming(std::size_t unparsed)
+{
+    const std::uint64_t allowed =
+        limits_.framingBytes + bodyBytes_ * HttpLimits::framingPerBodyByte;
+    if (!impl_->problem && framingBytes_ + unparsed > allowed)
+        impl_->problem = HttpProblem{HttpProblemKind::FramingTooLarge,
+                                     {"message", "too much framing for its body"}};
 }
 
 void HttpParser::handleEof()
@@ -203,11 +229,6 @@
     return impl_->isDone();
 }
 
-bool HttpParser::isKeepAlive() const
-{
-    return impl_->isKeepAlive();
-}
-
 std::optional<std::uint64_t> HttpParser::contentLength() const
 {
     return impl_->contentLength();
--- a/modules/net/http/HttpParser.h
+++ b/modules/net/http/HttpParser.h
@@ -18,6 +18,8 @@
     AmbiguousLength,
     HeadTooLarge,
     BodyTooLarge,
+    /** Chunk sizes, extensions and trailers that a body of its length does not need. */
+    FramingTooLarge,
     /** The connection ended before the message did. */
     Truncated,
     /** A response that only the end of the connection delimits. */
@@ -35,6 +37,12 @@
 {
     std::uint32_t headBytes = 16 * 1024;
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
+    /**
+        Chunk sizes, extensions and trailers together, in addition to framingPerBodyByte for each
+        byte of the body. That is enough for any body in chunks of one byte without extensions.
+    */
+    std::uint32_t framingBytes = 16 * 1024;
+    static constexpr std::uint64_t framingPerBodyByte = 16;
 };
 
 /**
@@ -42,7 +50,7 @@
 
     Stricter than Beast where two parsers of the same bytes could disagree: rejects repeated or
     combined length headers, transfer codings other than one "chunked", and responses without a
-    length.
+    length. Trailers are dropped: nothing that was decided by the head may be changed after it.
 */
 class HttpParser
 {
@@ -62,6 +70,8 @@
         body is parsed.
     */
     std::size_t feed(std::string_view bytes);
+    /** Returns how many bytes of the body were parsed. */
+    std::uint64_t bodyBytes() const { return bodyBytes_; }
 
     /** Call for a response to HEAD, which has no body whatever its headers say. */
     void expectNoBody();
@@ -75,7 +85,8 @@
     bool isDone() const;
     /** Returns true when the message has a body that is not fully parsed yet. */
     bool isBodyExpected() const { return isHeadDone() && !isDone(); }
-    bool isKeepAlive() const;
+    /** Returns whether the head lets the connection go on after the message. */
+    bool isKeepAlive() const { return isKeepAlive_; }
     /** Returns the body's length if the head states it. */
     std::optional<std::uint64_t> contentLength() const;
     const std::optional<HttpProblem> &problem() const;
@@ -87,11 +98,19 @@
     class Impl;
     template<bool IsRequest>
     class BeastImpl;
+
     /** Whether a body's first chunk has not arrived as far as it can be parsed. */
     bool mustWaitForChunk(std::size_t available) const;
+    void checkHead();
+    /** Reports a problem if the framing, with bytes that cannot be parsed yet, is too long. */
+    void checkFraming(std::size_t unparsed);
 
     std::unique_ptr<Impl> impl_;
-    bool hasBodyBegun_ = false;
+    HttpLimits limits_;
+    std::uint64_t bodyBytes_ = 0;
+    /** Bytes consumed after the head that are not the body's. */
+    std::uint64_t framingBytes_ = 0;
+    bool isKeepAlive_ = false;
     bool isCloseDelimitedAllowed_ = false;
 };
 
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -52,6 +52,7 @@
     HttpLimits limits;
     limits.headBytes = pool_.limits_.responseHeadBytes;
     limits.bodyBytes = request_.maxBodyBytes;
+    limits.framingBytes = pool_.limits_.responseHeadBytes;
     isHeadAccepted_ = false;
     isStray_ = false;
     isSpliced_ = false;
@@ -197,9 +198,6 @@
                 return end(UpstreamEndKind::Malformed, {address_, "too many interim responses"});
             continue;
         }
-        if (used == 0 && !parser_->isDone() && input_.size() > pool_.limits_.responseHeadBytes)
-            return end(UpstreamEndKind::Malformed,
-                       {address_, "a part of the response is too long"});
         if (isStray_) {
             if (!readOverStray(used))
                 return;
