Links: connections in their handshake are bounded

Seen: silent connections to a port for links took all descriptors (300 of 300), so that nothing else could be opened. Cause: the limit on links that are not authenticated is asked for only when the websocket's handshake is complete. Why this works: connections are counted from the accept on; beyond maxUnauthenticated the oldest is closed, so that a peer, which needs milliseconds, still gets in.

Not mended: 32 connections that complete the websocket's handshake and then do not authenticate keep peers out for the 3 s of its time-out, again and again.

--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -82,6 +82,8 @@
 {
     setCommonHandlers(server_);
     setCommonHandlers(client_);
+    server_.set_tcp_pre_init_handler(
+        whileAlive([this](const Handle &handle) { handleOpening(handle); }));
     server_.set_validate_handler(whileAlive([this](const Handle &) { return canAccept(); }));
     server_.set_open_handler(whileAlive([this](const Handle &handle) { handleAccepted(handle); }));
     server_.set_http_handler(whileAlive([this](const Handle &handle) {
@@ -304,6 +306,26 @@
     client_.connect(connection);
 }
 
+void PeerLinks::handleOpening(const Handle &handle)
+{
+    opening_.push_back(handle);
+    if (opening_.size() <= config_.maxUnauthenticated)
+        return;
+    Error error;
+    const detail::PeerConnection oldest = server_.get_con_from_hdl(opening_.front(), error);
+    opening_.pop_front();
+    boost::system::error_code ignored;
+    if (oldest)
+        oldest->get_raw_socket().close(ignored);
+}
+
+void PeerLinks::removeOpening(const Handle &handle)
+{
+    opening_.remove_if([&handle](const Handle &each) {
+        return !each.owner_before(handle) && !handle.owner_before(each);
+    });
+}
+
 bool PeerLinks::canAccept()
 {
     const auto unauthenticated =
@@ -316,6 +338,7 @@
 
 void PeerLinks::handleAccepted(const Handle &handle)
 {
+    removeOpening(handle);
     Error error;
     const detail::PeerConnection connection = server_.get_con_from_hdl(handle, error);
     if (!connection)
@@ -363,6 +386,7 @@
 
 void PeerLinks::handleClosed(const Handle &handle)
 {
+    removeOpening(handle);
     const auto found = links_.find(handle);
     if (found != links_.end())
         removeLink(found);
--- a/modules/peerlink/PeerLinks.h
+++ b/modules/peerlink/PeerLinks.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -117,6 +118,9 @@
     }
 
     void setHandlers();
+    /** Bounds the connections that are in their websocket handshake; the oldest gives way. */
+    void handleOpening(const Handle &handle);
+    void removeOpening(const Handle &handle);
     template<typename Endpoint>
     void setCommonHandlers(Endpoint &endpoint);
     bool canAccept();
@@ -155,6 +159,8 @@
     detail::PeerClient client_;
     boost::asio::steady_timer timer_;
     Links links_;
+    /** Accepted connections whose websocket handshake is not complete, oldest first. */
+    std::list<Handle> opening_;
     /** The newest ready link to each peer; looked up for each frame. */
     std::unordered_map<PeerAddress, LinkPtr> ready_;
     std::map<PeerAddress, Queue> queues_;
