Gateway, daemon: long buffers go back to the system when they are freed

Seen: once callers that had not read their responses were gone, most of the memory stayed with the process. Cause: glibc raises the size from which a buffer is mapped by itself to that of the longest one freed, so that later long ones come from the heap, whose middle is not given back. Why this works: a set threshold ends the adjustment.

--- /dev/null
+++ b/modules/runtime/memory/Allocator.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace cuminrail {
+
+/**
+    Makes the C library return long buffers to the system as soon as they are freed. Call it once at
+    the start of a process.
+
+    By default it raises the size from which it does so to that of the longest buffer freed so far;
+    a process that once held many long responses then keeps their memory.
+*/
+void returnLongBuffers();
+
+} // namespace cuminrail
--- a/modules/runtime/runtime.h
+++ b/modules/runtime/runtime.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /**
-    What a process needs of its machine: a clock, threads, snapshots read without locks, a log.
+    What a process needs of its machine: a clock, threads, snapshots read without locks, a log, an
+    allocator that gives memory back.
 
     Purpose: the boot-time clock behind core's Clock, deadlines on an event loop, event-loop
     threads, read-copy-update cells over liburcu, and the event log over easylogging++.
@@ -11,6 +12,7 @@
 
 #include "runtime/files/Files.h"
 #include "runtime/log/EventLog.h"
+#include "runtime/memory/Allocator.h"
 #include "runtime/rcu/RcuCell.h"
 #include "runtime/threads/IoThread.h"
 #include "runtime/time/BootClock.h"
--- a/programs/cuminrail-gateway/main.cpp
+++ b/programs/cuminrail-gateway/main.cpp
@@ -5,6 +5,7 @@
 #include "platform/ProcessSettings.h"
 #include "runtime/files/Files.h"
 #include "runtime/log/BoundedLog.h"
+#include "runtime/memory/Allocator.h"
 #include "runtime/time/BootClock.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -202,6 +203,7 @@
 {
     // A peer that closes while something is written to it must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    returnLongBuffers();
     // The settings file is looked at anyway; the signal's default would end the process.
     std::signal(SIGHUP, SIG_IGN);
     cxxopts::Options options("cuminrail-gateway", "One instance that serves declared routes.");
--- a/programs/cuminraild/main.cpp
+++ b/programs/cuminraild/main.cpp
@@ -2,6 +2,7 @@
 #include "instance/instance.h"
 #include "instance/services/ControlServices.h"
 #include "runtime/log/EventLog.h"
+#include "runtime/memory/Allocator.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -64,6 +65,7 @@
 {
     // A peer that closes while something is written to it must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    returnLongBuffers();
     const FlagsResult flags = readInstanceFlags(argc, argv, environmentVariable);
     if (flags.wantsHelp) {
         std::cout << instanceHelp();
