HTTP server: what callers hold together is bounded, and those that are waited for give way

Callers saw: a process that ended for want of memory under heads of many short headers or responses that nobody reads; and 503 for all while a crowd kept idle connections, half heads or silent connections open.

Cause: only bodies were counted over all connections. A head takes up to 17 times its length, a response was counted no longer once it was passed to the connection, a connection kept the buffers of its longest message, and each new connection over the limit was refused, however long others had been idle; refused ones kept their descriptor for 2 s. Without descriptors the accept loop spun. The ports for probes and operators had the limits of a large machine (10,000 connections, 256 MB of bodies).

Why this works: heads, bodies with the copy for the upstream, input, and unsent output are one sum (HeldMemory), a quarter of the machine's memory. Beyond it the connections that wait for their callers give way, first those with the most bytes times waiting time; a request that holds more than its share is refused, not run; an eighth more is left for small ones. Streams are paused earlier while half is taken. A connection over the limit takes the place of the one that has waited longest for its caller; only where nobody is waited for is it refused, and closed at once. Callers get three eighths of the sockets, as many are left for their upstreams and a quarter for links and the store. Out of descriptors, accepting pauses. Ports for pages have limits of their own.

Changed check: "connections over the limit are refused with an error response" had its first connection idle; that one gives way now. The refusal is checked with the first one in progress, and a second case checks that an idle one gives way and the new caller is served.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -25,9 +26,31 @@
 constexpr Millis firstRequestDelay = Millis(300);
 /** A caller waits a second for its request to be read, and is served elsewhere within less. */
 constexpr Millis maxUnreadAge = Millis(100);
+/** What the kernel may keep of a caller's input while it is not read. */
+constexpr int callerReceiveBytes = 32 * 1024;
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
 
+/** Of the descriptors, so many are the files' where there are enough. */
+constexpr std::uint32_t fileDescriptors = 200;
+
+/**
+    Returns how many connections callers may have: each may need one to an upstream, and a quarter
+    of all is for links, the store and idle connections to upstreams.
+*/
+std::uint32_t callerConnections(std::uint32_t descriptors)
+{
+    const std::uint32_t sockets =
+        descriptors > 2 * fileDescriptors ? descriptors - fileDescriptors : descriptors / 2;
+    return std::max(sockets * 3 / 8, 1U);
+}
+
+/** Returns how many connections each port for probes and operators may have. */
+std::uint32_t pageConnections(std::uint32_t descriptors)
+{
+    return std::clamp(descriptors / 16, 8U, 64U);
+}
+
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
 {
     HttpServerLimits limits;
@@ -36,9 +59,9 @@
     limits.headTimeout = caller.headTimeout;
     limits.headTooLargeStatus = 431;
     limits.idleTimeout = caller.idleTimeout;
-    // A quarter of the memory is for bodies, half of the descriptors for callers.
-    limits.allBodyBytes = std::uint64_t{settings.memoryMb} * 1024 * 1024 / 4;
-    limits.connections = settings.descriptors / 2;
+    limits.heldBytes = std::uint64_t{settings.memoryMb} * 1024 * 1024 / 4;
+    limits.connections = callerConnections(settings.descriptors);
+    limits.receiveBufferBytes = callerReceiveBytes;
     limits.maxUnreadAge = maxUnreadAge;
     return limits;
 }
@@ -80,10 +103,12 @@
       context_(wire_, environment_.deadlines, pool_, settings_),
       callers_(environment_.io, environment_.deadlines, serverLimits(CallerLimits(), settings_),
                serverHooks([this](const auto &exchange) { onRequest(exchange); }), load_),
-      readiness_(environment_.io, environment_.deadlines, HttpServerLimits(),
+      readiness_(environment_.io, environment_.deadlines,
+                 HttpServerLimits::forPages(pageConnections(settings_.descriptors)),
                  serverHooks([this](const auto &exchange) { onReadinessRequest(exchange); }),
                  std::make_shared<ServerLoad>()),
-      admin_(environment_.io, environment_.deadlines, adminPages()),
+      admin_(environment_.io, environment_.deadlines, pageConnections(settings_.descriptors),
+             adminPages()),
       sync_(context_, environment_.store, environment_.random),
       registry_(registrationOf(settings_), settings_.isFirstStart, registryHooks()),
       lease_(incarnationOf(settings_, environment_.wallMillis()), registry_,
--- a/modules/gateway/admin/GatewayAdmin.h
+++ b/modules/gateway/admin/GatewayAdmin.h
@@ -33,7 +33,9 @@
 class GatewayAdmin
 {
 public:
-    GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, AdminPages pages);
+    /** @param connections  at most this many are open at once */
+    GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, std::uint32_t connections,
+                 AdminPages pages);
 
     std::uint16_t port() const { return server_.port(); }
     void closeAll() { server_.closeAll(); }
--- a/modules/instance/admin/AdminServer.cpp
+++ b/modules/instance/admin/AdminServer.cpp
@@ -25,7 +25,7 @@
                          std::vector<std::unique_ptr<RequestWorker>> &workers,
                          std::function<void()> drain)
     : control_(control), workers_(workers), drain_(std::move(drain)),
-      server_(control.thread().io(), control.thread().deadlines(), HttpServerLimits{},
+      server_(control.thread().io(), control.thread().deadlines(), HttpServerLimits::forPages(),
               HttpServerHooks{
                   nullptr,
                   [this](const std::shared_ptr<HttpExchange> &exchange) {
--- a/modules/instance/request/RequestWorker.cpp
+++ b/modules/instance/request/RequestWorker.cpp
@@ -24,7 +24,8 @@
     limits.idleTimeout = config.idleTimeout;
     limits.writeStallTimeout = config.writeStallTimeout;
     limits.connections = config.maxConnections;
-    limits.allBodyBytes = config.maxAllBodyBytes;
+    // A body's buffer can be twice as long as the body, and the upstream is sent a copy.
+    limits.heldBytes = 3 * config.maxAllBodyBytes;
     return limits;
 }
 
--- a/modules/net/http/HttpHead.cpp
+++ b/modules/net/http/HttpHead.cpp
@@ -14,6 +14,13 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+/** Returns what a string takes besides itself. */
+std::size_t heapBytes(const std::string &text)
+{
+    static const std::size_t inPlace = std::string().capacity();
+    return text.capacity() > inPlace ? text.capacity() + 1 : 0;
+}
+
 } // namespace
 
 bool sameHeaderName(std::string_view left, std::string_view right)
@@ -39,6 +46,14 @@
                       [&](const HttpHeader &header) { return sameHeaderName(header.name, name); }));
 }
 
+std::size_t HttpHead::memoryBytes() const
+{
+    std::size_t bytes = target.capacity() + headers.capacity() * sizeof(HttpHeader);
+    for (const HttpHeader &header : headers)
+        bytes += heapBytes(header.name) + heapBytes(header.value);
+    return bytes;
+}
+
 std::string_view HttpHead::path() const
 {
     return std::string_view(target).substr(0, target.find('?'));
--- a/modules/net/http/HttpHead.h
+++ b/modules/net/http/HttpHead.h
@@ -32,6 +32,8 @@
     const std::string *find(std::string_view name) const;
     /** Returns how many header lines have this name. */
     std::size_t count(std::string_view name) const;
+    /** Returns how much memory the head takes, which is a multiple of its length on the wire. */
+    std::size_t memoryBytes() const;
     /** Returns the target without its query. */
     std::string_view path() const;
 };
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -1,18 +1,18 @@
 #pragma once
 
 #include "net/http/HttpParser.h"
+#include "net/server/HeldMemory.h"
 #include "net/server/HttpExchange.h"
 #include "net/stream/ByteStream.h"
 #include "net/stream/TlsFiles.h"
 #include "runtime/time/DeadlineList.h"
 
-#include <atomic>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_set>
-#include <utility>
 
 namespace cuminrail {
 
@@ -43,14 +43,26 @@
         is closed unread go elsewhere at once.
     */
     Millis maxUnreadAge = Millis::never();
-    /** Maximum number of connections over all threads that share the load. */
+    /**
+        Maximum number of connections over all threads that share the load. Beyond it, the
+        connection that has waited longest for its caller is closed.
+    */
     std::uint32_t connections = 10000;
-    /** Maximum total size of all request bodies over all threads that share the load. */
-    std::uint64_t allBodyBytes = 256 * 1024 * 1024;
+    /**
+        Memory for heads, bodies and unsent responses over all threads that share the load. Beyond
+        it, callers that are waited for give way, and requests that hold more than their share are
+        refused; an eighth more is left for small requests.
+    */
+    std::uint64_t heldBytes = 512 * 1024 * 1024;
+    /** Receive buffer of each connection, in bytes; 0 leaves the kernel's own choice. */
+    int receiveBufferBytes = 0;
     /** Responses have neither a length nor chunks: the end of the connection ends them. */
     bool endsResponsesByClose = false;
     /** Status for a head over its limit; some interfaces distinguish it from a large body. */
     int headTooLargeStatus = 413;
+
+    /** Returns limits for pages that operators and probes read: few callers, small requests. */
+    static HttpServerLimits forPages(std::uint32_t connections = 64);
 };
 
 /** Callbacks into the program that owns the server; called on the server's thread. */
@@ -65,50 +77,6 @@
     std::function<void(const Reason &)> onOutOfOrder = {};
 };
 
-/** Load of several servers together, for their common limits. */
-struct ServerLoad
-{
-    std::atomic<std::uint32_t> connections{0};
-    /** Size of request bodies, counted until their requests end. */
-    std::atomic<std::uint64_t> bodyBytes{0};
-    /** Connections that were closed before anything was read from them. */
-    std::atomic<std::uint64_t> closedUnread{0};
-    /** Calls of the program that were out of a response's order. */
-    std::atomic<std::uint64_t> outOfOrder{0};
-};
-
-/** A request body's share of the common limit, released by the destructor. */
-class BodyReservation
-{
-public:
-    explicit BodyReservation(std::shared_ptr<ServerLoad> load) : load_(std::move(load)) { }
-    ~BodyReservation() { release(); }
-    // The load is copied, not moved: a connection needs it for its next request body.
-    // NOLINTBEGIN(performance-move-constructor-init)
-    BodyReservation(BodyReservation &&other) noexcept
-        : load_(other.load_), bytes_(std::exchange(other.bytes_, 0))
-    { }
-    // NOLINTEND(performance-move-constructor-init)
-    BodyReservation(const BodyReservation &) = delete;
-    BodyReservation &operator=(const BodyReservation &) = delete;
-    BodyReservation &operator=(BodyReservation &&) = delete;
-
-    /** Reserves more bytes. Returns false when all bodies together exceed the limit. */
-    bool reserve(std::uint64_t bytes, std::uint64_t limit)
-    {
-        bytes_ += bytes;
-        return load_->bodyBytes.fetch_add(bytes, std::memory_order_relaxed) + bytes <= limit;
-    }
-    void release()
-    {
-        load_->bodyBytes.fetch_sub(std::exchange(bytes_, 0), std::memory_order_relaxed);
-    }
-
-private:
-    std::shared_ptr<ServerLoad> load_;
-    std::uint64_t bytes_ = 0;
-};
-
 /**
     An HTTP/1.1 server on one event loop; several of them can share one port.
 
@@ -154,7 +122,16 @@
     using Acceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp,
                                                         boost::asio::io_context::executor_type>;
     void acceptNext();
+    void onAcceptFailed();
     void handleAccepted(TcpSocket socket);
+    /** Refuses a connection at once: it takes no descriptor of one that is served. */
+    void refuse(TcpSocket socket);
+    /** Closes the connection that has waited longest for its caller; returns false if none has. */
+    bool makeRoom();
+    /** Frees memory soon, but not in the middle of a call, and not for each further byte. */
+    void requestMemory();
+    /** Those that cost most, by memory and by the time they were waited for, give way. */
+    void freeMemory();
     bool isTooOld(TcpSocket &socket) const;
 
     boost::asio::io_context &io_;
@@ -166,7 +143,15 @@
     Acceptor acceptor_;
     std::uint16_t port_ = 0;
     bool isClosing_ = false;
+    /** Accepts again after descriptors ran out. */
+    Deadline acceptRetry_;
+    bool isMemoryRequested_ = false;
+    /** Frees memory when it expires, as that was done only a moment ago. */
+    Deadline memoryDue_;
+    Millis memoryFreedAt_;
     std::unordered_set<std::shared_ptr<detail::ServerConnection>> connections_;
+    /** Connections that wait for their callers, the one that has waited longest first. */
+    std::list<detail::ServerConnection *> waiting_;
 };
 
 } // namespace cuminrail
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace cuminrail::detail {
 
@@ -12,6 +13,8 @@
 
 /** Maximum number of bytes read ahead while a request is in progress. */
 constexpr std::size_t maxReadAheadBytes = 16 * 1024;
+/** An idle connection keeps an input buffer up to this size for its next request. */
+constexpr std::size_t maxKeptBytes = 4 * 1024;
 /** Maximum input discarded after a rejection, so that the caller can read the response. */
 constexpr std::size_t maxLingerBytes = 1024 * 1024;
 
@@ -25,21 +28,20 @@
 } // namespace
 
 ServerConnection::ServerConnection(HttpServer &server, std::unique_ptr<ByteStream> stream)
-    : server_(server), stream_(std::move(stream)), reservation_(server.load_),
+    : server_(server), stream_(std::move(stream)), requestMemory_(server.load_),
+      buffers_(server.load_), place_{this}, position_(place_.begin()),
       readDeadline_(server.deadlines_, [this] { onReadStalled(); }),
       writeDeadline_(server.deadlines_, [this] { close(); })
 {
     server_.load_->connections.fetch_add(1, std::memory_order_relaxed);
 }
 
-ServerConnection::~ServerConnection()
-{
-    server_.load_->connections.fetch_sub(1, std::memory_order_relaxed);
-}
+ServerConnection::~ServerConnection() = default;
 
 void ServerConnection::start()
 {
     readDeadline_.setAfter(server_.limits_.headTimeout);
+    noteWaiting();
     stream_->handshake([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->state_ == State::Closed)
             return self->close();
@@ -47,14 +49,59 @@
     });
 }
 
-void ServerConnection::refuse(const HttpResponse &response)
+bool ServerConnection::waitsForCaller() const
+{
+    return state_ == State::Idle || state_ == State::Reading || state_ == State::Lingering
+        || (isWriting_ && state_ != State::Closed);
+}
+
+void ServerConnection::noteWaiting()
+{
+    const bool isWaiting = waitsForCaller();
+    if (isWaiting)
+        waitingSince_ = server_.deadlines_.now();
+    if (isWaiting || isListed_) {
+        auto &from = isListed_ ? server_.waiting_ : place_;
+        auto &to = isWaiting ? server_.waiting_ : place_;
+        to.splice(to.end(), from, position_);
+    }
+    isListed_ = isWaiting;
+}
+
+void ServerConnection::giveWay()
+{
+    if (!waitsForCaller())
+        return;
+    server_.load_->gaveWay.fetch_add(1, std::memory_order_relaxed);
+    if (state_ == State::Reading && !isWriting_)
+        return rejectAndClose(server_.hooks_.onProblem(
+            503, {"caller", "gives way to others while it is waited for"}));
+    // A response that was begun must not look complete.
+    if (state_ == State::Responding || state_ == State::Flushing)
+        setResetsOnClose(true);
+    close();
+}
+
+void ServerConnection::countMemory()
+{
+    // The upstream is sent a copy of the body.
+    requestMemory_.set(headMemory_ + body_.capacity() + body_.size());
+    buffers_.set(input_.capacity() + output_.capacity() + queue_.capacity());
+    if (server_.load_->heldBytes.load(std::memory_order_relaxed) > server_.limits_.heldBytes)
+        server_.requestMemory();
+}
+
+bool ServerConnection::rejectForMemory()
 {
-    stream_->handshake(
-        [self = shared_from_this(), response](const boost::system::error_code &error) {
-            if (error)
-                return self->close();
-            self->rejectAndClose(response);
-        });
+    const HttpServerLimits &limits = server_.limits_;
+    const std::uint64_t held = server_.load_->heldBytes.load(std::memory_order_relaxed);
+    const std::uint64_t share = limits.heldBytes / std::max(limits.connections, 1U);
+    const bool isFull = held > limits.heldBytes + limits.heldBytes / 8;
+    if (!isFull && (held <= limits.heldBytes || heldBytes() <= share))
+        return false;
+    rejectAndClose(server_.hooks_.onProblem(
+        503, {"memory", "requests and responses in progress have reached the memory limit"}));
+    return true;
 }
 
 void ServerConnection::beginRequest()
@@ -64,16 +111,16 @@
     isHeadAccepted_ = false;
     isHeadMethod_ = false;
     version_ = 11;
-    bodyReceived_ = 0;
-    body_.clear();
-    reservation_.release();
-    exceedsBodyLimit_ = false;
+    body_ = {};
+    headMemory_ = 0;
+    if (input_.empty() && input_.capacity() > maxKeptBytes)
+        input_ = {};
     parser_ = std::make_unique<HttpParser>(
-        HttpParser::Kind::Request, server_.limits_.message, [this](std::string_view data) {
-            body_.append(data.data(), data.size());
-            exceedsBodyLimit_ = !reservation_.reserve(data.size(), server_.limits_.allBodyBytes);
-        });
+        HttpParser::Kind::Request, server_.limits_.message,
+        [this](std::string_view data) { body_.append(data.data(), data.size()); });
     readDeadline_.setAfter(server_.limits_.idleTimeout);
+    countMemory();
+    noteWaiting();
     if (input_.empty())
         readMore();
     else
@@ -103,47 +150,49 @@
     }
     input_.append(chunk_.data(), size);
     if (state_ == State::Responding || state_ == State::Flushing) {
+        countMemory();
         // Pipelined input is buffered up to this limit; the rest stays in the kernel's buffer.
         if (input_.size() < maxReadAheadBytes)
             readMore();
         return;
     }
-    extendReadDeadline(size);
+    const std::uint64_t bodyBefore = parser_->bodyBytes();
     parse();
+    if (state_ == State::Reading && parser_->bodyBytes() > bodyBefore)
+        extendReadDeadline();
 }
 
-void ServerConnection::extendReadDeadline(std::size_t received)
+void ServerConnection::extendReadDeadline()
 {
+    // Framing is no progress: a caller could send it for ever.
     const HttpServerLimits &limits = server_.limits_;
-    if (state_ == State::Idle) {
-        // One deadline for the whole head: a caller that sends single bytes could otherwise occupy
-        // its connection forever.
-        readDeadline_.setAfter(limits.headTimeout);
-        return;
-    }
-    if (!isHeadAccepted_)
-        return;
-    bodyReceived_ += static_cast<std::int64_t>(received);
+    const auto received = static_cast<std::int64_t>(parser_->bodyBytes());
     const Millis stallDeadline = server_.deadlines_.now() + limits.bodyStallTimeout;
     const Millis bodyDeadline =
-        bodyStartedAt_ + limits.bodyTimeout + Millis(bodyReceived_ / limits.minBodyBytesPerMilli);
+        bodyStartedAt_ + limits.bodyTimeout + Millis(received / limits.minBodyBytesPerMilli);
     readDeadline_.setAt(std::min(stallDeadline, bodyDeadline));
+    noteWaiting();
 }
 
 void ServerConnection::parse()
 {
     if (state_ == State::Idle) {
         state_ = State::Reading;
+        // One deadline for the whole head: a caller that sends single bytes could otherwise occupy
+        // its connection forever.
         readDeadline_.setAfter(server_.limits_.headTimeout);
+        noteWaiting();
     }
     while (state_ == State::Reading) {
         const std::size_t used = parser_->feed(input_);
         input_.erase(0, used);
         if (parser_->problem())
             return rejectMalformed(*parser_->problem());
-        if (exceedsBodyLimit_)
-            return rejectAndClose(server_.hooks_.onProblem(
-                503, {"body", "request bodies in progress have reached the memory limit"}));
+        if (parser_->isHeadDone() && !isHeadAccepted_)
+            headMemory_ = parser_->head().memoryBytes();
+        countMemory();
+        if (rejectForMemory())
+            return;
         if (parser_->isHeadDone() && !isHeadAccepted_) {
             checkHead();
             continue;
@@ -189,12 +238,16 @@
 {
     state_ = State::Responding;
     readDeadline_.clear();
+    noteWaiting();
     if (input_.size() < maxReadAheadBytes)
         readMore();
-    if (state_ == State::Responding)
-        server_.hooks_.onRequest(
-            std::make_shared<ServerExchange>(shared_from_this(), std::move(parser_->head()),
-                                             std::move(body_), std::move(reservation_)));
+    if (state_ != State::Responding)
+        return;
+    const auto exchange =
+        std::make_shared<ServerExchange>(shared_from_this(), std::move(parser_->head()),
+                                         std::move(body_), std::move(requestMemory_));
+    headMemory_ = 0;
+    server_.hooks_.onRequest(exchange);
 }
 
 void ServerConnection::rejectMalformed(const HttpProblem &problem)
@@ -231,6 +284,10 @@
         return;
     const auto self = shared_from_this();
     state_ = State::Closed;
+    server_.load_->connections.fetch_sub(1, std::memory_order_relaxed);
+    requestMemory_.set(0);
+    buffers_.set(0);
+    noteWaiting();
     readDeadline_.clear();
     writeDeadline_.clear();
     boost::system::error_code ignored;
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -3,6 +3,7 @@
 #include "net/server/HttpServer.h"
 
 #include <array>
+#include <list>
 
 namespace cuminrail::detail {
 
@@ -24,8 +25,13 @@
     /** Closes the connection at once; a request in progress is notified. */
     void close();
     bool isBusy() const { return state_ != State::Idle && state_ != State::Closed; }
-    /** Sends the response for a connection over the limit, then closes it. */
-    void refuse(const HttpResponse &response);
+    /** Makes room for other callers: refuses a request that is not whole, closes otherwise. */
+    void giveWay();
+    /** Returns since when the connection has waited for its caller. */
+    Millis waitingSince() const { return waitingSince_; }
+    std::uint64_t heldBytes() const { return requestMemory_.bytes() + buffers_.bytes(); }
+    /** Returns the bytes of a response after which the connection is closed. */
+    static std::string closingResponse(const HttpResponse &response);
 
     // Called by the exchange of the request in progress.
     void respond(const HttpResponse &response);
@@ -56,6 +62,14 @@
     void checkHead();
     void onRequestComplete();
     void rejectMalformed(const HttpProblem &problem);
+    /** Returns true if the request was refused, as callers hold too much memory. */
+    bool rejectForMemory();
+    /** Counts what is held now. */
+    void countMemory();
+    /** Whether the caller, not the program, has to go on. */
+    bool waitsForCaller() const;
+    /** The caller went on, or is not waited for any more. */
+    void noteWaiting();
     void rejectAndClose(const HttpResponse &response);
     void appendHead(int status, const std::vector<HttpHeader> &headers);
     /**
@@ -77,7 +91,7 @@
     void onAllWritten();
     void onResponseFlushed();
     void linger();
-    void extendReadDeadline(std::size_t received);
+    void extendReadDeadline();
     void onReadStalled();
     void clearHooks();
 
@@ -92,8 +106,11 @@
     std::array<char, 16 * 1024> chunk_;
     std::string input_;
     std::string body_;
-    BodyReservation reservation_;
-    bool exceedsBodyLimit_ = false;
+    /** Head and body of the request that is read; goes with the request. */
+    HeldMemory requestMemory_;
+    /** Input and output buffers. */
+    HeldMemory buffers_;
+    std::uint64_t headMemory_ = 0;
     /** Output being written, from offset written_; queue_ holds the output after it. */
     std::string output_;
     std::size_t written_ = 0;
@@ -109,7 +126,13 @@
     bool isKeepAlive_ = true;
     std::size_t lingeredBytes_ = 0;
     Millis bodyStartedAt_;
-    std::int64_t bodyReceived_ = 0;
+    Millis waitingSince_;
+    /** This connection's place in the server's list, or in none. */
+    std::list<ServerConnection *> place_;
+    std::list<ServerConnection *>::iterator position_;
+    bool isListed_ = false;
+    /** The program was told to wait before it writes more. */
+    mutable bool isAwaited_ = false;
     Deadline readDeadline_;
     Deadline writeDeadline_;
     std::function<void()> onWritable_;
--- a/modules/net/server/ServerExchange.cpp
+++ b/modules/net/server/ServerExchange.cpp
@@ -5,9 +5,9 @@
 namespace cuminrail::detail {
 
 ServerExchange::ServerExchange(std::shared_ptr<ServerConnection> connection, HttpHead head,
-                               std::string body, BodyReservation reservation)
+                               std::string body, HeldMemory memory)
     : connection_(std::move(connection)), requestNumber_(connection_->requestNumber()),
-      head_(std::move(head)), body_(std::move(body)), reservation_(std::move(reservation))
+      head_(std::move(head)), body_(std::move(body)), memory_(std::move(memory))
 { }
 
 bool ServerExchange::isCurrent() const
--- a/modules/net/server/ServerExchange.h
+++ b/modules/net/server/ServerExchange.h
@@ -9,7 +9,7 @@
 {
 public:
     ServerExchange(std::shared_ptr<ServerConnection> connection, HttpHead head, std::string body,
-                   BodyReservation reservation);
+                   HeldMemory memory);
 
     const HttpHead &head() const override { return head_; }
     std::string &body() override { return body_; }
@@ -30,7 +30,8 @@
     std::uint64_t requestNumber_;
     HttpHead head_;
     std::string body_;
-    BodyReservation reservation_;
+    /** Of the head and the body. */
+    HeldMemory memory_;
 };
 
 } // namespace cuminrail::detail
--- a/modules/net/server/ServerResponse.cpp
+++ b/modules/net/server/ServerResponse.cpp
@@ -1,7 +1,9 @@
+#include "net/http/HopHeaders.h"
 #include "net/server/ServerConnection.h"
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -10,6 +12,10 @@
 namespace {
 
 constexpr Millis lingerTime = Millis::seconds(2);
+/** An output buffer up to this size is kept for the next response. */
+constexpr std::size_t maxKeptBytes = 4 * 1024;
+/** Congestion threshold while callers hold more than half of the memory that they may hold. */
+constexpr std::size_t tightCongestionBytes = 16 * 1024;
 
 /** Whether responses with this status consist of their head alone. */
 bool hasNoBody(int status)
@@ -24,22 +30,34 @@
     out.append(text.data(), end);
 }
 
+/** Appends the status line and headers. */
+void appendStatus(std::string &out, int status, const std::vector<HttpHeader> &headers)
+{
+    out += "HTTP/1.1 ";
+    appendNumber(out, static_cast<std::uint64_t>(status), 10);
+    out += ' ';
+    out += statusPhrase(status);
+    out += "\r\n";
+    for (const HttpHeader &header : headers)
+        appendHeader(out, header.name, header.value);
+}
+
 } // namespace
 
+std::string ServerConnection::closingResponse(const HttpResponse &response)
+{
+    std::string wire;
+    appendStatus(wire, response.status, response.headers);
+    wire += "Connection: close\r\nContent-Length: ";
+    appendNumber(wire, response.body.size(), 10);
+    wire += "\r\n\r\n" + response.body;
+    return wire;
+}
+
 void ServerConnection::appendHead(int status, const std::vector<HttpHeader> &headers)
 {
     isKeepAlive_ = isKeepAlive_ && !server_.isClosing_ && !server_.limits_.endsResponsesByClose;
-    queue_ += "HTTP/1.1 ";
-    appendNumber(queue_, static_cast<std::uint64_t>(status), 10);
-    queue_ += ' ';
-    queue_ += statusPhrase(status);
-    queue_ += "\r\n";
-    for (const HttpHeader &header : headers) {
-        queue_ += header.name;
-        queue_ += ": ";
-        queue_ += header.value;
-        queue_ += "\r\n";
-    }
+    appendStatus(queue_, status, headers);
     if (!isKeepAlive_)
         queue_ += "Connection: close\r\n";
     else if (version_ < 11)
@@ -177,7 +195,14 @@
 
 bool ServerConnection::isCongested() const
 {
-    return queue_.size() + output_.size() - written_ > server_.limits_.congestionBytes;
+    const HttpServerLimits &limits = server_.limits_;
+    const bool isTight =
+        server_.load_->heldBytes.load(std::memory_order_relaxed) > limits.heldBytes / 2;
+    const std::size_t threshold =
+        isTight ? std::min(limits.congestionBytes, tightCongestionBytes) : limits.congestionBytes;
+    const bool isCongested = queue_.size() + output_.size() - written_ > threshold;
+    isAwaited_ = isAwaited_ || isCongested;
+    return isCongested;
 }
 
 void ServerConnection::flush()
@@ -195,6 +220,8 @@
     if (output_.empty())
         return onAllWritten();
     isWriting_ = true;
+    countMemory();
+    noteWaiting();
     writeDeadline_.setAfter(server_.limits_.writeStallTimeout);
     stream_->writeSome(
         unsent(),
@@ -212,8 +239,11 @@
 {
     if (written_ < output_.size())
         return;
-    output_.clear();
     written_ = 0;
+    // A long response must not leave its memory to a connection that is idle after it.
+    if (output_.capacity() > maxKeptBytes)
+        output_ = {};
+    output_.clear();
     output_.swap(queue_);
 }
 
@@ -231,18 +261,21 @@
         return;
     if (error)
         return close();
-    const bool wasCongested = isCongested();
     written_ += size;
     flush();
-    if (wasCongested && !isCongested() && onWritable_) {
-        const auto hook = onWritable_;
+    noteWaiting();
+    // The threshold may have changed since the program was told to wait.
+    if (!isAwaited_ || isCongested())
+        return;
+    isAwaited_ = false;
+    if (const auto hook = onWritable_)
         hook();
-    }
 }
 
 void ServerConnection::onAllWritten()
 {
     writeDeadline_.clear();
+    countMemory();
     if (state_ == State::Flushing)
         onResponseFlushed();
 }
@@ -268,7 +301,11 @@
     setResetsOnClose(false);
     boost::system::error_code ignored;
     stream_->socket().shutdown(boost::asio::socket_base::shutdown_send, ignored);
-    input_.clear();
+    input_ = {};
+    body_ = {};
+    headMemory_ = 0;
+    countMemory();
+    noteWaiting();
     readDeadline_.setAfter(lingerTime);
     readMore();
 }
