HTTP server: callers that stop at the same moment give way, too

Seen by the new test "a small request is served beside callers that hold more than the limit", red on: eight callers that sent at once and then stopped held twice the limit, and nobody gave way. Cause: memory is freed when more is held; at that moment none of them had been waited for long enough, and nothing came after it. Why this works: while the limit is exceeded, it is looked again. Connections that hold less than half of an even share do not give way for memory: closing them would not help.

Metrics: what callers hold, and how many gave way.

--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -157,6 +157,12 @@
     setGauge("cuminrail_caller_connections_closed_unread",
              "Callers' connections that were closed before anything was read, under overload",
              static_cast<double>(gauges.closedUnread));
+    setGauge("cuminrail_caller_connections_gave_way",
+             "Callers' connections that were closed while their callers were waited for",
+             static_cast<double>(gauges.gaveWay));
+    setGauge("cuminrail_caller_held_bytes",
+             "Memory for callers' heads, bodies and unsent responses",
+             static_cast<double>(gauges.heldBytes));
     setGauge("cuminrail_responses_out_of_order",
              "Responses that a fault of this process would have garbled; they were broken off",
              static_cast<double>(gauges.responsesOutOfOrder));
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -122,6 +122,10 @@
     std::size_t suspects = 0;
     /** Callers' connections that were closed unread. */
     std::uint64_t closedUnread = 0;
+    /** Callers' connections that made room for others while their callers were waited for. */
+    std::uint64_t gaveWay = 0;
+    /** Memory that callers hold. */
+    std::uint64_t heldBytes = 0;
     /** Calls for callers' responses that were out of order. */
     std::uint64_t responsesOutOfOrder = 0;
     LimitStats limits;
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -178,7 +178,8 @@
     std::vector<MemoryHolder> holders;
     for (detail::ServerConnection *connection : waiting_) {
         const Millis waited = now - connection->waitingSince();
-        if (waited >= minWait)
+        // Those that hold less than half of their share are not what takes the memory.
+        if (waited >= minWait && connection->heldBytes() > limits_.heldShare() / 2)
             holders.push_back({connection->heldBytes() * static_cast<std::uint64_t>(waited.count()),
                                connection->shared_from_this()});
     }
@@ -188,11 +189,17 @@
               });
     // An eighth is freed at once, so that not each further byte looks through all connections.
     const std::uint64_t target = limits_.heldBytes / 8 * 7;
+    const auto held = [this] { return load_->heldBytes.load(std::memory_order_relaxed); };
     for (const MemoryHolder &holder : holders) {
-        if (load_->heldBytes.load(std::memory_order_relaxed) <= target)
+        if (held() <= target)
             return;
         holder.connection->giveWay();
     }
+    // Those that are waited for by now may never go on.
+    if (held() > limits_.heldBytes && !waiting_.empty()) {
+        isMemoryRequested_ = true;
+        memoryDue_.setAfter(minWait);
+    }
 }
 
 void HttpServer::stopListening()
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -7,6 +7,7 @@
 #include "net/stream/TlsFiles.h"
 #include "runtime/time/DeadlineList.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -61,6 +62,8 @@
     /** Status for a head over its limit; some interfaces distinguish it from a large body. */
     int headTooLargeStatus = 413;
 
+    /** Returns how much memory each connection may hold if all hold as much. */
+    std::uint64_t heldShare() const { return heldBytes / std::max(connections, 1U); }
     /** Returns limits for pages that operators and probes read: few callers, small requests. */
     static HttpServerLimits forPages(std::uint32_t connections = 64);
 };
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -95,9 +95,8 @@
 {
     const HttpServerLimits &limits = server_.limits_;
     const std::uint64_t held = server_.load_->heldBytes.load(std::memory_order_relaxed);
-    const std::uint64_t share = limits.heldBytes / std::max(limits.connections, 1U);
     const bool isFull = held > limits.heldBytes + limits.heldBytes / 8;
-    if (!isFull && (held <= limits.heldBytes || heldBytes() <= share))
+    if (!isFull && (held <= limits.heldBytes || heldBytes() <= limits.heldShare()))
         return false;
     rejectAndClose(server_.hooks_.onProblem(
         503, {"memory", "requests and responses in progress have reached the memory limit"}));
