--- a/modules/instance/config/InstanceFlags.cpp
+++ b/modules/instance/config/InstanceFlags.cpp
@@ -193,7 +193,9 @@
         {"max-body-bytes", "bytes", "8388608", "The largest request body.",
          numberSetter(&C::maxBodyBytes, 1024, 1LL << 30)},
         {"max-all-body-bytes", "bytes", "268435456",
-         "All request bodies in progress together; bounds the memory for them.",
+         "All request bodies in progress together. Three times as much may be held for heads, "
+         "bodies, "
+         "their copies for upstreams and unsent responses.",
          numberSetter(&C::maxAllBodyBytes, 1024, 1LL << 40)},
         {"max-head-bytes", "bytes", "16384", "The largest request head.",
          numberSetter(&C::maxHeadBytes, 1024, 1 << 20)},
--- a/programs/cuminrail-gateway/ClientCrowds_test.cpp
+++ b/programs/cuminrail-gateway/ClientCrowds_test.cpp
@@ -290,6 +290,23 @@
     checkCrowds(each);
 }
 
+// The same with the limits of a usual site. By hand, as the crowd is not small: --no-skip, and some
+// 8,000 descriptors for the test itself.
+TEST_CASE("as many connections as a site takes, with all kinds at once" * doctest::skip())
+{
+    CrowdCase each;
+    each.script = longResponses;
+    each.limits.memoryMb = 260;
+    each.limits.descriptors = 4100;
+    each.crowds = {
+        {400, shortHeaders(each.limits.headerBytes)},
+        {400, heldBack(each.limits.bodyBytes)},
+        {400, unread(endless(wholeRequest("/once/x"), wholeRequest("/safe/x"), megabyte))},
+        {400, unread(only(wholeRequest("/safe/long")))},
+    };
+    checkCrowds(each);
+}
+
 // Guards against a parser that ends the process when the last chunk comes in pieces.
 TEST_CASE("a body without content whose only chunk comes byte by byte")
 {
