Gateway: peers read the configuration beside a crowd, too

The limits of the admin port were those of probes: 64 connections and 2 MB. Other instances read the configuration there, up to 1 MB each and many at the same time after a change; their responses would have been reset for waiting 20 ms. It has 256 connections and a thirty-second of the memory now, cuminraild's 16 MB; buffered responses are counted from 8 KB on, so that the sum of docs/CLIENT-LIMITS.md stays within the machine. Found by reading.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -45,10 +45,18 @@
     return std::max(sockets * 3 / 8, 1U);
 }
 
-/** Returns how many connections each port for probes and operators may have. */
-std::uint32_t pageConnections(std::uint32_t descriptors)
+/** Probes come one at a time. */
+HttpServerLimits readinessLimits(const InstanceSettings &settings)
 {
-    return std::clamp(descriptors / 16, 8U, 64U);
+    constexpr std::uint64_t heldBytes = std::uint64_t{2} * 1024 * 1024;
+    return HttpServerLimits::forPages(std::clamp(settings.descriptors / 16, 8U, 64U), heldBytes);
+}
+
+/** Other instances read the configuration here, some of them at the same time. */
+HttpServerLimits adminLimits(const InstanceSettings &settings)
+{
+    return HttpServerLimits::forPages(std::clamp(settings.descriptors / 16, 8U, 256U),
+                                      std::uint64_t{settings.memoryMb} * 1024 * 1024 / 32);
 }
 
 HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
@@ -103,12 +111,10 @@
       context_(wire_, environment_.deadlines, pool_, settings_),
       callers_(environment_.io, environment_.deadlines, serverLimits(CallerLimits(), settings_),
                serverHooks([this](const auto &exchange) { onRequest(exchange); }), load_),
-      readiness_(environment_.io, environment_.deadlines,
-                 HttpServerLimits::forPages(pageConnections(settings_.descriptors)),
+      readiness_(environment_.io, environment_.deadlines, readinessLimits(settings_),
                  serverHooks([this](const auto &exchange) { onReadinessRequest(exchange); }),
                  std::make_shared<ServerLoad>()),
-      admin_(environment_.io, environment_.deadlines, pageConnections(settings_.descriptors),
-             adminPages()),
+      admin_(environment_.io, environment_.deadlines, adminLimits(settings_), adminPages()),
       sync_(context_, environment_.store, environment_.random),
       registry_(registrationOf(settings_), settings_.isFirstStart, registryHooks()),
       lease_(incarnationOf(settings_, environment_.wallMillis()), registry_,
--- a/modules/gateway/admin/GatewayAdmin.cpp
+++ b/modules/gateway/admin/GatewayAdmin.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 GatewayAdmin::GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines,
-                           std::uint32_t connections, AdminPages pages)
-    : pages_(std::move(pages)), server_(io, deadlines, HttpServerLimits::forPages(connections),
+                           const HttpServerLimits &limits, AdminPages pages)
+    : pages_(std::move(pages)), server_(io, deadlines, limits,
                                         HttpServerHooks{
                                             nullptr,
                                             [this](const std::shared_ptr<HttpExchange> &exchange) {
--- a/modules/gateway/admin/GatewayAdmin.h
+++ b/modules/gateway/admin/GatewayAdmin.h
@@ -33,9 +33,8 @@
 class GatewayAdmin
 {
 public:
-    /** @param connections  at most this many are open at once */
-    GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines, std::uint32_t connections,
-                 AdminPages pages);
+    GatewayAdmin(boost::asio::io_context &io, DeadlineList &deadlines,
+                 const HttpServerLimits &limits, AdminPages pages);
 
     std::uint16_t port() const { return server_.port(); }
     void closeAll() { server_.closeAll(); }
--- a/modules/gateway/request/ResponseBudget.h
+++ b/modules/gateway/request/ResponseBudget.h
@@ -12,7 +12,7 @@
     /** Longest response that is buffered. */
     static constexpr std::size_t maxResponseBytes = 16U << 20U;
     /** Not counted of each response, so that a few long ones do not displace the usual ones. */
-    static constexpr std::size_t freeBytes = 16U << 10U;
+    static constexpr std::size_t freeBytes = 8U << 10U;
 
     explicit ResponseBudget(std::size_t limit) : limit_(limit) { }
 
--- a/modules/instance/admin/AdminServer.cpp
+++ b/modules/instance/admin/AdminServer.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::uint32_t maxConnections = 64;
+constexpr std::uint64_t maxHeldBytes = std::uint64_t{16} * 1024 * 1024;
+
 HttpResponse jsonResponse(int status, const nlohmann::json &value)
 {
     return {status, {{"Content-Type", "application/json"}}, value.dump() + "\n"};
@@ -25,7 +28,8 @@
                          std::vector<std::unique_ptr<RequestWorker>> &workers,
                          std::function<void()> drain)
     : control_(control), workers_(workers), drain_(std::move(drain)),
-      server_(control.thread().io(), control.thread().deadlines(), HttpServerLimits::forPages(),
+      server_(control.thread().io(), control.thread().deadlines(),
+              HttpServerLimits::forPages(maxConnections, maxHeldBytes),
               HttpServerHooks{
                   nullptr,
                   [this](const std::shared_ptr<HttpExchange> &exchange) {
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -32,12 +32,12 @@
 
 } // namespace
 
-HttpServerLimits HttpServerLimits::forPages(std::uint32_t connections)
+HttpServerLimits HttpServerLimits::forPages(std::uint32_t connections, std::uint64_t heldBytes)
 {
     HttpServerLimits limits;
     limits.message.bodyBytes = 4 * 1024;
     limits.idleTimeout = Millis::seconds(15);
-    limits.heldBytes = 2 * 1024 * 1024;
+    limits.heldBytes = heldBytes;
     limits.receiveBufferBytes = 16 * 1024;
     limits.connections = connections;
     return limits;
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -64,8 +64,8 @@
 
     /** Returns how much memory each connection may hold if all hold as much. */
     std::uint64_t heldShare() const { return heldBytes / std::max(connections, 1U); }
-    /** Returns limits for pages that operators and probes read: few callers, small requests. */
-    static HttpServerLimits forPages(std::uint32_t connections = 64);
+    /** Returns limits for pages that operators, probes and peers read: small requests. */
+    static HttpServerLimits forPages(std::uint32_t connections, std::uint64_t heldBytes);
 };
 
 /** Callbacks into the program that owns the server; called on the server's thread. */
