Gateway: limits of its listeners in a file of their own; a bound on opening links by the machine's size

After a loss of all instances, several hundred open their links to an owner within a second or two; 32 in their handshake, as many as may be unauthenticated, is little for a machine with a tenth of a core. Found by reading; test_peerlink and the two cases of silent connections to the ports for links pass.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -1,13 +1,13 @@
 #include "gateway/Gateway.h"
 
 #include "core/events/EventCatalogue.h"
+#include "gateway/ListenerLimits.h"
 #include "gateway/control/StoreEraHook.h"
 #include "gateway/control/StoreFailureHook.h"
 #include "gateway/request/RequestRelay.h"
 
 #include <boost/asio/post.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -24,56 +24,9 @@
 constexpr Millis balancerDelay = Millis(2500);
 /** A caller's first request arrives within this time after accept: two network delays. */
 constexpr Millis firstRequestDelay = Millis(300);
-/** A caller waits a second for its request to be read, and is served elsewhere within less. */
-constexpr Millis maxUnreadAge = Millis(100);
-/** What the kernel may keep of a caller's input while it is not read. */
-constexpr int callerReceiveBytes = 32 * 1024;
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
 
-/** Of the descriptors, so many are the files' where there are enough. */
-constexpr std::uint32_t fileDescriptors = 200;
-
-/**
-    Returns how many connections callers may have: each may need one to an upstream, and a quarter
-    of all is for links, the store and idle connections to upstreams.
-*/
-std::uint32_t callerConnections(std::uint32_t descriptors)
-{
-    const std::uint32_t sockets =
-        descriptors > 2 * fileDescriptors ? descriptors - fileDescriptors : descriptors / 2;
-    return std::max(sockets * 3 / 8, 1U);
-}
-
-/** Probes come one at a time. */
-HttpServerLimits readinessLimits(const InstanceSettings &settings)
-{
-    constexpr std::uint64_t heldBytes = std::uint64_t{2} * 1024 * 1024;
-    return HttpServerLimits::forPages(std::clamp(settings.descriptors / 16, 8U, 64U), heldBytes);
-}
-
-/** Other instances read the configuration here, some of them at the same time. */
-HttpServerLimits adminLimits(const InstanceSettings &settings)
-{
-    return HttpServerLimits::forPages(std::clamp(settings.descriptors / 16, 8U, 256U),
-                                      std::uint64_t{settings.memoryMb} * 1024 * 1024 / 32);
-}
-
-HttpServerLimits serverLimits(const CallerLimits &caller, const InstanceSettings &settings)
-{
-    HttpServerLimits limits;
-    limits.message.headBytes = caller.headBytes;
-    limits.message.bodyBytes = caller.bodyBytes;
-    limits.headTimeout = caller.headTimeout;
-    limits.headTooLargeStatus = 431;
-    limits.idleTimeout = caller.idleTimeout;
-    limits.heldBytes = std::uint64_t{settings.memoryMb} * 1024 * 1024 / 4;
-    limits.connections = callerConnections(settings.descriptors);
-    limits.receiveBufferBytes = callerReceiveBytes;
-    limits.maxUnreadAge = maxUnreadAge;
-    return limits;
-}
-
 UpstreamPoolLimits poolLimits()
 {
     UpstreamPoolLimits limits;
@@ -109,7 +62,7 @@
       environment_(withEraHook(std::move(environment), [this](StoreEra era) { onStoreEra(era); })),
       pool_(environment_.io, environment_.deadlines, poolLimits()),
       context_(wire_, environment_.deadlines, pool_, settings_),
-      callers_(environment_.io, environment_.deadlines, serverLimits(CallerLimits(), settings_),
+      callers_(environment_.io, environment_.deadlines, callerLimits(CallerLimits(), settings_),
                serverHooks([this](const auto &exchange) { onRequest(exchange); }), load_),
       readiness_(environment_.io, environment_.deadlines, readinessLimits(settings_),
                  serverHooks([this](const auto &exchange) { onReadinessRequest(exchange); }),
@@ -125,7 +78,8 @@
                  sync_.applyConfigurationText(text, "another instance");
              }),
       fabric_(
-          {environment_.io, environment_.clock, environment_.store, environment_.events},
+          {environment_.io, environment_.clock, environment_.store, environment_.events,
+           maxOpeningLinks(settings_)},
           settings_.links,
           [this](const PeerAddress &from, const std::string &frame) { onLinkFrame(from, frame); }),
       relay_(settings_.links.toString(),
@@ -229,7 +183,7 @@
 void Gateway::applyLimits()
 {
     const Configuration &configuration = context_.index->configuration();
-    callers_.setLimits(serverLimits(configuration.limits, settings_));
+    callers_.setLimits(callerLimits(configuration.limits, settings_));
     QuotaTable quotas;
     for (const CustomerKeys &customer : configuration.customers) {
         if (customer.quota)
--- a/modules/gateway/peers/PeerLinkManager.cpp
+++ b/modules/gateway/peers/PeerLinkManager.cpp
@@ -26,9 +26,10 @@
 constexpr Millis connectJitter = Millis(1500);
 
 /** An unreachable machine is skipped long before these limits; they bound what is queued for it. */
-PeerLinksConfig linksConfig()
+PeerLinksConfig linksConfig(std::size_t maxOpening)
 {
     PeerLinksConfig config;
+    config.maxOpening = maxOpening;
     config.maxLinks = 512;
     config.maxQueuedFrames = 64;
     config.maxQueuedBytes = 64 * 1024;
@@ -172,9 +173,9 @@
     Reason reason;
     auto secrets = SharedSecrets::fromText(secret, &reason);
     if (secrets) {
-        auto links =
-            std::make_unique<PeerLinks>(environment_.io, linksConfig(), std::move(*secrets),
-                                        environment_.clock, environment_.events);
+        auto links = std::make_unique<PeerLinks>(
+            environment_.io, linksConfig(environment_.maxOpening), std::move(*secrets),
+            environment_.clock, environment_.events);
         links->setFrameHandler(
             [this](const PeerAddress &from, const std::string &frame) { onFrame_(from, frame); });
         if (links->listen(listen_.toString(), listen_.toString(), &reason)) {
--- a/modules/gateway/peers/PeerLinkManager.h
+++ b/modules/gateway/peers/PeerLinkManager.h
@@ -38,6 +38,8 @@
         Clock clock;
         ObjectStore store;
         EventSink events;
+        /** Accepted connections that may be in their handshake at the same time. */
+        std::size_t maxOpening = PeerLinksConfig().maxOpening;
     };
 
     /** @param listen  address on which this instance accepts links, also advertised to others */
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -306,26 +306,6 @@
     client_.connect(connection);
 }
 
-void PeerLinks::handleOpening(const Handle &handle)
-{
-    opening_.push_back(handle);
-    if (opening_.size() <= config_.maxUnauthenticated)
-        return;
-    Error error;
-    const detail::PeerConnection oldest = server_.get_con_from_hdl(opening_.front(), error);
-    opening_.pop_front();
-    boost::system::error_code ignored;
-    if (oldest)
-        oldest->get_raw_socket().close(ignored);
-}
-
-void PeerLinks::removeOpening(const Handle &handle)
-{
-    opening_.remove_if([&handle](const Handle &each) {
-        return !each.owner_before(handle) && !handle.owner_before(each);
-    });
-}
-
 bool PeerLinks::canAccept()
 {
     const auto unauthenticated =
--- a/modules/peerlink/PeerLinksUpkeep.cpp
+++ b/modules/peerlink/PeerLinksUpkeep.cpp
@@ -15,6 +15,26 @@
 
 } // namespace
 
+void PeerLinks::handleOpening(const Handle &handle)
+{
+    opening_.push_back(handle);
+    if (opening_.size() <= config_.maxOpening)
+        return;
+    websocketpp::lib::error_code error;
+    const detail::PeerConnection oldest = server_.get_con_from_hdl(opening_.front(), error);
+    opening_.pop_front();
+    boost::system::error_code ignored;
+    if (oldest)
+        oldest->get_raw_socket().close(ignored);
+}
+
+void PeerLinks::removeOpening(const Handle &handle)
+{
+    opening_.remove_if([&handle](const Handle &each) {
+        return !each.owner_before(handle) && !handle.owner_before(each);
+    });
+}
+
 /** At maxLinks, closes the link with the longest idle time. */
 void PeerLinks::evictIfFull()
 {
--- a/modules/peerlink/link/PeerLink.h
+++ b/modules/peerlink/link/PeerLink.h
@@ -28,6 +28,9 @@
     std::size_t maxLinks = 128;
     /** Maximum number of accepted connections that are not authenticated yet. */
     std::size_t maxUnauthenticated = 32;
+    /** Maximum number of accepted connections in their websocket handshake; the oldest is closed.
+     */
+    std::size_t maxOpening = 32;
     /** Limits of the frames waiting for one peer; beyond them the oldest is dropped. */
     std::size_t maxQueuedFrames = 256;
     std::size_t maxQueuedBytes = 512 * 1024;
--- a/programs/cuminrail-gateway/ClientCrowds_test.cpp
+++ b/programs/cuminrail-gateway/ClientCrowds_test.cpp
@@ -74,12 +74,9 @@
 /** Servers answer paths below "/safe/long" with a long response. */
 platform::ScriptedRun longResponses(const HttpHead &head)
 {
-    platform::ScriptedRun run;
-    const std::string *id = head.find("Request-Id");
-    if (head.target.rfind("/safe/long", 0) == 0 && id != nullptr)
-        run.response = HttpResponse{
-            200, {{"Request-Id", *id}, {"Response-Stamp", "stamp"}}, std::string(megabyte, 'x')};
-    return run;
+    return head.target.rfind("/safe/long", 0) == 0
+        ? platform::standinRun(head, std::string(megabyte, 'x'))
+        : platform::ScriptedRun();
 }
 
 /** Few descriptors, and clients that may take long for their next byte. */
