HTTP server: connections are evicted, in the field's word

Names, a metric's name and the text of a refusal; nothing else changes. The twelve cases of the server and the parser pass (407 assertions).

--- a/modules/gateway/admin/GatewayMetrics.cpp
+++ b/modules/gateway/admin/GatewayMetrics.cpp
@@ -157,9 +157,9 @@
     setGauge("cuminrail_caller_connections_closed_unread",
              "Callers' connections that were closed before anything was read, under overload",
              static_cast<double>(gauges.closedUnread));
-    setGauge("cuminrail_caller_connections_gave_way",
+    setGauge("cuminrail_caller_connections_evicted",
              "Callers' connections that were closed while their callers were waited for",
-             static_cast<double>(gauges.gaveWay));
+             static_cast<double>(gauges.evicted));
     setGauge("cuminrail_caller_held_bytes",
              "Memory for callers' heads, bodies and unsent responses",
              static_cast<double>(gauges.heldBytes));
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -123,7 +123,7 @@
     /** Callers' connections that were closed unread. */
     std::uint64_t closedUnread = 0;
     /** Callers' connections that made room for others while their callers were waited for. */
-    std::uint64_t gaveWay = 0;
+    std::uint64_t evicted = 0;
     /** Memory that callers hold. */
     std::uint64_t heldBytes = 0;
     /** Calls for callers' responses that were out of order. */
--- a/modules/gateway/admin/GatewayState.cpp
+++ b/modules/gateway/admin/GatewayState.cpp
@@ -74,7 +74,7 @@
     gauges.leavingUpstreams = context_.departures->size();
     gauges.limitedUpstreams = context_.limits->table().limitedCount();
     gauges.closedUnread = load_->closedUnread.load(std::memory_order_relaxed);
-    gauges.gaveWay = load_->gaveWay.load(std::memory_order_relaxed);
+    gauges.evicted = load_->evicted.load(std::memory_order_relaxed);
     gauges.heldBytes = load_->heldBytes.load(std::memory_order_relaxed);
     gauges.responsesOutOfOrder = load_->outOfOrder.load(std::memory_order_relaxed);
     gauges.counters = context_.counters;
--- a/modules/net/server/HeldMemory_test.cpp
+++ b/modules/net/server/HeldMemory_test.cpp
@@ -130,7 +130,7 @@
                                 : "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n"
                                     + std::string(200000, 'x'));
     }
-    CHECK(waitUntil([&] { return server.load->gaveWay > 0; }));
+    CHECK(waitUntil([&] { return server.load->evicted > 0; }));
     CHECK(waitUntil([&] { return server.load->heldBytes <= heldBytes; }));
     TestSocket small = server.connect();
     small.send(get("/x"));
--- a/modules/net/server/HttpServer.cpp
+++ b/modules/net/server/HttpServer.cpp
@@ -104,7 +104,7 @@
 void HttpServer::onAcceptFailed()
 {
     // The connection stays in the queue, so that accepting again at once would fail for ever.
-    makeRoom();
+    evictLongestWaiting();
     acceptRetry_.setAfter(acceptRetryTime);
 }
 
@@ -125,7 +125,8 @@
         socket.close(ignored);
         return;
     }
-    if (load_->connections.load(std::memory_order_relaxed) >= limits_.connections && !makeRoom())
+    if (load_->connections.load(std::memory_order_relaxed) >= limits_.connections
+        && !evictLongestWaiting())
         return refuse(std::move(socket));
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
@@ -150,12 +151,12 @@
     socket.close(ignored);
 }
 
-bool HttpServer::makeRoom()
+bool HttpServer::evictLongestWaiting()
 {
     if (waiting_.empty())
         return false;
     const auto connection = waiting_.front()->shared_from_this();
-    connection->giveWay();
+    connection->evict();
     // Not even the end of a refusal is waited for.
     connection->close();
     return true;
@@ -193,7 +194,7 @@
     for (const MemoryHolder &holder : holders) {
         if (held() <= target)
             return;
-        holder.connection->giveWay();
+        holder.connection->evict();
     }
     // Those that are waited for by now may never go on.
     if (held() > limits_.heldBytes && !waiting_.empty()) {
--- a/modules/net/server/HttpServer.h
+++ b/modules/net/server/HttpServer.h
@@ -130,7 +130,7 @@
     /** Refuses a connection at once: it takes no descriptor of one that is served. */
     void refuse(TcpSocket socket);
     /** Closes the connection that has waited longest for its caller; returns false if none has. */
-    bool makeRoom();
+    bool evictLongestWaiting();
     /** Frees memory soon, but not in the middle of a call, and not for each further byte. */
     void requestMemory();
     /** Those that cost most, by memory and by the time they were waited for, give way. */
--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -68,14 +68,14 @@
     isListed_ = isWaiting;
 }
 
-void ServerConnection::giveWay()
+void ServerConnection::evict()
 {
     if (!waitsForCaller())
         return;
-    server_.load_->gaveWay.fetch_add(1, std::memory_order_relaxed);
+    server_.load_->evicted.fetch_add(1, std::memory_order_relaxed);
     if (state_ == State::Reading && !isWriting_)
         return rejectAndClose(server_.hooks_.onProblem(
-            503, {"caller", "gives way to others while it is waited for"}));
+            503, {"connection", "closed while it waited, to make room for other callers"}));
     // A response that was begun must not look complete.
     if (state_ == State::Responding || state_ == State::Flushing)
         setResetsOnClose(true);
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -25,8 +25,8 @@
     /** Closes the connection at once; a request in progress is notified. */
     void close();
     bool isBusy() const { return state_ != State::Idle && state_ != State::Closed; }
-    /** Makes room for other callers: refuses a request that is not whole, closes otherwise. */
-    void giveWay();
+    /** Refuses a request that is not whole, closes the connection otherwise. */
+    void evict();
     /** Returns since when the connection has waited for its caller. */
     Millis waitingSince() const { return waitingSince_; }
     std::uint64_t heldBytes() const { return requestMemory_.bytes() + buffers_.bytes(); }
--- a/modules/net/server/ServerLoad.h
+++ b/modules/net/server/ServerLoad.h
@@ -14,7 +14,7 @@
     /** Connections that were closed before anything was read from them. */
     std::atomic<std::uint64_t> closedUnread{0};
     /** Connections that waited for their callers and were closed to make room for others. */
-    std::atomic<std::uint64_t> gaveWay{0};
+    std::atomic<std::uint64_t> evicted{0};
     /** Calls of the program that were out of a response's order. */
     std::atomic<std::uint64_t> outOfOrder{0};
 };
