--- a/modules/net/http/HttpParser_test.cpp
+++ b/modules/net/http/HttpParser_test.cpp
@@ -39,7 +39,7 @@
     std::string pending;
     for (std::size_t at = 0; at < message.size() && !parser.problem(); at += pieceBytes) {
         pending += message.substr(at, pieceBytes);
-        bool isHead = !parser.isHeadDone();
+        const bool isHead = !parser.isHeadDone();
         pending.erase(0, parser.feed(pending));
         if (isHead && parser.isHeadDone() && !parser.problem())
             pending.erase(0, parser.feed(pending));
@@ -122,9 +122,11 @@
         for (const std::string &row : rows) {
             for (const std::size_t piece : pieces) {
                 const std::string head = startLine(kind) + "Transfer-Encoding: chunked\r\n\r\n";
-                const Parsed plain = parse(kind, head + "5\r\nhello\r\n0\r\n\r\n", piece);
-                const Parsed parsed =
-                    parse(kind, head + "5\r\nhello\r\n0\r\n" + row + "\r\n", piece);
+                std::string message = head + "5\r\nhello\r\n0\r\n";
+                const Parsed plain = parse(kind, message + "\r\n", piece);
+                message += row;
+                message += "\r\n";
+                const Parsed parsed = parse(kind, message, piece);
                 CAPTURE(row);
                 CAPTURE(piece);
                 CHECK_FALSE(parsed.problem.has_value());
