HTTP server: the largest request inside the limits is served in calm

A caller that sent one request inside maxBodyBytes got 503 from an instance that served nobody else: with 64 MB, a body of 8 MB, an eighth of the memory.

Cause: the limit on what callers hold together counts a body by its buffer's capacity, which append() doubles, and once more for the upstream's copy. A body of a ninth of the memory is over it by itself, and the check never asks whether anybody else holds anything.

Now a body counts by its bytes, twice, with 128 KB of unused buffer at most: the rest of a long buffer is mapped and was never written to.

--- a/modules/net/server/ServerConnection.cpp
+++ b/modules/net/server/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "net/server/ServerConnection.h"
 
 #include "net/server/ServerExchange.h"
+#include "runtime/memory/Allocator.h"
 
 #include <boost/asio/post.hpp>
 
@@ -84,8 +85,10 @@
 
 void ServerConnection::countMemory()
 {
-    // The upstream is sent a copy of the body.
-    requestMemory_.set(headMemory_ + body_.capacity() + body_.size());
+    // The upstream is sent a copy of the body. What a long buffer has beyond its content was never
+    // written to, and takes no memory.
+    const std::size_t unused = std::min(body_.capacity() - body_.size(), longBufferBytes);
+    requestMemory_.set(headMemory_ + 2 * body_.size() + unused);
     buffers_.set(input_.capacity() + output_.capacity() + queue_.capacity());
     if (server_.load_->heldBytes.load(std::memory_order_relaxed) > server_.limits_.heldBytes)
         server_.requestMemory();
@@ -96,13 +99,27 @@
     const HttpServerLimits &limits = server_.limits_;
     const std::uint64_t held = server_.load_->heldBytes.load(std::memory_order_relaxed);
     const bool isFull = held > limits.heldBytes + limits.heldBytes / 8;
-    if (!isFull && (held <= limits.heldBytes || heldBytes() <= limits.heldShare()))
+    if (!requestMemory_.isCountedApart() && !isFull
+        && (held <= limits.heldBytes || heldBytes() <= limits.heldShare()))
+        return false;
+    if (isServedAlone())
         return false;
     rejectAndClose(server_.hooks_.onProblem(
         503, {"memory", "requests and responses in progress have reached the memory limit"}));
     return true;
 }
 
+bool ServerConnection::isServedAlone()
+{
+    const std::uint64_t limit = server_.limits_.heldBytes;
+    const std::uint64_t own = requestMemory_.bytes();
+    // A body as long as the limit, its copy, and a head.
+    const std::uint64_t most = 2 * limit + limit / 8;
+    if (own <= limit / 2 || own > most || !requestMemory_.countApart())
+        return false;
+    return server_.load_->heldBytes.load(std::memory_order_relaxed) <= limit / 2;
+}
+
 void ServerConnection::beginRequest()
 {
     state_ = State::Idle;
--- a/modules/net/server/ServerConnection.h
+++ b/modules/net/server/ServerConnection.h
@@ -64,6 +64,11 @@
     void rejectMalformed(const HttpProblem &problem);
     /** Returns true if the request was refused, as callers hold too much memory. */
     bool rejectForMemory();
+    /**
+        Whether the request alone takes most of the memory for all, while others hold little. The
+        longest request inside the limits can be longer than that memory.
+    */
+    bool isServedAlone();
     /** Counts what is held now. */
     void countMemory();
     /** Whether the caller, not the program, has to go on. */
--- a/modules/runtime/memory/Allocator.cpp
+++ b/modules/runtime/memory/Allocator.cpp
@@ -7,9 +7,8 @@
 void returnLongBuffers()
 {
     // The library's own initial value; setting it ends its adjustment.
-    constexpr int longBytes = 128 * 1024;
-    mallopt(M_MMAP_THRESHOLD, longBytes);
-    mallopt(M_TRIM_THRESHOLD, longBytes);
+    mallopt(M_MMAP_THRESHOLD, static_cast<int>(longBufferBytes));
+    mallopt(M_TRIM_THRESHOLD, static_cast<int>(longBufferBytes));
 }
 
 } // namespace cuminrail
--- a/modules/runtime/memory/Allocator.h
+++ b/modules/runtime/memory/Allocator.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include <cstddef>
+
 namespace cuminrail {
 
+/** Buffers of this length and more are mapped one by one, and returned when they are freed. */
+inline constexpr std::size_t longBufferBytes = std::size_t{128} * 1024;
+
 /**
     Makes the C library return long buffers to the system as soon as they are freed. Call it once at
     the start of a process.
--- a/programs/cuminrail-gateway/ClientCrowds_test.cpp
+++ b/programs/cuminrail-gateway/ClientCrowds_test.cpp
@@ -1,6 +1,7 @@
 #include "CrowdCase.h"
 #include "net/testing/TestSocket.h"
 
+#include <array>
 #include <chrono>
 #include <thread>
 
@@ -71,6 +72,26 @@
     return requestHead(path) + "Content-Length: 5\r\n\r\nhello";
 }
 
+/** A whole request whose head and body are as long as the limits allow. */
+std::string largestRequest(const SiteLimits &limits, bool isChunked)
+{
+    const std::string length = isChunked
+        ? "Transfer-Encoding: chunked\r\n"
+        : "Content-Length: " + std::to_string(limits.bodyBytes) + "\r\n";
+    std::string head = requestHead("/safe/x") + length;
+    constexpr std::size_t room = 64;
+    while (head.size() + room < limits.headerBytes)
+        head += "a:\r\n";
+    const std::string body(limits.bodyBytes, 'x');
+    if (!isChunked)
+        return head + "\r\n" + body;
+    constexpr std::size_t chunkBytes = 16 * 1024;
+    std::string chunks;
+    for (std::size_t at = 0; at < body.size(); at += chunkBytes)
+        chunks += "4000\r\n" + body.substr(at, chunkBytes) + "\r\n";
+    return head + "\r\n" + chunks + "0\r\n\r\n";
+}
+
 /** Servers answer paths below "/safe/long" with a long response. */
 platform::ScriptedRun longResponses(const HttpHead &head)
 {
@@ -144,6 +165,15 @@
     checkCrowds(each);
 }
 
+// Guards against bodies of which one alone takes more than the part of the memory for all.
+TEST_CASE("bodies as long as a quarter of the memory, whose last byte never comes")
+{
+    CrowdCase each;
+    each.limits.bodyBytes = each.limits.memoryMb * megabyte / 4;
+    each.crowds = {{16, heldBack(each.limits.bodyBytes)}};
+    checkCrowds(each);
+}
+
 // Guards against responses that are kept for callers who do not read them.
 TEST_CASE("long responses that nobody reads")
 {
@@ -304,6 +334,39 @@
     checkCrowds(each);
 }
 
+// Guards against limits on what all callers hold that a single request inside the limits meets.
+TEST_CASE("the largest request inside the limits, alone")
+{
+    struct Row
+    {
+        const char *name;
+        std::uint64_t bodyBytes;
+        bool isChunked;
+    };
+    constexpr std::array<Row, 4> rows{{
+        {"an eighth of the memory, with a length", 8 * megabyte, false},
+        {"an eighth of the memory, in chunks", 8 * megabyte, true},
+        {"a quarter of the memory, with a length", 16 * megabyte, false},
+        {"a quarter of the memory, in chunks", 16 * megabyte, true},
+    }};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.name));
+        SiteLimits limits;
+        limits.bodyBytes = row.bodyBytes;
+        platform::GatewaySite site(limits);
+        REQUIRE(site.start(CUMINRAIL_GATEWAY));
+        const platform::UsageMonitor monitor(site.pid(), site.ports());
+        TestSocket socket = TestSocket::connectTo(site.callersPort());
+        REQUIRE(socket.send(largestRequest(limits, row.isChunked)));
+        const std::string response = socket.readMessage();
+        CAPTURE(response.substr(0, 300));
+        CHECK(response.rfind("HTTP/1.1 200", 0) == 0);
+        CHECK(monitor.peakMemoryBytes() <= limits.memoryMb * megabyte);
+        MESSAGE("peak " << monitor.peakMemoryBytes() / megabyte << " MB");
+        CHECK(site.answersOrdinaryRequest());
+    }
+}
+
 // Guards against a parser that ends the process when the last chunk comes in pieces.
 TEST_CASE("a body without content whose only chunk comes byte by byte")
 {
