Relay: a pause that a refusal without an identity asks for is kept on used connections, too

Cause: the relay takes what a refusal states of its upstream whoever it was for (docs/design/ what-proves-not-run.md), but only from heads that the connection passes on, and on a connection that has carried other requests such a head ends the attempt unread.

The connection now shows such a head to the relay, which reads the refusal's statements and nothing else: the attempt ends as before, and proves nothing.

Evidence: "a pause is kept although the refusal that asks for it has no identity" failed before in its two rows of used connections (2 of 6 assertions: further requests reached the upstream), passes now.

--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -47,6 +47,14 @@
     silenceTimer_.setAfter(attempt_.isStreaming ? streamTimeout() : silenceTimeout());
 }
 
+void RequestRelay::onUnidentifiedHead(const HttpHead &head)
+{
+    // As in onHead(): what a refusal states of the upstream holds, whoever it was for.
+    const ResponseTraits traits = context_.wire.decodeResponse(head);
+    if (traits.isRefusedUnrun)
+        recordStatements(context_, *target(), traits);
+}
+
 void RequestRelay::acceptHead(int status, std::vector<HttpHeader> headers, bool isStream)
 {
     attempt_.status = status;
--- a/modules/gateway/request/RelaySend.cpp
+++ b/modules/gateway/request/RelaySend.cpp
@@ -141,6 +141,10 @@
         if (self->pendingStep_.isCurrent(ticket))
             self->onHead(head);
     };
+    hooks.onUnidentifiedHead = [self, ticket](const HttpHead &head) {
+        if (self->pendingStep_.isCurrent(ticket))
+            self->onUnidentifiedHead(head);
+    };
     hooks.onBody = [self, ticket](std::string_view data) {
         if (self->pendingStep_.isCurrent(ticket))
             self->onBody(data);
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -213,6 +213,7 @@
     Millis streamTimeout() const;
 
     void onHead(HttpHead &head);
+    void onUnidentifiedHead(const HttpHead &head);
     void onBody(std::string_view data);
     /** Keeps a part of the response. Returns false if it is not one or is too long. */
     bool takeBody(std::string_view data);
--- a/modules/net/upstream/UpstreamCall.h
+++ b/modules/net/upstream/UpstreamCall.h
@@ -116,6 +116,12 @@
     /** A new connection was established; not called for one that is used again. */
     std::function<void()> onConnected;
     std::function<void(HttpHead &)> onHead;
+    /**
+        Optional. A head without an identity came where the response was expected, on a connection
+        that has carried other requests. It is the upstream's word, but answers nothing; the attempt
+        ends after it.
+    */
+    std::function<void(const HttpHead &)> onUnidentifiedHead = {};
     std::function<void(std::string_view)> onBody;
     std::function<void(const UpstreamEnd &)> onEnd;
 };
--- a/modules/net/upstream/UpstreamResponse.cpp
+++ b/modules/net/upstream/UpstreamResponse.cpp
@@ -34,12 +34,17 @@
     // caller's, is complete and well-formed. Only its identity shows that it belongs to another
     // request.
     const Owner owner = ownerOf(head);
+    const bool isBare = head.find(request_.identityHeader) == nullptr;
     if (owner != Owner::Request) {
-        const bool isBare = head.find(request_.identityHeader) == nullptr;
         noteStray(isBare ? StrayPlace::NoIdentity : StrayPlace::OtherIdentity, input_.size());
     }
     isStray_ = owner == Owner::EarlierRequest && canDiscard(head);
     if (owner != Owner::Request && !isStray_ && guardEnabled(Guard::AnswerIdentityChecked)) {
+        const auto attempt = attempt_;
+        if (isBare && hooks_.onUnidentifiedHead)
+            hooks_.onUnidentifiedHead(head);
+        if (attempt != attempt_ || state_ != State::Receiving)
+            return false;
         end(UpstreamEndKind::WrongIdentity, {address_, "response belongs to another request"});
         return false;
     }
