HTTP parser: a status outside of 100 to 599 is no response

What callers saw: a server in trouble answered with status 000, and the caller got it as an answer, with a status line that no client parses ("HTTP/1.1 0 <unknown-status>").

Cause: the parser took any three digits for a status, as Beast does, and everything behind it passed the number on: on all routes, for streams and for requests that may run once. A peer's frame and a stored response were read without a bound as well, so that an instance of another build could still hand one over.

Why the fix works: all that reads answers goes through HttpParser (upstreams, engines, the store, the platform's API, cuminraild), which refuses such a head as malformed before anybody sees it. A request that may be repeated goes on at another upstream; one that may run once gets 502, which says that it may have run. RFC 9110, section 15, lets a client treat 600 and above as a server error; here that is the 502, as passing the number on would leave each client to guess. The two other places where a status enters, a carried response's head and a stored response, have the same bound; the stored one ends as any unreadable claim does, "may have run".

--- a/modules/carriage/messages/CarriageMessages.cpp
+++ b/modules/carriage/messages/CarriageMessages.cpp
@@ -1,5 +1,6 @@
 #include "carriage/messages/CarriageMessages.h"
 
+#include "core/http/HttpStatus.h"
 #include "membership/messages/CborArrayReader.h"
 
 #include <algorithm>
@@ -164,7 +165,9 @@
 {
     CarriedHead head;
     head.call = message.number();
-    head.status = static_cast<std::uint16_t>(message.number(999));
+    head.status = static_cast<std::uint16_t>(message.number(maxHttpStatus));
+    if (!isFinalHttpStatus(head.status))
+        message.fail();
     head.isStream = message.boolean();
     head.fields = readFields(message);
     return head;
--- a/modules/carriage/messages/CarriageMessages_test.cpp
+++ b/modules/carriage/messages/CarriageMessages_test.cpp
@@ -78,3 +78,20 @@
     CHECK_FALSE(decodeCarriage(
         encodeCarriage(CarriedChunk{7, true, 0, std::string(CarriageLimits::chunk + 1, 'x')})));
 }
+
+// Guards against a status line that a peer of another build has let through.
+TEST_CASE("a carried response has a final status of HTTP")
+{
+    struct Row
+    {
+        std::uint16_t status;
+        bool isValid;
+    };
+    for (const Row &row :
+         {Row{0, false}, Row{99, false}, Row{100, false}, Row{199, false}, Row{200, true},
+          Row{503, true}, Row{599, true}, Row{600, false}, Row{999, false}}) {
+        CAPTURE(row.status);
+        CHECK(decodeCarriage(encodeCarriage(CarriedHead{7, row.status, false, {}})).has_value()
+              == row.isValid);
+    }
+}
--- a/modules/dispatch/claims/ClaimManager_test.cpp
+++ b/modules/dispatch/claims/ClaimManager_test.cpp
@@ -317,6 +317,24 @@
     CHECK(read->state == ClaimState::Done);
 }
 
+// Guards against a status line that an instance of another build has let through and stored.
+TEST_CASE("a stored response has a final status of HTTP")
+{
+    ClaimRecord record;
+    record.state = ClaimState::Done;
+    for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U, 4294967295U}) {
+        CAPTURE(status);
+        record.response = {status, "text/plain", "body", true};
+        Reason reason;
+        CHECK_FALSE(ClaimRecord::fromText(record.toText(), &reason).has_value());
+        CHECK(reason.where == "/answer/status");
+    }
+    for (const unsigned status : {200U, 404U, 599U}) {
+        record.response.status = status;
+        CHECK(ClaimRecord::fromText(record.toText(), nullptr).has_value());
+    }
+}
+
 // An operator or another program has written to the claims. To assume that the call never ran would
 // risk a second filing.
 TEST_CASE("a call with an unreadable claim is not run")
--- a/modules/dispatch/claims/ClaimRecord.cpp
+++ b/modules/dispatch/claims/ClaimRecord.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/claims/ClaimRecord.h"
 
+#include "core/http/HttpStatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cuminrail {
@@ -90,8 +92,13 @@
         record.instance = InstanceId(json.at("instance").get<std::string>());
         record.incarnation = json.at("incarnation").get<Incarnation>();
         record.requestSha256 = json.at("request_sha256").get<std::string>();
-        if (record.state == ClaimState::Done)
+        if (record.state == ClaimState::Done) {
             record.response = responseFromJson(json.at("answer"));
+            if (!isFinalHttpStatus(record.response.status)) {
+                fail(lastReason, "/answer/status", "is not the status of a final response");
+                return std::nullopt;
+            }
+        }
         return record;
     } catch (const Json::exception &error) {
         fail(lastReason, "claim", error.what());
--- a/modules/net/http/HttpParser.cpp
+++ b/modules/net/http/HttpParser.cpp
@@ -1,5 +1,7 @@
 #include "net/http/HttpParser.h"
 
+#include "core/http/HttpStatus.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 namespace cuminrail {
@@ -69,8 +71,11 @@
         head.target.assign(target.data(), target.size());
         head.version = version;
     }
-    void on_response_impl(int status, BeastString, int version, ErrorCode &) override
+    void on_response_impl(int status, BeastString, int version, ErrorCode &error) override
     {
+        // Beast takes any three digits. Others than these have no meaning that could be passed on.
+        if (!isHttpStatus(static_cast<std::uint64_t>(status)))
+            error = http::error::bad_status;
         head.status = status;
         head.version = version;
     }
--- a/modules/net/http/HttpParser.h
+++ b/modules/net/http/HttpParser.h
@@ -49,8 +49,9 @@
     Parses one HTTP/1.1 message incrementally, on top of Boost.Beast's parser.
 
     Stricter than Beast where two parsers of the same bytes could disagree: rejects repeated or
-    combined length headers, transfer codings other than one "chunked", and responses without a
-    length. Trailers are dropped: nothing that was decided by the head may be changed after it.
+    combined length headers, transfer codings other than one "chunked", responses without a length,
+    and status codes outside of 100 to 599. Trailers are dropped: nothing that was decided by the
+   head may be changed after it.
 */
 class HttpParser
 {
