HTTP parser: a header line that begins with a blank is refused

What callers saw: a server's head held the line " X-Bad: v", a header whose name begins with a blank, and the caller got the answer with that line joined to the value before it ("Response-Stamp: s-1 X-Bad: v"). Behind Request-Id, Content-Length, Server-Limit, Retry-After or Not-Executed it would have changed what the head says.

Cause: Beast takes such a line for the continuation of the one before it, the obsolete line folding. All other malformed lines (a blank, a tab, a control byte, NUL, DEL or a high byte in a name, a bare CR, an empty name, no colon) were refused before; their rows are kept in the test.

Why the fix works: the parser looks at the bytes of a head that Beast has consumed; a folded line is always consumed whole, so that it is found however the bytes come in. RFC 9112, section 5.2 lets a gateway refuse a folded response or replace the fold; a fold is no more than a server's fault here, so it is refused. The same holds for requests, which get 400.

--- a/modules/net/http/HttpParser.cpp
+++ b/modules/net/http/HttpParser.cpp
@@ -117,6 +117,13 @@
     return HttpProblemKind::Malformed;
 }
 
+/** Returns true if a line of a head continues the one before it, which Beast consumes together. */
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\n ") != std::string_view::npos
+        || head.find("\n\t") != std::string_view::npos;
+}
+
 /** Returns a problem if two parsers could derive different body lengths from this head. */
 std::optional<HttpProblem> lengthProblem(const HttpHead &head)
 {
@@ -162,7 +169,13 @@
     std::size_t used = 0;
     while (used < bytes.size() && !isDone() && !impl_->problem) {
         ErrorCode error;
-        used += impl_->put(bytes.substr(used), error);
+        const std::size_t consumed = impl_->put(bytes.substr(used), error);
+        if (!impl_->isHeadChecked && hasFoldedLine(bytes.substr(used, consumed))) {
+            impl_->problem =
+                HttpProblem{HttpProblemKind::Malformed, {"header", "a line begins with a blank"}};
+            break;
+        }
+        used += consumed;
         if (error == http::error::need_more)
             break;
         if (error) {
--- a/modules/net/http/HttpParser.h
+++ b/modules/net/http/HttpParser.h
@@ -50,8 +50,9 @@
 
     Stricter than Beast where two parsers of the same bytes could disagree: rejects repeated or
     combined length headers, transfer codings other than one "chunked", responses without a length,
-    and status codes outside of 100 to 599. Trailers are dropped: nothing that was decided by the
-   head may be changed after it.
+    status codes outside of 100 to 599, and header lines that begin with a blank, as RFC 9112,
+    section 5.2 allows. Trailers are dropped: nothing that was decided by the head may be changed
+    after it.
 */
 class HttpParser
 {
--- a/modules/net/http/HttpParserHead_test.cpp
+++ b/modules/net/http/HttpParserHead_test.cpp
@@ -45,3 +45,31 @@
         }
     }
 }
+
+// Guards against a line that one reader takes for a header and another for a part of a value.
+TEST_CASE("a header line that begins with a blank is refused")
+{
+    struct Row
+    {
+        const char *lines;
+        bool isValid;
+    };
+    for (const Row &row :
+         {Row{"X-One: a\r\nX-Two: b\r\n", true}, Row{"X-One: \r\n", true}, Row{"X-One:\r\n", true},
+          Row{"X-One: a b\tc\r\n", true}, Row{" X-One: a\r\n", false},
+          Row{"X-One: a\r\n X-Two: b\r\n", false}, Row{"X-One: a\r\n\tX-Two: b\r\n", false},
+          Row{"X-One: a\r\n \r\n", false}, Row{"X-One:\r\n a\r\nX-Two: b\r\n", false},
+          Row{"X-Two: b\r\nX-One: a\r\n \r\n c\r\n", false}}) {
+        for (const std::size_t piece : pieces) {
+            CAPTURE(std::string(row.lines));
+            CAPTURE(piece);
+            CHECK(isMalformed(HttpParser::Kind::Response,
+                              std::string("HTTP/1.1 204 No Content\r\n") + row.lines + "\r\n",
+                              piece)
+                  == !row.isValid);
+            CHECK(isMalformed(HttpParser::Kind::Request,
+                              std::string("GET / HTTP/1.1\r\n") + row.lines + "\r\n", piece)
+                  == !row.isValid);
+        }
+    }
+}
