Upstream connections: a response that ends before its request was received is not complete

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body, ended its side of the connection and reset it while the upload was still on its way. The caller got the part as a complete answer.

Cause: a response without a length is complete at an orderly end of its connection. An end that comes while the gateway is still writing was taken for a broken connection before; but once the kernel has taken the rest of the upload, the gateway counts it as sent, though the server has received only the beginning. 2 MB fit into the kernel's buffers, 7 MB do not.

Why the fix works: an end acknowledges all that was received before it. If bytes of the request are unacknowledged then (SIOCOUTQ), the server ended its connection without having received the request, so that this end delimits nothing: the attempt is broken and may have run. A server that has read its whole request has acknowledged it all. Where the kernel does not tell, all is as before.

--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -154,7 +154,9 @@
         return;
     }
     if (error == boost::asio::error::eof && state_ == State::Receiving) {
-        if (!isStray_)
+        const bool isRequestReceived = !hasUnacknowledged();
+        // Whoever ends its connection before it has received the request has not responded to it.
+        if (!isStray_ && isRequestReceived)
             parser_->handleEof();
         isDelimitedByClose_ = parser_->isDone() && isHeadAccepted_;
         if (isDelimitedByClose_ && embedded_
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -36,6 +36,8 @@
     bool isStale();
     /** Returns true if the other end has not answered a keep-alive probe in time. */
     bool isUnanswered();
+    /** Returns true if the other end has not received all that was sent, as far as is known. */
+    bool hasUnacknowledged();
     /** Returns when the connection became idle; valid only while it is idle. */
     Millis idleSince() const { return idleSince_; }
 
--- a/modules/net/upstream/UpstreamSocket.cpp
+++ b/modules/net/upstream/UpstreamSocket.cpp
@@ -5,7 +5,9 @@
 
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cuminrail::detail {
@@ -90,6 +92,12 @@
     return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool UpstreamConnection::hasUnacknowledged()
+{
+    int bytes = 0;
+    return ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 bool UpstreamConnection::isUnanswered()
 {
     constexpr Millis replyTime(200);
