SSE reader: an event that repeats is no progress, and many events cost their length alone

What callers saw: servers that sent one small event again and again, in large pieces, took a whole core for as long as the requests' time lasted; ordinary callers of the machine went unanswered.

For each event the reader looked through all bytes behind it for the other kind of event's end, so that n events of a read cost n times its length. And a repeated event was dropped, but counted as progress: such a stream went on until its time was over, without a bound on bytes.

Why the fix works: the end of an event is found by one pass over its lines. A resumed stream may begin at an earlier event, as the reader starts anew then.

--- a/modules/net/http/SseReader.cpp
+++ b/modules/net/http/SseReader.cpp
@@ -7,20 +7,20 @@
 
 namespace {
 
-constexpr std::string_view eventEnd = "\n\n";
-constexpr std::string_view eventEndCrLf = "\r\n\r\n";
-constexpr std::size_t maxEventEnd = eventEndCrLf.size();
+/** The longest bytes that end an event: "\r\n\r\n". */
+constexpr std::size_t maxEventEnd = 4;
 
 /** Returns the length of the first complete event, or 0. */
 std::size_t firstEventLength(std::string_view bytes)
 {
-    const auto plain = bytes.find(eventEnd);
-    const auto crLf = bytes.find(eventEndCrLf);
-    if (plain == std::string_view::npos && crLf == std::string_view::npos)
-        return 0;
-    if (plain < crLf)
-        return plain + eventEnd.size();
-    return crLf + eventEndCrLf.size();
+    for (auto at = bytes.find('\n'); at != std::string_view::npos; at = bytes.find('\n', at + 1)) {
+        const std::string_view behind = bytes.substr(at + 1);
+        if (behind.substr(0, 1) == "\n")
+            return at + 2;
+        if (at > 0 && bytes[at - 1] == '\r' && behind.substr(0, 2) == "\r\n")
+            return at + 3;
+    }
+    return 0;
 }
 
 std::optional<std::string_view> valueOf(std::string_view line, std::string_view name)
@@ -94,11 +94,14 @@
         }
         begin = end + 1;
     }
-    if (!hasData && !event.number) {
+    const bool isRepeated = event.number && lastNumber_ && *event.number <= *lastNumber_;
+    if (isRepeated || (!hasData && !event.number)) {
         eventlessBytes_ += bytes.size();
         return;
     }
     eventlessBytes_ = 0;
+    if (event.number)
+        lastNumber_ = event.number;
     onEvent_(event);
 }
 
--- a/modules/net/http/SseReader.h
+++ b/modules/net/http/SseReader.h
@@ -24,7 +24,8 @@
 /**
     Splits a byte stream into complete server-sent events.
 
-    Blocks with neither data nor a number, such as comments, are dropped.
+    Blocks with neither data nor a number, such as comments, are dropped, and so are events whose
+    number is not higher than the one before.
 
     Only complete events are forwarded to a caller. If the upstream's connection breaks within an
     event, the stream can be resumed at that event's number, and the caller never sees a partial
@@ -40,16 +41,17 @@
     explicit SseReader(std::function<void(const SseEvent &)> onEvent);
 
     /**
-        Parses received bytes. Returns false when more than maxEventBytes came without an event: a
-        longer one, or comments.
+        Parses received bytes. Returns false when more than maxEventBytes came without a new event:
+        a longer one, comments, or events that repeat.
     */
     bool feed(std::string_view bytes);
 
-    /** Discards an incomplete event before the stream is resumed. */
+    /** Discards an incomplete event before the stream is resumed, which may begin anew. */
     void discardPartial()
     {
         partial_.clear();
         eventlessBytes_ = 0;
+        lastNumber_.reset();
     }
 
     /** Returns true when bytes of an incomplete event are buffered. */
@@ -62,8 +64,9 @@
 
     std::function<void(const SseEvent &)> onEvent_;
     std::string partial_;
-    /** Bytes of comments and the like since the last event. */
+    /** Bytes of comments, repeated events and the like since the last event. */
     std::size_t eventlessBytes_ = 0;
+    std::optional<std::uint64_t> lastNumber_;
 };
 
 } // namespace cuminrail
--- a/modules/net/http/SseReader_test.cpp
+++ b/modules/net/http/SseReader_test.cpp
@@ -59,6 +59,10 @@
              Row{"", ": comment\n\n", false},
              Row{"", ": comment\n", false},
              Row{"data: ", "more", false},
+             Row{"", "id: 1\n\n", false},
+             Row{"", "id: 1\ndata: a\n\n", false},
+             Row{"id: 2\n\n", "id: 1\ndata: a\n\n", false},
+             Row{"", "id: 1\ndata: a\n\ndata: b\n\n", true},
          }) {
         CAPTURE(std::string(row.repeated));
         SseReader reader([](const SseEvent &) {});
@@ -90,3 +94,34 @@
     CHECK(length == parts * 4);
     CHECK(took.count() < 2);
 }
+
+// Guards against readers that look through the rest of what has arrived again for each event.
+TEST_CASE("many events at once are read in time proportional to their length")
+{
+    for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+        CAPTURE(end);
+        constexpr std::size_t count = 200000;
+        std::string block;
+        for (std::size_t i = 0; i < count; ++i)
+            block += "id: " + std::to_string(i) + end;
+        std::size_t events = 0;
+        SseReader reader([&events](const SseEvent &) { ++events; });
+        const auto begun = std::chrono::steady_clock::now();
+        CHECK(reader.feed(block));
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+        CHECK(events == count);
+        CHECK(took.count() < 2);
+    }
+}
+
+// Guards against events that the caller gets twice, and against a resumed stream that is dropped.
+TEST_CASE("an event whose number does not rise is dropped, until the stream is resumed")
+{
+    std::string found;
+    SseReader reader([&found](const SseEvent &event) { found += std::string(event.data) + "|"; });
+    reader.feed("id: 2\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: c\n\ndata: d\n\n");
+    CHECK(found == "a|d|");
+    reader.discardPartial();
+    reader.feed("id: 1\ndata: e\n\nid: 2\ndata: f\n\nid: 4\ndata: g\n\n");
+    CHECK(found == "a|d|e|f|g|");
+}
--- a/modules/net/testing/EndlessUpstream.h
+++ b/modules/net/testing/EndlessUpstream.h
@@ -25,9 +25,11 @@
     /** Server-sent comments and never an event. */
     Comments,
     SingleEvent,
+    /** The same event again and again. */
+    RepeatedEvent,
 };
 
-inline constexpr NameTable<EndlessPart, 10> endlessPartNames{{{
+inline constexpr NameTable<EndlessPart, 11> endlessPartNames{{{
     {EndlessPart::Head, "head"},
     {EndlessPart::HeadLine, "head-line"},
     {EndlessPart::InterimResponses, "interim-responses"},
@@ -38,6 +40,7 @@
     {EndlessPart::LongBody, "long-body"},
     {EndlessPart::Comments, "comments"},
     {EndlessPart::SingleEvent, "single-event"},
+    {EndlessPart::RepeatedEvent, "repeated-event"},
 }}};
 
 enum class SendSpeed : std::uint8_t {
@@ -84,6 +87,8 @@
         return {chunked, chunk(": more\n\n")};
     case EndlessPart::SingleEvent:
         return {chunked + chunk("id: 1\ndata: "), chunk("more")};
+    case EndlessPart::RepeatedEvent:
+        return {chunked, chunk(event(1, "one"))};
     }
     return {};
 }
