Responses: heads and parts that are never whole share one bound

What callers saw: faulty servers sent events that never ended, each within its bound of 1 MB, or heads of thousands of short lines.

Cause: each response was bounded by itself, their sum was not. Only bodies that are buffered whole were counted, up to an eighth of the memory. And a connection that was closed kept its buffers until the event loop had reported its cancelled operations, so that a hundred heads that came at once were all kept, however soon each was refused.

Why the fix works: the budget for buffered responses belongs to the pool of connections now, and everything that is kept of a response while it arrives counts in it: heads, unparsed input, what may be a second response's head, incomplete events. Parts that are not whole share half of it, so that they never keep whole responses out; the attempt whose part would grow beyond is ended as malformed, which frees its memory at once, and its request goes on elsewhere if it may.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -27,11 +27,13 @@
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
 
-UpstreamPoolLimits poolLimits()
+UpstreamPoolLimits poolLimits(const InstanceSettings &settings)
 {
     UpstreamPoolLimits limits;
     limits.idlePerAddress = 12;
+    constexpr std::size_t responseMemoryDivisor = 8;
     limits.idleTimeout = Millis::seconds(4);
+    limits.responseBytes = std::size_t{settings.memoryMb} * 1024 * 1024 / responseMemoryDivisor;
     return limits;
 }
 
@@ -60,7 +62,7 @@
 Gateway::Gateway(InstanceSettings settings, GatewayProtocol wire, Environment environment)
     : settings_(std::move(settings)), wire_(std::move(wire)),
       environment_(withEraHook(std::move(environment), [this](StoreEra era) { onStoreEra(era); })),
-      pool_(environment_.io, environment_.deadlines, poolLimits()),
+      pool_(environment_.io, environment_.deadlines, poolLimits(settings_)),
       context_(wire_, environment_.deadlines, pool_, settings_),
       callers_(environment_.io, environment_.deadlines, callerLimits(CallerLimits(), settings_),
                serverHooks([this](const auto &exchange) { onRequest(exchange); }), load_),
--- a/modules/gateway/request/RelayAnswer.cpp
+++ b/modules/gateway/request/RelayAnswer.cpp
@@ -42,6 +42,8 @@
         return rejectResponse(UpstreamEndKind::Malformed, "not vouched for by the upstream");
     acceptHead(head.status, context_.wire.callerHeaders(head),
                isSuccess && route_->kind == RouteKind::Stream);
+    if (attempt_.isInvalid)
+        return rejectResponse(UpstreamEndKind::Malformed, "no memory for its head");
     if (!attempt_.mismatch.empty() && !attempt_.traits.isRefusedUnrun)
         return cutResponse({UpstreamEndKind::Complete, Verdict::Ran, {}});
     silenceTimer_.setAfter(attempt_.isStreaming ? streamTimeout() : silenceTimeout());
@@ -59,6 +61,8 @@
 {
     attempt_.status = status;
     attempt_.headers = std::move(headers);
+    attempt_.headMemory = memoryBytesOf(attempt_.headers);
+    attempt_.isInvalid = !attempt_.memory.setToPart(context_.responses, attempt_.headMemory);
     if (openResponse_)
         attempt_.mismatch = openResponse_->mismatch(status, attempt_.headers);
     attempt_.isStreaming = isStream && attempt_.mismatch.empty();
@@ -83,7 +87,11 @@
         attempt_.ignoredBytes += data.size();
         return attempt_.ignoredBytes <= maxIgnoredBytes || !call_.isActive();
     }
-    return attempt_.isStreaming ? sseReader_.feed(data) : bufferBody(data);
+    if (!attempt_.isStreaming)
+        return bufferBody(data);
+    return sseReader_.feed(data)
+        && attempt_.memory.setToPart(context_.responses,
+                                     attempt_.headMemory + sseReader_.partialBytes());
 }
 
 bool RequestRelay::bufferBody(std::string_view data)
@@ -96,7 +104,7 @@
     if (size > body.capacity()) {
         const std::size_t doubled = std::min(body.capacity() * 2, ResponseBudget::maxResponseBytes);
         const std::size_t capacity = std::max(size, doubled);
-        if (!attempt_.bodyShare.growTo(context_.responses, capacity))
+        if (!attempt_.memory.growTo(context_.responses, attempt_.headMemory + capacity))
             return false;
         body.reserve(capacity);
     }
--- a/modules/gateway/request/RelayAttempt.h
+++ b/modules/gateway/request/RelayAttempt.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dataplane/dataplane.h"
-#include "gateway/request/ResponseBudget.h"
 #include "net/http/HttpHead.h"
+#include "net/upstream/ResponseBudget.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,8 +31,11 @@
     bool isIdentified = false;
     ResponseTraits traits;
     std::vector<HttpHeader> headers;
+    /** Of the headers. */
+    std::size_t headMemory = 0;
     std::string body;
-    ResponseShare bodyShare;
+    /** What the response takes here. */
+    ResponseShare memory;
     /** Of a body that is not needed. */
     std::size_t ignoredBytes = 0;
     bool isStreaming = false;
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -14,7 +14,6 @@
 #include "gateway/path/PathProber.h"
 #include "gateway/request/RelayCounters.h"
 #include "gateway/request/RequestStep.h"
-#include "gateway/request/ResponseBudget.h"
 #include "net/upstream/UpstreamPool.h"
 #include "quarantine/quarantine.h"
 #include "quotas/quotas.h"
@@ -80,8 +79,8 @@
     /** Differs between instances, see LeastLoaded. */
     std::uint64_t spreadKey = StableHash().add(settings.name).value();
     RetryAllowance retries;
-    /** An eighth of the memory. */
-    ResponseBudget responses{std::size_t{settings.memoryMb} * 1024 * 1024 / 8};
+    /** Of the pool. */
+    ResponseBudget &responses = pool.responses();
     /** Whether new connections reach the upstreams. */
     PathProber path;
     RelayCounters counters;
--- a/modules/net/http/HttpHead.cpp
+++ b/modules/net/http/HttpHead.cpp
@@ -46,14 +46,19 @@
                       [&](const HttpHeader &header) { return sameHeaderName(header.name, name); }));
 }
 
-std::size_t HttpHead::memoryBytes() const
+std::size_t memoryBytesOf(const std::vector<HttpHeader> &headers)
 {
-    std::size_t bytes = target.capacity() + headers.capacity() * sizeof(HttpHeader);
+    std::size_t bytes = headers.capacity() * sizeof(HttpHeader);
     for (const HttpHeader &header : headers)
         bytes += heapBytes(header.name) + heapBytes(header.value);
     return bytes;
 }
 
+std::size_t HttpHead::memoryBytes() const
+{
+    return target.capacity() + memoryBytesOf(headers);
+}
+
 std::string_view HttpHead::path() const
 {
     return std::string_view(target).substr(0, target.find('?'));
--- a/modules/net/http/HttpHead.h
+++ b/modules/net/http/HttpHead.h
@@ -16,6 +16,9 @@
 /** Returns true when two header names are the same, whatever their case. */
 bool sameHeaderName(std::string_view left, std::string_view right);
 
+/** Returns how much memory header lines take, which is a multiple of their length on the wire. */
+std::size_t memoryBytesOf(const std::vector<HttpHeader> &headers);
+
 /** The start line and headers of a request or a response. */
 struct HttpHead
 {
--- a/modules/net/http/HttpParser.cpp
+++ b/modules/net/http/HttpParser.cpp
@@ -176,6 +176,7 @@
             break;
         }
         used += consumed;
+        headBytes_ += impl_->isHeadChecked ? 0 : consumed;
         if (error == http::error::need_more)
             break;
         if (error) {
@@ -222,6 +223,11 @@
                                      {"message", "too much framing for its body"}};
 }
 
+std::size_t HttpParser::headMemoryBytes() const
+{
+    return headBytes_ + impl_->head.headers.capacity() * sizeof(HttpHeader);
+}
+
 void HttpParser::handleEof()
 {
     if (!isCloseDelimitedAllowed_ || !isHeadDone() || isDone() || !impl_->isCloseDelimited())
--- a/modules/net/http/HttpParser.h
+++ b/modules/net/http/HttpParser.h
@@ -72,6 +72,8 @@
         body is parsed.
     */
     std::size_t feed(std::string_view bytes);
+    /** Returns about how much memory the head takes, also while it is not whole. */
+    std::size_t headMemoryBytes() const;
     /** Returns how many bytes of the body were parsed. */
     std::uint64_t bodyBytes() const { return bodyBytes_; }
 
@@ -109,6 +111,8 @@
 
     std::unique_ptr<Impl> impl_;
     HttpLimits limits_;
+    /** Length of the part of the head that was parsed. */
+    std::size_t headBytes_ = 0;
     std::uint64_t bodyBytes_ = 0;
     /** Bytes consumed after the head that are not the body's. */
     std::uint64_t framingBytes_ = 0;
--- a/modules/net/http/SseReader.h
+++ b/modules/net/http/SseReader.h
@@ -56,6 +56,8 @@
 
     /** Returns true when bytes of an incomplete event are buffered. */
     bool hasPartial() const { return !partial_.empty(); }
+    /** Returns how much memory an incomplete event takes. */
+    std::size_t partialBytes() const { return partial_.capacity(); }
 
 private:
     std::size_t parseEvents(std::string_view bytes);
--- a/modules/gateway/request/ResponseBudget_test.cpp
+++ b/modules/net/upstream/ResponseBudget_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request/ResponseBudget.h"
+#include "net/upstream/ResponseBudget.h"
 
 #include <doctest/doctest.h>
 
@@ -31,3 +31,27 @@
     }
     CHECK(budget.used() == 0);
 }
+
+// Guards against heads and events that are never whole and keep whole responses out.
+TEST_CASE("parts of responses share half of the budget, and give back what they no longer take")
+{
+    constexpr std::size_t freeBytes = 10;
+    ResponseBudget budget(100);
+    ResponseShare part(freeBytes);
+    CHECK(part.setToPart(budget, freeBytes));
+    CHECK(budget.used() == 0);
+    CHECK(part.setToPart(budget, freeBytes + 40));
+    ResponseShare other(freeBytes);
+    CHECK_FALSE(other.setToPart(budget, freeBytes + 11));
+    ResponseShare whole(freeBytes);
+    CHECK(whole.growTo(budget, freeBytes + 60));
+    CHECK_FALSE(other.setToPart(budget, freeBytes + 1));
+    CHECK(part.setToPart(budget, freeBytes + 10));
+    CHECK(budget.used() == 70);
+    CHECK(other.setToPart(budget, freeBytes + 30));
+    CHECK_FALSE(other.setToPart(budget, freeBytes + 31));
+    CHECK(other.growTo(budget, freeBytes + 30));
+    CHECK(other.setToPart(budget, 0));
+    CHECK(part.setToPart(budget, 0));
+    CHECK(budget.used() == 60);
+}
--- a/modules/net/upstream/UpstreamConnection.cpp
+++ b/modules/net/upstream/UpstreamConnection.cpp
@@ -135,6 +135,23 @@
     isReading_ = false;
     if (state_ == State::Closed)
         return;
+    const auto self = shared_from_this();
+    handleRead(error, size);
+    // Operations that were cancelled keep the connection until the event loop reports them.
+    if (state_ == State::Closed)
+        freeMemory();
+}
+
+void UpstreamConnection::freeMemory()
+{
+    parser_.reset();
+    embedded_.reset();
+    input_ = {};
+    memory_.setToPart(pool_.responses_, 0);
+}
+
+void UpstreamConnection::handleRead(const boost::system::error_code &error, std::size_t size)
+{
     if (state_ == State::Idle) {
         // No request is in progress: either the upstream closes, or these bytes belong to a
         // response that its request no longer waits for. The next request must not receive them.
@@ -171,10 +188,20 @@
     if (input_.empty())
         expectWithin(request_.timeouts.stall);
     input_.append(chunk_.data(), size);
+    const auto attempt = attempt_;
     if (state_ == State::Receiving)
         parse();
     else if (input_.size() < chunk_.size())
         read();
+    if (attempt == attempt_ && !countMemory())
+        end(UpstreamEndKind::Malformed, {address_, "responses that are not whole take too much"});
+}
+
+bool UpstreamConnection::countMemory()
+{
+    const std::size_t embeddedBytes = embedded_ ? embedded_->pendingBytes() : 0;
+    return memory_.setToPart(pool_.responses_,
+                             parser_->headMemoryBytes() + input_.size() + embeddedBytes);
 }
 
 void UpstreamConnection::parse()
@@ -237,6 +264,7 @@
     ++attempt_;
     isPaused_ = false;
     input_.clear();
+    memory_.setToPart(pool_.responses_, 0);
     deadline_.setAfter(timeout);
     pool_.keepIdle(shared_from_this());
     read();
--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -54,6 +54,9 @@
     void onSent(const boost::system::error_code &error, std::size_t size);
     void read();
     void onRead(const boost::system::error_code &error, std::size_t size);
+    void handleRead(const boost::system::error_code &error, std::size_t size);
+    /** Frees what was kept of a response, after the connection was closed. */
+    void freeMemory();
     void parse();
     bool acceptHead();
     /** Handles an interim response; returns whether the connection goes on. */
@@ -66,6 +69,9 @@
     void endSpliced();
     /** Reads over bytes of an earlier request's response; returns whether to parse on now. */
     bool readOverStray(std::size_t size);
+    /** Counts what is kept of the response. Returns false if all responses together keep too much.
+     */
+    bool countMemory();
     /**
         Handles the end of a body whose last bytes may be the beginning of another response: waits
         for a moment whether it goes on. Returns whether the attempt goes on or has ended.
@@ -118,6 +124,8 @@
     bool isPaused_ = false;
     std::array<char, 16 * 1024> chunk_;
     std::string input_;
+    /** What is kept here of the response. */
+    ResponseShare memory_{ResponseBudget::freePartBytes};
     Millis idleSince_;
     /** The attempt is ended then, whatever progress it makes. */
     Millis endsAt_ = Millis::never();
--- a/modules/net/upstream/UpstreamPool.cpp
+++ b/modules/net/upstream/UpstreamPool.cpp
@@ -51,7 +51,7 @@
 
 UpstreamPool::UpstreamPool(boost::asio::io_context &io, DeadlineList &deadlines,
                            UpstreamPoolLimits limits)
-    : io_(io), deadlines_(deadlines), limits_(limits)
+    : io_(io), deadlines_(deadlines), limits_(limits), responses_(limits.responseBytes)
 { }
 
 UpstreamPool::~UpstreamPool()
--- a/modules/net/upstream/UpstreamPool.h
+++ b/modules/net/upstream/UpstreamPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/stream/ByteStream.h"
+#include "net/upstream/ResponseBudget.h"
 #include "net/upstream/StrayResponse.h"
 #include "net/upstream/UpstreamCall.h"
 #include "runtime/time/DeadlineList.h"
@@ -46,6 +47,8 @@
     /** Short, as a middlebox may drop the state of a connection that is idle for long. */
     Millis idleTimeout = Millis::seconds(20);
     std::uint32_t responseHeadBytes = 16 * 1024;
+    /** For what is kept of all responses while they arrive. */
+    std::size_t responseBytes = std::numeric_limits<std::size_t>::max();
     /** TCP keep-alive, in whole seconds: time without traffic before the first probe, then
      * interval.
      */
@@ -100,6 +103,9 @@
     /** Ends all connections and attempts at once, without calling onEnd. */
     void closeAll();
 
+    /** What is kept of responses; those who buffer a response count their part in it, too. */
+    ResponseBudget &responses() { return responses_; }
+
     /** Returns the number of idle connections. */
     std::size_t idleConnections() const;
     std::size_t openConnections() const { return open_.size(); }
@@ -118,6 +124,7 @@
     boost::asio::io_context &io_;
     DeadlineList &deadlines_;
     UpstreamPoolLimits limits_;
+    ResponseBudget responses_;
     SendFaultHook faultHook_;
     std::function<void()> idleLost_;
     std::function<void(const StrayResponse &)> strayFound_;
