Version census: a first list that comes late says nothing of the time before it

What callers saw elsewhere: streams that were taken up after all instances were killed at once were joined from two software versions, with nothing in the answer to show it.

Checked here: with all instances killed no stream is taken up without a record until one version alone has been listed for as long as a stream lasts, so that its caller hears that it must begin anew.

Cause of what did not hold: on the first start of the whole system no version was in use before, so the first list was believed to be the whole past, whenever it came. An instance that reached the store seconds later than the others took the version of its first list for the one at which streams had begun elsewhere meanwhile.

After a later first list the census waits as after any other start; a peer that has seen more still confirms.

--- a/modules/dataplane/fleet/UpstreamDirectory.h
+++ b/modules/dataplane/fleet/UpstreamDirectory.h
@@ -92,8 +92,11 @@
 
     /** The software versions of all listed upstreams, leaving ones included. */
     const VersionCensus &versions() const { return versions_; }
-    /** No upstream of any other version has ever served, as the whole system starts anew. */
-    void setNoVersionsBefore() { versions_.setNothingBefore(); }
+    /**
+        No upstream of any other version has served until now, as the whole system starts anew;
+        believed if the first list comes by then.
+    */
+    void setNoVersionsBefore(Millis until) { versions_.setNothingBefore(until); }
     /** Sets for how long a version counts after its last upstream was removed. */
     void setVersionRetention(Millis retention) { versions_.setRetention(retention); }
 
--- a/modules/dataplane/fleet/VersionCensus.cpp
+++ b/modules/dataplane/fleet/VersionCensus.cpp
@@ -64,7 +64,9 @@
 bool VersionCensus::isSettled(const std::string &service, Millis now) const
 {
     const auto found = services_.find(service);
-    const bool isKnownSince = beganAt_ && (isNothingBefore_ || now - *beganAt_ >= retention_);
+    const bool isNothingBefore =
+        beganAt_ && nothingBeforeUntil_ && *beganAt_ <= *nothingBeforeUntil_;
+    const bool isKnownSince = beganAt_ && (isNothingBefore || now - *beganAt_ >= retention_);
     if (!isKnownSince || found == services_.end())
         return false;
     std::size_t listedNow = 0;
--- a/modules/dataplane/fleet/VersionCensus.h
+++ b/modules/dataplane/fleet/VersionCensus.h
@@ -22,8 +22,11 @@
     /** Sets for how long a version that is no longer listed counts: as long as a stream lasts. */
     void setRetention(Millis retention) { retention_ = retention; }
     Millis retention() const { return retention_; }
-    /** No version was in use before the first list. */
-    void setNothingBefore() { isNothingBefore_ = true; }
+    /**
+        No version was in use until now. A list that comes later than @c until may lack versions
+        that were listed in between.
+    */
+    void setNothingBefore(Millis until) { nothingBeforeUntil_ = until; }
     /** The first complete list of upstreams is known; what was listed before is not. */
     void begin(Millis now);
     void added(const std::string &service, const std::string &version, Millis now);
@@ -56,7 +59,7 @@
 
     Millis retention_ = Millis::seconds(20);
     std::optional<Millis> beganAt_;
-    bool isNothingBefore_ = false;
+    std::optional<Millis> nothingBeforeUntil_;
     std::unordered_map<std::string, Service> services_;
 };
 
--- a/modules/gateway/GatewayStreams.cpp
+++ b/modules/gateway/GatewayStreams.cpp
@@ -13,7 +13,8 @@
         }});
     // Nothing can have begun before the first start of the whole system.
     if (settings_.isFirstStart)
-        context_.directory.setNoVersionsBefore();
+        context_.directory.setNoVersionsBefore(environment_.clock.now()
+                                               + StreamOrigins::spreadTime);
     if (!settings_.links.isSet())
         context_.origins->setPeers({{InstanceId(settings_.name), {}}});
 }
--- a/modules/streams/origin/StreamOrigins_test.cpp
+++ b/modules/streams/origin/StreamOrigins_test.cpp
@@ -137,6 +137,89 @@
     }
 }
 
+// Guards against streams joined from two versions where no instance knows the first one any more.
+TEST_CASE("no stream has events of two versions after all instances were killed at once")
+{
+    struct Row
+    {
+        std::string name;
+        /** Upstreams of six that a release replaces before the end, and while no instance runs. */
+        int replacedBefore;
+        int replacedMeanwhile;
+        Millis listDelay;
+        bool isKilledAgain;
+    };
+    for (const Row &row : {Row{"two versions", 3, 0, Millis(0), false},
+                           Row{"the old one just left", 6, 0, Millis(0), false},
+                           Row{"the old one leaves meanwhile", 3, 3, Millis(0), false},
+                           Row{"released meanwhile", 0, 6, Millis(0), false},
+                           Row{"late list", 3, 3, Millis(1500), false},
+                           Row{"one is killed again", 3, 3, Millis(0), true}}) {
+        CAPTURE(row.name);
+        int takenUp = 0;
+        for (int seed = 0; seed < 10; ++seed) {
+            CAPTURE(seed);
+            StreamCluster cluster(6, 3, static_cast<std::uint64_t>(seed + 900));
+            cluster.retryInterval = Millis(200);
+            beginStreams(cluster, 40);
+            cluster.advance(Millis(400));
+            for (int i = 0; i < row.replacedBefore; ++i)
+                cluster.replaceUpstream("v1", "v1.1");
+            beginStreams(cluster, 40);
+            cluster.advance(Millis(200));
+            for (int i = 0; i < cluster.count(); ++i)
+                cluster.kill(i);
+            cluster.advance(Millis(500));
+            for (int i = 0; i < row.replacedMeanwhile; ++i)
+                cluster.replaceUpstream("v1", "v1.1");
+            cluster.advance(Millis(500));
+            for (int i = 0; i < cluster.count(); ++i) {
+                cluster.start(i, {false, row.listDelay});
+                cluster.advance(Millis(50));
+            }
+            if (row.isKilledAgain) {
+                cluster.advance(Millis(500));
+                cluster.kill(0);
+                cluster.advance(Millis(500));
+                cluster.start(0);
+            }
+            cluster.advance(Millis(4000));
+            CHECK(cluster.counts.mixed == 0);
+            CHECK(cluster.counts.heardLate == 0);
+            takenUp += cluster.counts.takenUp;
+        }
+        CHECK(takenUp > 100);
+    }
+}
+
+// Guards against an instance that takes the first version it lists for the first one there was.
+TEST_CASE("an instance whose first list comes late knows of no stream that began before it")
+{
+    for (const Millis listDelay : {Millis(0), Millis(5000)}) {
+        CAPTURE(listDelay.count());
+        StreamCluster cluster(3, 3, 12);
+        cluster.retryInterval = Millis(200);
+        for (int i = 0; i < cluster.count(); ++i)
+            cluster.kill(i);
+        for (int i = 0; i < cluster.count(); ++i)
+            cluster.start(i, {true, i == 0 ? listDelay : Millis(0)});
+        cluster.advance(Millis(4400));
+        for (int i = 0; i < 60; ++i)
+            cluster.beginStream(1 + i % 2);
+        cluster.advance(Millis(500));
+        cluster.kill(1);
+        cluster.kill(2);
+        for (int i = 0; i < 6; ++i)
+            cluster.replaceUpstream("v1", "v1.1");
+        cluster.advance(Millis(1000));
+        cluster.start(1);
+        cluster.start(2);
+        cluster.advance(Millis(4000));
+        CHECK(cluster.counts.takenUp > 10);
+        CHECK(cluster.counts.mixed == 0);
+    }
+}
+
 // Guards against a caller that has an event while only the first instance knows its version.
 TEST_CASE("the first event is passed on after other instances keep the stream's version")
 {
--- a/modules/streams/testing/StreamCluster.h
+++ b/modules/streams/testing/StreamCluster.h
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cuminrail::testing {
@@ -72,8 +74,18 @@
         dead.insert(i);
         breakStreams([i](const Stream &each) { return each.instance == i; });
     }
+    /** How an instance starts. */
+    struct Start
+    {
+        /** As one of a system that has never run before. */
+        bool isFirst = false;
+        /** Time until it has the list of upstreams. */
+        Millis listDelay;
+    };
+
+    void start(int i) { start(i, Start()); }
     /** Starts an instance without any state. */
-    void start(int i)
+    void start(int i, Start how)
     {
         dead.erase(i);
         Node &made = node(i);
@@ -81,9 +93,11 @@
         made.directory = std::make_unique<UpstreamDirectory>();
         made.directory->setVersionRetention(StreamOrigins::longestStream(configuration_)
                                             + StreamOrigins::lifetimeReserve);
-        made.directory->replaceAll(listed_, now);
-        made.appliedChanges = changes_.size();
-        made.confirmedAt = now;
+        if (how.isFirst)
+            made.directory->setNoVersionsBefore(now + StreamOrigins::spreadTime);
+        made.listDueAt = now + how.listDelay;
+        made.confirmedAt = now - maxListAge;
+        applyChanges(i);
         made.origins = std::make_unique<StreamOrigins>(StreamOrigins::Environment{
             counted(transportOf(i)), Clock([this] { return now; }), made.directory->versions(),
             [this, i] { return now - node(i).confirmedAt < maxListAge; }, copies_});
@@ -166,6 +180,8 @@
     std::uint64_t bytes = 0;
     /** Longest time after which an instance knows that an upstream came or went. */
     Millis maxListDelay = Millis(1000);
+    /** Callers that reach no instance try again after this time; they give up if it is not set. */
+    std::optional<Millis> retryInterval;
 
 private:
     enum class State { Waiting, Holding, Running, Broken, Resolving, Over };
@@ -192,6 +208,8 @@
         std::unique_ptr<UpstreamDirectory> directory;
         std::unique_ptr<StreamOrigins> origins;
         std::size_t appliedChanges = 0;
+        /** When the first list arrives; nothing once it has. */
+        std::optional<Millis> listDueAt;
         /** When the list was last known to be current. */
         Millis confirmedAt;
     };
@@ -212,6 +230,12 @@
     void applyChanges(int i)
     {
         Node &each = node(i);
+        if (each.listDueAt && now < *each.listDueAt)
+            return;
+        if (std::exchange(each.listDueAt, std::nullopt)) {
+            each.directory->replaceAll(listed_, now);
+            each.appliedChanges = changes_.size();
+        }
         each.confirmedAt = now;
         while (each.appliedChanges < changes_.size()) {
             const Change &change = changes_[each.appliedChanges];
@@ -325,7 +349,8 @@
         for (int tries = 0; tries < 20 && dead.count(instance) > 0; ++tries)
             instance = pick(count());
         if (dead.count(instance) > 0) {
-            each.state = State::Over;
+            each.state = retryInterval ? State::Broken : State::Over;
+            each.nextEventAt = now + retryInterval.value_or(Millis(0));
             return;
         }
         each.state = State::Resolving;
