Gateway: requests in progress at the end of a planned stop get their answer

What callers saw: in a planned stop of one instance, in calm, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

Cause: the process ended shortly before the grace did, whatever was in progress. A request whose time is longer than what is left of the grace, at an upstream that is silent or slow, lost its connection; and one that became whole only seconds after the signal, as its body came slowly, was passed on with hardly any time left.

Why the fix works: 0.2 s before the process ends, all requests in progress are ended as they would be at their deadline: 503 with a time to come back if no upstream has run them, else 502, and a stream that has begun is broken off, so that it can be taken up elsewhere. From the moment at which no new connections are taken, a request whose time ends after the stop is refused with 503, not run, before it is passed on. A carrier that stops declines what it has not run, so that another one may have it; that has no test of its own.

--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -26,14 +26,16 @@
 constexpr Millis firstRequestDelay = Millis(300);
 /** Reserved for writing the last usage before the platform kills the process. */
 constexpr Millis finalWriteReserve = Millis(400);
+/** Reserved before that for the last responses to reach their callers. */
+constexpr Millis finalResponseReserve = Millis(200);
 
 UpstreamPoolLimits poolLimits(const InstanceSettings &settings)
 {
+    constexpr std::size_t responseMemoryDivisor = 8;
     UpstreamPoolLimits limits;
+    limits.responseBytes = std::size_t{settings.memoryMb} * 1024 * 1024 / responseMemoryDivisor;
     limits.idlePerAddress = 12;
-    constexpr std::size_t responseMemoryDivisor = 8;
     limits.idleTimeout = Millis::seconds(4);
-    limits.responseBytes = std::size_t{settings.memoryMb} * 1024 * 1024 / responseMemoryDivisor;
     return limits;
 }
 
@@ -222,6 +224,20 @@
                {"source", std::string(departureSourceNames.name(source))}}});
 }
 
+std::vector<std::shared_ptr<RequestRelay>> Gateway::requestsInProgress() const
+{
+    std::vector<std::shared_ptr<RequestRelay>> relays;
+    for (RequestRelay *relay : context_.relays)
+        relays.push_back(relay->shared_from_this());
+    return relays;
+}
+
+void Gateway::endRequests()
+{
+    for (const auto &relay : requestsInProgress())
+        relay->onStop();
+}
+
 void Gateway::callBackHeld()
 {
     if (std::exchange(isCallBackPending_, true))
@@ -229,10 +245,7 @@
     // Later, as the quarantine may be told of an ending by one of these requests.
     boost::asio::post(environment_.io, [this] {
         isCallBackPending_ = false;
-        std::vector<std::shared_ptr<RequestRelay>> relays;
-        for (RequestRelay *relay : context_.relays)
-            relays.push_back(relay->shared_from_this());
-        for (const auto &relay : relays)
+        for (const auto &relay : requestsInProgress())
             relay->onContentsRestricted();
     });
 }
@@ -346,7 +359,11 @@
         hasStoppedListening_ = true;
         callers_.stopListening();
         context_.origins->handOver();
+        context_.stopsAt =
+            drainStartedAt_ + settings_.grace - finalWriteReserve - finalResponseReserve;
     }
+    if (environment_.clock.now() >= *context_.stopsAt)
+        endRequests();
     // Idle connections are closed a moment later, as one accepted just now still sends a request.
     if (elapsed >= balancerDelay + firstRequestDelay)
         callers_.closeIdle();
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -95,6 +95,9 @@
     void onStoreEra(StoreEra era);
     /** Takes requests back that upstreams have not begun and whose content became held. */
     void callBackHeld();
+    std::vector<std::shared_ptr<RequestRelay>> requestsInProgress() const;
+    /** Ends the requests in progress, as the instance stops. */
+    void endRequests();
     void onDeparture(UpstreamIncarnation incarnation, DepartureSource source);
     void onRequest(const std::shared_ptr<HttpExchange> &exchange);
     /** Sets up carrying of requests between instances. */
--- a/modules/gateway/admin/GatewayMetrics.h
+++ b/modules/gateway/admin/GatewayMetrics.h
@@ -74,9 +74,11 @@
     StreamUnknown,
     /** No instance that may know it replied. */
     StreamUnreachable,
+    /** This instance stops before the request can end. */
+    Stopping,
 };
 
-inline constexpr NameTable<GiveUpCause, 21> giveUpCauseNames{{{
+inline constexpr NameTable<GiveUpCause, 22> giveUpCauseNames{{{
     {GiveUpCause::NoConfiguration, "no-configuration"},
     {GiveUpCause::Malformed, "malformed"},
     {GiveUpCause::NoRoute, "no-route"},
@@ -98,6 +100,7 @@
     {GiveUpCause::StreamGone, "stream-version-gone"},
     {GiveUpCause::StreamUnknown, "stream-unknown"},
     {GiveUpCause::StreamUnreachable, "stream-unreachable"},
+    {GiveUpCause::Stopping, "stopping"},
 }}};
 
 /** Current values, computed when the metrics or the state are requested. */
--- a/modules/gateway/request/RelayContext.h
+++ b/modules/gateway/request/RelayContext.h
@@ -73,6 +73,8 @@
     std::unique_ptr<StreamOrigins> origins;
     /** Requests carried for and by other instances; null where instances have no links. */
     std::unique_ptr<RequestCarriage> carriage;
+    /** Set late in a planned stop: when requests end. New ones that may last longer are refused. */
+    std::optional<Millis> stopsAt;
     /** Requests in progress. */
     std::unordered_set<RequestRelay *> relays;
     LeastLoaded services;
--- a/modules/gateway/request/RelayOutcome.cpp
+++ b/modules/gateway/request/RelayOutcome.cpp
@@ -3,6 +3,16 @@
 
 namespace cuminrail {
 
+namespace {
+
+/** Whether another instance may serve what was refused for this cause. */
+bool isOfThisInstance(GiveUpCause cause)
+{
+    return cause == GiveUpCause::NoConfiguration || cause == GiveUpCause::Stopping;
+}
+
+} // namespace
+
 void RequestRelay::end(Ending ending, const EndCause &cause)
 {
     const auto self = shared_from_this();
@@ -57,8 +67,7 @@
     if (!carried_)
         exchange_->respond(
             context_.wire.localResponse(cause.status, inbound_.id, cause.retryAfter, cause.why));
-    else if (cause.status == 503 && cause.cause != GiveUpCause::NoConfiguration
-             && !context_.path.isCut())
+    else if (cause.status == 503 && !isOfThisInstance(cause.cause) && !context_.path.isCut())
         carried_->refuse(cause.retryAfter, cause.why);
     else
         carried_->decline(cause.why);
--- a/modules/gateway/request/RequestRelay.cpp
+++ b/modules/gateway/request/RequestRelay.cpp
@@ -112,6 +112,11 @@
         lastEventId_ = carried_->request().resumeAfter;
     }
     deadlineAt_ = arrivedAt_ + std::min(timeout, route_->timeout);
+    if (context_.stopsAt && deadlineAt_ > *context_.stopsAt) {
+        refuse(503, GiveUpCause::Stopping, callerRetryAfter(),
+               "the instance stops before the request's time is over");
+        return false;
+    }
     deadlineTimer_.setAt(deadlineAt_);
     return true;
 }
@@ -249,6 +254,17 @@
     giveUp(GiveUpCause::DeadlineExceeded, "the time for it is over");
 }
 
+void RequestRelay::onStop()
+{
+    if (hasEnded_)
+        return;
+    const auto self = shared_from_this();
+    cancelAttempt();
+    releaseCacheHandle();
+    closeAttempt();
+    giveUp(GiveUpCause::Stopping, "the instance stops");
+}
+
 void RequestRelay::onSilence()
 {
     if (hasEnded_ || !call_.isActive())
--- a/modules/gateway/request/RequestRelay.h
+++ b/modules/gateway/request/RequestRelay.h
@@ -41,6 +41,8 @@
     void start();
     /** Takes the request back if its upstream has not begun to respond and its content is held. */
     void onContentsRestricted();
+    /** Ends the request, as the instance stops. */
+    void onStop();
 
 private:
     /** Failed connection attempts before giving up; the request was not sent on any of them. */
