--- a/modules/net/upstream/UpstreamConnection.h
+++ b/modules/net/upstream/UpstreamConnection.h
@@ -69,8 +69,7 @@
     void endSpliced();
     /** Reads over bytes of an earlier request's response; returns whether to parse on now. */
     bool readOverStray(std::size_t size);
-    /** Counts what is kept of the response. Returns false if all responses together keep too much.
-     */
+    /** Counts what is kept of the response. Returns false if the pool's budget is exceeded. */
     bool countMemory();
     /**
         Handles the end of a body whose last bytes may be the beginning of another response: waits
