Addresses: one place reads them, and an entry without one names no upstream

What callers saw: a gateway that starts while entries of other writers stand in the list of upstreams refused all requests, as those with a name, port 0, a port out of range or a line break in place of an address counted as upstreams.

Cause: the entry's reader asked for a colon alone; what connects was stricter, so that such an upstream was listed, chosen and could never be reached. Besides, fields that are missing or of another type were read as defaults. Seven places read an address, each by rules of its own, and most of them only up to its first zero byte.

Why this works: runtime/address/Endpoint reads an IP address and a port, and says whether a connection can be made to it.

IPv6 addresses need brackets now everywhere; instances write them so. The check of the operators' settings tree stays in its decision module, which must not depend on sockets.

--- a/modules/ctl/commands/CommandLine.cpp
+++ b/modules/ctl/commands/CommandLine.cpp
@@ -1,10 +1,10 @@
 #include "ctl/commands/CommandLine.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "runtime/address/Endpoint.h"
+
 #include <cxxopts.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <iterator>
 #include <sstream>
 
@@ -66,19 +66,6 @@
     return nullptr;
 }
 
-bool isAddress(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    boost::system::error_code error;
-    boost::asio::ip::make_address(text.substr(0, colon), error);
-    unsigned port = 0;
-    const char *const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    return !error && parsed.ec == std::errc() && parsed.ptr == end && port > 0 && port < 65536;
-}
-
 std::vector<std::string> splitList(const std::string &text)
 {
     std::vector<std::string> parts;
@@ -136,12 +123,12 @@
                                                          "quarantine lift"};
     const bool takesInstanceAddress =
         std::find(forInstance.begin(), forInstance.end(), row.name) != forInstance.end();
-    if (row.needsPlatform && !isAddress(arguments.platform))
+    if (row.needsPlatform && !parseRemoteEndpoint(arguments.platform))
         return fail(lastReason, "--platform", "must be an IP address and a port");
-    if (takesInstanceAddress && !isAddress(arguments.operands.front()))
+    if (takesInstanceAddress && !parseRemoteEndpoint(arguments.operands.front()))
         return fail(lastReason, row.name, "requires an IP address and a port");
     for (const std::string &admin : arguments.admins) {
-        if (!isAddress(admin))
+        if (!parseRemoteEndpoint(admin))
             return fail(lastReason, "--admin", "must be a list of IP addresses and ports");
     }
     if (row.name == "status" && arguments.admins.empty())
--- a/modules/instance/config/InstanceConfig.h
+++ b/modules/instance/config/InstanceConfig.h
@@ -16,7 +16,11 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
 
-    std::string toString() const { return address + ":" + std::to_string(port); }
+    std::string toString() const
+    {
+        const bool isIpv6 = address.find(':') != std::string::npos;
+        return (isIpv6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
+    }
 };
 
 /** The configuration of one instance, from its flags and environment variables.
--- a/modules/instance/config/InstanceFlags.cpp
+++ b/modules/instance/config/InstanceFlags.cpp
@@ -1,6 +1,7 @@
 #include "instance/config/InstanceFlags.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "runtime/address/Endpoint.h"
+
 #include <cxxopts.hpp>
 
 #include <algorithm>
@@ -31,21 +32,9 @@
 std::optional<ListenAddress> parseAddress(const std::string &text, std::int64_t minimumPort,
                                           Reason *lastReason)
 {
-    const auto colon = text.rfind(':');
-    ListenAddress result;
-    if (colon != std::string::npos) {
-        std::string ip = text.substr(0, colon);
-        if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
-            ip = ip.substr(1, ip.size() - 2);
-        boost::system::error_code error;
-        boost::asio::ip::make_address(ip, error);
-        const auto port = parseInteger(text.substr(colon + 1), minimumPort, 65535, nullptr);
-        if (!error && port) {
-            result.address = ip;
-            result.port = static_cast<std::uint16_t>(*port);
-            return result;
-        }
-    }
+    const auto endpoint = parseEndpoint(text);
+    if (endpoint && endpoint->port() >= minimumPort)
+        return ListenAddress{endpoint->address().to_string(), endpoint->port()};
     fail(lastReason, {}, "must be an IP address and a port, such as 10.0.0.7:8080");
     return std::nullopt;
 }
--- a/modules/net/upstream/UpstreamSocket.cpp
+++ b/modules/net/upstream/UpstreamSocket.cpp
@@ -1,10 +1,9 @@
 #include "net/upstream/UpstreamConnection.h"
+#include "runtime/address/Endpoint.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
 #include <cerrno>
-#include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -14,21 +13,6 @@
 
 namespace {
 
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    unsigned port = 0;
-    const char *const end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
-    if (error || parsed.ptr != end || port == 0 || port > 65535)
-        return std::nullopt;
-    return boost::asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 void setTcpOption(TcpSocket &socket, int name, int value)
 {
     setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
@@ -38,7 +22,7 @@
 
 void UpstreamConnection::connect()
 {
-    const auto endpoint = parseEndpoint(address_);
+    const auto endpoint = parseRemoteEndpoint(address_);
     const bool isCut = isCutAt(SendPoint::BeforeConnect);
     if (!endpoint || isCut) {
         boost::asio::post(pool_.io_, [self = shared_from_this(), attempt = attempt_] {
--- a/modules/peerlink/PeerLinks.cpp
+++ b/modules/peerlink/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "peerlink/PeerLinks.h"
 
 #include "core/events/EventCatalogue.h"
+#include "runtime/address/Endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,24 +19,6 @@
 constexpr long kDialTimeoutMs = 2000;
 constexpr long kCloseTimeoutMs = 1000;
 
-std::optional<tcp::endpoint> toEndpoint(const PeerAddress &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    std::string host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[')
-        host = host.substr(1, host.size() - 2);
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(host, error);
-    const std::string port = address.substr(colon + 1);
-    const bool isNumber = !port.empty() && port.size() <= 5
-        && port.find_first_not_of("0123456789") == std::string::npos;
-    if (error || !isNumber || std::stoi(port) > 65535)
-        return std::nullopt;
-    return tcp::endpoint(ip, static_cast<std::uint16_t>(std::stoi(port)));
-}
-
 PeerAddress toAddress(const tcp::endpoint &endpoint)
 {
     const std::string host = endpoint.address().to_string();
@@ -139,7 +122,7 @@
 std::optional<PeerAddress> PeerLinks::listen(const PeerAddress &address, PeerAddress advertised,
                                              Reason *lastReason)
 {
-    const auto endpoint = toEndpoint(address);
+    const auto endpoint = parseEndpoint(address);
     if (!endpoint) {
         fail(lastReason, address, "is not an IP address and port");
         return std::nullopt;
@@ -290,7 +273,7 @@
 
 void PeerLinks::dial(const PeerAddress &to)
 {
-    if (!toEndpoint(to)) {
+    if (!parseRemoteEndpoint(to)) {
         queues_.erase(to);
         ++stats_.dropped;
         return;
--- a/programs/cuminrail-standin/main.cpp
+++ b/programs/cuminrail-standin/main.cpp
@@ -1,3 +1,4 @@
+#include "runtime/address/Endpoint.h"
 #include "standin/standin.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,21 +16,6 @@
 
 constexpr int usageError = 2;
 
-std::optional<tcp::endpoint> parseEndpoint(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
-    const std::string port = text.substr(colon + 1);
-    const bool isNumber =
-        !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == port.npos;
-    if (error || !isNumber || std::stoul(port) > 65535)
-        return std::nullopt;
-    return tcp::endpoint(address, static_cast<std::uint16_t>(std::stoul(port)));
-}
-
 std::vector<std::string> splitList(const std::string &text)
 {
     std::vector<std::string> parts;
