--- a/modules/dataplane/path/UpstreamPath.cpp
+++ b/modules/dataplane/path/UpstreamPath.cpp
@@ -262,7 +262,7 @@
     const std::size_t wanted = wantedProbes(now);
     if (wanted == 0)
         return {};
-    const std::vector<UpstreamPointer> due = choose(upstreams, wanted, now);
+    std::vector<UpstreamPointer> due = choose(upstreams, wanted, now);
     for (const UpstreamPointer &upstream : due)
         probes_[upstream->entry.id] = now;
     if (state_ == PathState::Sound) {
