--- a/modules/runtime/address/Endpoint.cpp
+++ b/modules/runtime/address/Endpoint.cpp
@@ -51,7 +51,7 @@
 
 std::optional<tcp::endpoint> parseRemoteEndpoint(const std::string &text)
 {
-    const auto endpoint = parseEndpoint(text);
+    auto endpoint = parseEndpoint(text);
     if (!endpoint || endpoint->port() == 0)
         return std::nullopt;
     const auto &ip = endpoint->address();
