--- a/modules/dataplane/path/UpstreamPath_test.cpp
+++ b/modules/dataplane/path/UpstreamPath_test.cpp
@@ -286,6 +286,7 @@
     }
 }
 
+// Silent upstreams must not delay the moment from which peers serve the instance's callers.
 TEST_CASE("the path is cut as soon as ever when some upstreams were never reached")
 {
     for (const SilentCase &row : silentCases()) {
