--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -1007,15 +1007,20 @@
         }
     };
 
-    /** @param self  this program, which runs a server if it is called "server PORT ID" */
+    /**
+        @param self         this program, which runs a server if it is called "server PORT ID"
+        @param hasOwnLinks  each machine reaches each server over a link of its own, which can be
+       cut for it alone; else all reach the servers at their own addresses
+    */
     Deployment(const std::string &recordPath, std::size_t machines, std::size_t serverCount,
-               std::string self)
+               std::string self, bool hasOwnLinks)
         : record(recordPath), cloud(record), self_(std::move(self))
     {
         char name[] = "/tmp/review-2-XXXXXX";
         if (mkdtemp(name) == nullptr)
             throw std::runtime_error("no temporary folder");
         scratch = name;
+        current() = this;
         const char *const zones[] = {"a", "b", "c"};
         for (std::size_t i = 0; i < serverCount; ++i) {
             servers.push_back(std::make_unique<Server>());
@@ -1033,6 +1038,8 @@
             node.toCloud = std::make_unique<Proxy>(cloud.port());
             std::vector<std::pair<std::string, std::string>> texts;
             for (const auto &server : servers) {
+                if (!hasOwnLinks)
+                    break;
                 node.toServers.push_back(std::make_unique<Proxy>(server->port));
                 texts.emplace_back(entryAddress(server->port),
                                    entryAddress(node.toServers.back()->port()));
@@ -1041,7 +1048,8 @@
             node.machine->cloudPort = node.toCloud->port();
         }
     }
-    ~Deployment()
+    /** Ends all processes. The threads that serve connections go on until this program ends. */
+    void end()
     {
         for (const auto &node : nodes)
             node->machine->process.kill(SIGKILL);
@@ -1053,6 +1061,12 @@
         else if (std::system(clean.c_str()) != 0)
             record.line("%s could not be removed", scratch.c_str());
     }
+    /** The one that was made last, if any. Never destroyed, as threads use it to the end. */
+    static Deployment *&current()
+    {
+        static Deployment *site = nullptr;
+        return site;
+    }
     bool start()
     {
         for (const auto &node : nodes)
@@ -1114,6 +1128,8 @@
         std::fprintf(stderr, "%s\n", error.what());
     }
     std::fflush(stdout);
+    if (Deployment::current() != nullptr)
+        Deployment::current()->end();
     Started::killAll();
     // Threads still serve connections.
     std::_Exit(result);
