--- a/review/stand-2/crash.cpp
+++ b/review/stand-2/crash.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t rounds = 10;
-constexpr std::size_t requestsOfRound = 90;
+constexpr std::size_t requestsOfRound = 360;
 /** For how long a crashed server is down. */
 constexpr int downMs = 4500;
 
@@ -33,7 +33,7 @@
             all.back().path = "/" + kind + "/x";
             all.back().id = kind + "-" + std::to_string(round) + "-" + std::to_string(i);
             sendInThread(record, *site.nodes[i / 3 % 3]->machine, all.back());
-            sleepMs(2);
+            sleepMs(1);
         }
         sleepMs(1000);
         Deployment::Server &server = *site.servers[round % site.servers.size()];
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -820,14 +820,16 @@
             {"noAuth", false},     {"sticky", false},        {"canResume", canResume},
             {"gapGoalMs", 300}};
     };
+    Json reading = route("read", "stream", 2, true);
+    reading["sticky"] = true;
     return {{"version", 7},
             {"routes",
              {route("status", "safe", 2, false), route("lodge", "unsafe", 1, false),
-              route("once", "stream", 1, false), route("again", "stream", 2, true)}},
+              route("once", "stream", 1, false), route("again", "stream", 2, true), reading}},
             {"services",
              {{{"name", "desk"},
                {"healthPath", "/health"},
-               {"maxConns", 96},
+               {"maxConns", 360},
                {"protocol", "h1"},
                {"tls", false}}}},
             {"limits",
@@ -844,7 +846,7 @@
 {
     return {{"service", "desk"}, {"address", "127.0.0.1:" + std::to_string(port)},
             {"zone", zone},      {"version", "v1"},
-            {"slots", 16},       {"state", "ready"},
+            {"slots", 64},       {"state", "ready"},
             {"coldLeftMs", 0},   {"seq", 1},
             {"born", born}};
 }
